--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/packages/cli/crocuswell_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line crocuswell for operators and callers."""
--- /dev/null
+++ b/packages/core/crocuswell_core/agent.py
@@ -0,0 +1,1 @@
+"""The agent's side: orders, reports, leases, calls to the backend server."""
--- /dev/null
+++ b/packages/core/crocuswell_core/backend.py
@@ -0,0 +1,133 @@
+"""Calls that an agent makes to its backend server, and the replies."""
+
+import attrs
+
+from crocuswell_core.records import AttemptId, WorkerInfo
+from crocuswell_core.resources import Resources
+
+
+@attrs.frozen
+class Describe:
+    """Ask for the announcement and the list of tasks."""
+
+
+@attrs.frozen
+class StartOnBackend:
+    """Start a task; the backend server refuses an attempt it knows."""
+
+    attempt: AttemptId
+    rank: int
+    members: int
+    resources: Resources
+    accelerators: tuple[int, ...]
+    payload: bytes
+    run_time_ms: int
+    checkpoint: bytes | None
+
+
+@attrs.frozen
+class StopOnBackend:
+    """Stop a task, writing a checkpoint first if a time is given."""
+
+    attempt: AttemptId
+    rank: int
+    checkpoint_ms: int | None
+
+
+@attrs.frozen
+class ThrottleOnBackend:
+    """Limit a task to a share of its processors, in percent."""
+
+    attempt: AttemptId
+    rank: int
+    percent: int
+
+
+@attrs.frozen
+class FetchResult:
+    """Read the whole result of a finished task."""
+
+    attempt: AttemptId
+    rank: int
+
+
+@attrs.frozen
+class ForgetOnBackend:
+    """Let the backend server drop an ended task."""
+
+    attempt: AttemptId
+    rank: int
+
+
+BackendCall = (
+    Describe
+    | StartOnBackend
+    | StopOnBackend
+    | ThrottleOnBackend
+    | FetchResult
+    | ForgetOnBackend
+)
+
+
+@attrs.frozen
+class BackendTask:
+    """State of one task on the backend server.
+
+    Attributes
+    ----------
+    state : str
+        `running`, `finished`, `failed` or `stopped`.
+    """
+
+    attempt: AttemptId
+    rank: int
+    state: str
+    used: Resources
+    detail: str = ""
+    checkpoint: bytes | None = None
+
+
+@attrs.frozen
+class Described:
+    """The announcement and all tasks."""
+
+    info: WorkerInfo
+    incarnation: str
+    tasks: tuple[BackendTask, ...]
+
+
+@attrs.frozen
+class Accepted:
+    """The call was carried out."""
+
+
+@attrs.frozen
+class Rejected:
+    """The backend server refused the call and did nothing."""
+
+    detail: str
+
+
+@attrs.frozen
+class ResultFetched:
+    """A whole result whose length and digest were checked."""
+
+    result: bytes
+    digest: str
+
+
+@attrs.frozen
+class Unreachable:
+    """No answer, or not a whole one; the call may have been carried out.
+
+    Attributes
+    ----------
+    sent : bool
+        False if the connection was never made, so nothing was done.
+    """
+
+    detail: str
+    sent: bool
+
+
+BackendReply = Described | Accepted | Rejected | ResultFetched | Unreachable
--- /dev/null
+++ b/packages/core/crocuswell_core/callers.py
@@ -0,0 +1,1 @@
+"""Calls of callers and operators on an entry host."""
--- /dev/null
+++ b/packages/core/crocuswell_core/changes.py
@@ -0,0 +1,1 @@
+"""Configuration changes and presets."""
--- /dev/null
+++ b/packages/core/crocuswell_core/clock.py
@@ -0,0 +1,18 @@
+"""Handlers that both roles share: time and the dispatch of timers."""
+
+from crocuswell_core.dispatch import handle, handle_timer
+from crocuswell_core.effects import Effect
+from crocuswell_core.events import ClockAdvanced, TimerFired
+from crocuswell_core.state import AgentState, EntryState
+
+
+@handle.register
+def _(event: ClockAdvanced, state: EntryState | AgentState) -> list[Effect]:
+    state.now_ms = max(state.now_ms, event.now_ms)
+    state.wall_ms = max(state.wall_ms, event.wall_ms)
+    return []
+
+
+@handle.register
+def _(event: TimerFired, state: EntryState | AgentState) -> list[Effect]:
+    return handle_timer(event.timer, state)
--- /dev/null
+++ b/packages/core/crocuswell_core/committed.py
@@ -0,0 +1,1 @@
+"""Committed entries: doubles, application, effects."""
--- /dev/null
+++ b/packages/core/crocuswell_core/dispatch.py
@@ -0,0 +1,61 @@
+"""The dispatch functions of the reducer; each part registers its cases.
+
+They stand apart from `reducer`, so that parts can register handlers
+without importing one another.
+"""
+
+from functools import singledispatch
+
+from crocuswell_core.commands import Command, LogEntry
+from crocuswell_core.effects import Applied, Effect
+from crocuswell_core.events import Event
+from crocuswell_core.messages import AgentMessage, Call, EntryMessage, PeerMessage
+from crocuswell_core.state import AgentState, ClusterState, EntryState
+from crocuswell_core.timers import Timer
+
+
+@singledispatch
+def handle(event: Event, state: EntryState | AgentState) -> list[Effect]:
+    """Change the state by an event and return the effects, in order."""
+    raise NotImplementedError(type(event).__name__)
+
+
+@singledispatch
+def handle_timer(timer: Timer, state: EntryState | AgentState) -> list[Effect]:
+    """Handle a timer that is due."""
+    raise NotImplementedError(type(timer).__name__)
+
+
+@singledispatch
+def handle_peer(message: PeerMessage, state: EntryState, sender: str) -> list[Effect]:
+    """Handle a message from another entry host."""
+    raise NotImplementedError(type(message).__name__)
+
+
+@singledispatch
+def handle_agent(
+    message: AgentMessage, state: EntryState, stream_id: int
+) -> list[Effect]:
+    """Handle a message from an agent, on an entry host."""
+    raise NotImplementedError(type(message).__name__)
+
+
+@singledispatch
+def handle_entry(message: EntryMessage, state: AgentState) -> list[Effect]:
+    """Handle a message from the entry host, on an agent."""
+    raise NotImplementedError(type(message).__name__)
+
+
+@singledispatch
+def handle_call(call: Call, state: EntryState, call_id: int) -> list[Effect]:
+    """Handle a call of a caller or operator."""
+    raise NotImplementedError(type(call).__name__)
+
+
+@singledispatch
+def apply_command(command: Command, cluster: ClusterState, entry: LogEntry) -> Applied:
+    """Apply a committed command; must be deterministic.
+
+    No handler may iterate over a set, read a clock or use a generator.
+    """
+    raise NotImplementedError(type(command).__name__)
--- /dev/null
+++ b/packages/core/crocuswell_core/effects.py
@@ -0,0 +1,280 @@
+"""The closed set of effects: what the interpreter does for the reducer.
+
+In a list of effects, a `Persist` stands before everything that relies on
+it. The interpreter writes and syncs all records of a batch before it
+carries out any other effect of that batch.
+"""
+
+import enum
+
+import attrs
+
+from crocuswell_core.backend import BackendCall
+from crocuswell_core.commands import CommandReply, EntryHost, LogEntry
+from crocuswell_core.errors import ErrorKind
+from crocuswell_core.messages import AgentMessage, EntryMessage, Order, PeerMessage
+from crocuswell_core.replies import ReadReply
+from crocuswell_core.timers import Timer
+
+# --- durable state -------------------------------------------------------
+
+
+@attrs.frozen
+class TermRecord:
+    """Current term and vote."""
+
+    term: int
+    voted_for: str | None
+
+
+@attrs.frozen
+class EntriesRecord:
+    """Entries to write; they replace any from the first index on."""
+
+    entries: tuple[LogEntry, ...]
+
+
+Record = TermRecord | EntriesRecord
+
+
+@attrs.frozen
+class Persist:
+    """Write a record; it counts once it is synced."""
+
+    record: Record
+
+
+@attrs.frozen
+class SaveSnapshot:
+    """Write a snapshot and drop the log up to `index`.
+
+    Attributes
+    ----------
+    state : object
+        The `ClusterState`; encoded before the next event is reduced.
+    """
+
+    index: int
+    term: int
+    hosts: tuple[EntryHost, ...]
+    voters: tuple[str, ...]
+    state: object
+
+
+# --- messages ------------------------------------------------------------
+
+
+@attrs.frozen
+class SendPeer:
+    """Send to another entry host; may be lost."""
+
+    to: str
+    message: PeerMessage
+
+
+@attrs.frozen
+class SendSnapshot:
+    """Send the replicated state to another entry host as a snapshot.
+
+    The interpreter encodes `state` before the next event is reduced.
+    """
+
+    to: str
+    term: int
+    index: int
+    entry_term: int
+    hosts: tuple[EntryHost, ...]
+    voters: tuple[str, ...]
+    state: object
+    round: int
+
+
+@attrs.frozen
+class SendAgent:
+    """Send on an agent's stream; may be lost."""
+
+    stream_id: int
+    message: EntryMessage
+
+
+@attrs.frozen
+class CloseAgentStream:
+    """Close an agent's stream."""
+
+    stream_id: int
+
+
+@attrs.frozen
+class AnswerCall:
+    """Answer a caller or operator."""
+
+    call_id: int
+    reply: CommandReply | ReadReply
+
+
+@attrs.frozen
+class OpenEntryStream:
+    """Open the agent's stream to an entry host.
+
+    Attributes
+    ----------
+    address : str
+        `host:port` of the entry host's agent listener.
+    """
+
+    stream_id: int
+    address: str
+
+
+@attrs.frozen
+class CloseEntryStream:
+    """Close the agent's stream."""
+
+    stream_id: int
+
+
+@attrs.frozen
+class SendEntry:
+    """Send on the agent's stream; may be lost."""
+
+    stream_id: int
+    message: AgentMessage
+
+
+@attrs.frozen
+class CallBackend:
+    """Make a call to the backend server; ends in `BackendReplied`."""
+
+    call: BackendCall
+
+
+# --- timers, sight, process ----------------------------------------------
+
+
+@attrs.frozen
+class StartTimer:
+    """Subscribe to a timer; replaces an earlier subscription to it."""
+
+    timer: Timer
+    delay_ms: int
+
+
+@attrs.frozen
+class CancelTimer:
+    """End a subscription."""
+
+    timer: Timer
+
+
+@attrs.frozen
+class Label:
+    """A label of a counter; values come from bounded sets."""
+
+    name: str
+    value: str
+
+
+@attrs.frozen
+class Count:
+    """Add to a counter."""
+
+    counter: str
+    amount: int = 1
+    labels: tuple[Label, ...] = ()
+
+
+@attrs.frozen
+class Observe:
+    """Record a value in a histogram."""
+
+    histogram: str
+    value: float
+    labels: tuple[Label, ...] = ()
+
+
+class ChangeLevel(enum.Enum):
+    """Weight of a change of state in the log."""
+
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@attrs.frozen
+class LogChange:
+    """Write one line for a change of state."""
+
+    change: str
+    ids: tuple[Label, ...] = ()
+    level: ChangeLevel = ChangeLevel.INFO
+
+
+@attrs.frozen
+class OrderWorker:
+    """Pass an order to a worker's agent.
+
+    A result of applying a command. It becomes a `SendAgent` on the entry
+    host that holds the agent's stream and nothing on the others.
+    """
+
+    worker: str
+    order: Order
+
+
+@attrs.frozen
+class RequestEnded:
+    """A request reached its outcome; calls that wait for it are answered."""
+
+    request_id: str
+
+
+ClusterEffect = OrderWorker | RequestEnded | Count | Observe | LogChange
+
+
+@attrs.frozen
+class Applied:
+    """Result of applying a command.
+
+    Counters, observations and log lines are passed on by the leader only,
+    so that each change is counted once.
+    """
+
+    reply: CommandReply
+    effects: tuple[ClusterEffect, ...] = ()
+
+
+@attrs.frozen
+class SetReady:
+    """Turn `/readyz` on or off."""
+
+    ready: bool
+
+
+@attrs.frozen
+class Halt:
+    """Stop the process; `kind` is None for a planned stop."""
+
+    kind: ErrorKind | None = None
+    detail: str = ""
+
+
+Effect = (
+    Persist
+    | SaveSnapshot
+    | SendPeer
+    | SendSnapshot
+    | SendAgent
+    | CloseAgentStream
+    | AnswerCall
+    | OpenEntryStream
+    | CloseEntryStream
+    | SendEntry
+    | CallBackend
+    | StartTimer
+    | CancelTimer
+    | Count
+    | Observe
+    | LogChange
+    | SetReady
+    | Halt
+)
--- /dev/null
+++ b/packages/core/crocuswell_core/election.py
@@ -0,0 +1,1 @@
+"""Elections, votes, leadership and its lease."""
--- /dev/null
+++ b/packages/core/crocuswell_core/events.py
@@ -0,0 +1,180 @@
+"""The closed set of events."""
+
+import attrs
+
+from crocuswell_core.backend import BackendCall, BackendReply
+from crocuswell_core.commands import EntryHost, LogEntry
+from crocuswell_core.messages import AgentMessage, Call, EntryMessage, PeerMessage
+from crocuswell_core.timers import Timer
+
+
+@attrs.frozen
+class ClockAdvanced:
+    """Time as the timer service sees it.
+
+    Attributes
+    ----------
+    now_ms : int
+        Monotonic time in ms, for leases and timeouts.
+    wall_ms : int
+        Time since the epoch in ms, for records.
+    """
+
+    now_ms: int
+    wall_ms: int
+
+
+@attrs.frozen
+class TimerFired:
+    """A subscribed timer is due."""
+
+    timer: Timer
+
+
+@attrs.frozen
+class EntryBooted:
+    """An entry host read its data folder.
+
+    Attributes
+    ----------
+    snapshot_state : object or None
+        Decoded `ClusterState` of the newest snapshot.
+    entries : tuple of LogEntry
+        Entries after the snapshot.
+    """
+
+    term: int = 0
+    voted_for: str | None = None
+    snapshot_index: int = 0
+    snapshot_term: int = 0
+    snapshot_state: object | None = None
+    hosts: tuple[EntryHost, ...] = ()
+    voters: tuple[str, ...] = ()
+    entries: tuple[LogEntry, ...] = ()
+
+
+@attrs.frozen
+class PeerMessageReceived:
+    """A message from another entry host."""
+
+    sender: str
+    message: PeerMessage
+
+
+@attrs.frozen
+class SnapshotReceived:
+    """An `InstallSnapshot` whose state the runtime decoded."""
+
+    sender: str
+    term: int
+    index: int
+    entry_term: int
+    hosts: tuple[EntryHost, ...]
+    voters: tuple[str, ...]
+    state: object
+    round: int
+
+
+@attrs.frozen
+class EntriesSynced:
+    """The log is on disk up to `index`, whose entry has term `term`."""
+
+    index: int
+    term: int
+
+
+@attrs.frozen
+class CallReceived:
+    """A caller or operator made a call."""
+
+    call_id: int
+    call: Call
+
+
+@attrs.frozen
+class CallAbandoned:
+    """Nobody waits for the call's answer any more."""
+
+    call_id: int
+
+
+@attrs.frozen
+class AgentMessageReceived:
+    """A message on an agent's stream."""
+
+    stream_id: int
+    message: AgentMessage
+
+
+@attrs.frozen
+class AgentStreamClosed:
+    """An agent's stream ended or broke."""
+
+    stream_id: int
+
+
+@attrs.frozen
+class EntryStopRequested:
+    """SIGTERM on an entry host."""
+
+
+@attrs.frozen
+class AgentBooted:
+    """An agent started."""
+
+
+@attrs.frozen
+class EntryStreamOpened:
+    """The agent's stream to an entry host is open."""
+
+    stream_id: int
+
+
+@attrs.frozen
+class EntryStreamClosed:
+    """The agent's stream ended, broke or could not be opened."""
+
+    stream_id: int
+    detail: str
+
+
+@attrs.frozen
+class EntryMessageReceived:
+    """A message from the entry host on the agent's stream."""
+
+    stream_id: int
+    message: EntryMessage
+
+
+@attrs.frozen
+class BackendReplied:
+    """The end of a call to the backend server."""
+
+    call: BackendCall
+    reply: BackendReply
+
+
+@attrs.frozen
+class AgentStopRequested:
+    """SIGTERM on an agent."""
+
+
+Event = (
+    ClockAdvanced
+    | TimerFired
+    | EntryBooted
+    | PeerMessageReceived
+    | SnapshotReceived
+    | EntriesSynced
+    | CallReceived
+    | CallAbandoned
+    | AgentMessageReceived
+    | AgentStreamClosed
+    | EntryStopRequested
+    | AgentBooted
+    | EntryStreamOpened
+    | EntryStreamClosed
+    | EntryMessageReceived
+    | BackendReplied
+    | AgentStopRequested
+)
--- /dev/null
+++ b/packages/core/crocuswell_core/fleet.py
@@ -0,0 +1,1 @@
+"""Workers: announcement, silence, draining, reports."""
--- /dev/null
+++ b/packages/core/crocuswell_core/members.py
@@ -0,0 +1,1 @@
+"""Membership of the control group."""
--- /dev/null
+++ b/packages/core/crocuswell_core/replication.py
@@ -0,0 +1,1 @@
+"""Log replication, commit, snapshots."""
--- /dev/null
+++ b/packages/core/crocuswell_core/requests.py
@@ -0,0 +1,1 @@
+"""Requests, attempts and their outcomes."""
--- /dev/null
+++ b/packages/core/crocuswell_core/resources.py
@@ -0,0 +1,96 @@
+"""Amounts of processors, memory and accelerators, and the shape of a job."""
+
+import enum
+from typing import Self
+
+import attrs
+
+SLOTS_PER_WORKER = 8
+CONNECTIONS_PER_WORKER = 64
+
+
+class Adjacency(enum.Enum):
+    """The unit within which all members of a gang must be placed."""
+
+    NONE = "none"
+    WORKER = "worker"
+    RACK = "rack"
+    FAILURE_DOMAIN = "failure_domain"
+
+
+@attrs.frozen
+class Resources:
+    """An amount of what a worker offers.
+
+    Attributes
+    ----------
+    accelerators : int
+        Number of accelerators.
+    processors : int
+        Number of processor cores.
+    memory_mb : int
+        Memory in MB.
+    """
+
+    accelerators: int = 0
+    processors: int = 0
+    memory_mb: int = 0
+
+    def __add__(self, other: Self) -> "Resources":
+        return Resources(
+            self.accelerators + other.accelerators,
+            self.processors + other.processors,
+            self.memory_mb + other.memory_mb,
+        )
+
+    def __sub__(self, other: Self) -> "Resources":
+        return Resources(
+            self.accelerators - other.accelerators,
+            self.processors - other.processors,
+            self.memory_mb - other.memory_mb,
+        )
+
+    def times(self, count: int) -> "Resources":
+        """Return this amount `count` times."""
+        return Resources(
+            self.accelerators * count, self.processors * count, self.memory_mb * count
+        )
+
+    def fits_in(self, room: Self) -> bool:
+        """Tell whether every part of this amount is at most that of `room`."""
+        return (
+            self.accelerators <= room.accelerators
+            and self.processors <= room.processors
+            and self.memory_mb <= room.memory_mb
+        )
+
+    def is_negative(self) -> bool:
+        """Tell whether any part is below zero."""
+        return self.accelerators < 0 or self.processors < 0 or self.memory_mb < 0
+
+
+NOTHING = Resources()
+
+
+@attrs.frozen
+class Shape:
+    """What a job needs or a workspace is guaranteed.
+
+    Attributes
+    ----------
+    members : int
+        Gang size; each member occupies one slot on one worker.
+    per_member : Resources
+        Resources of each member.
+    adjacency : Adjacency
+        Unit that must hold all members.
+    """
+
+    members: int = 1
+    per_member: Resources = Resources(0, 1, 256)
+    adjacency: Adjacency = Adjacency.NONE
+
+    @property
+    def total(self) -> Resources:
+        """Resources of all members together."""
+        return self.per_member.times(self.members)
--- /dev/null
+++ b/packages/core/crocuswell_core/scheduling.py
@@ -0,0 +1,1 @@
+"""The scheduling pass that follows each applied command."""
--- /dev/null
+++ b/packages/core/crocuswell_core/sessions.py
@@ -0,0 +1,1 @@
+"""Agents' streams on an entry host, liveness and lease extension."""
--- /dev/null
+++ b/packages/core/crocuswell_core/state.py
@@ -0,0 +1,390 @@
+"""State of an entry host and of an agent; written only by the reducer."""
+
+import enum
+import random
+
+import attrs
+
+from crocuswell_core.backend import BackendTask
+from crocuswell_core.commands import CommandReply, EntryHost, LogEntry, Proposal, Report
+from crocuswell_core.configuration import Configuration, ConfigurationChange
+from crocuswell_core.messages import ReadCall, StartTask
+from crocuswell_core.records import Attempt, AttemptId, Request, Worker, WorkerInfo
+from crocuswell_core.resources import Resources
+
+STATE_VERSION = 1
+
+# --- replicated ----------------------------------------------------------
+
+
+@attrs.frozen
+class AnsweredCommand:
+    """First answer to a command, for commands that are sent again."""
+
+    digest: str
+    reply: CommandReply
+    at_ms: int
+
+
+@attrs.define
+class WorkerRoom:
+    """What is free on one worker.
+
+    Attributes
+    ----------
+    accelerators : list of int
+        Indices of free accelerators, ascending.
+    attempts : dict
+        Attempts with a member here, in order of placement; the value is
+        the number of members.
+    """
+
+    free: Resources
+    free_slots: int
+    accelerators: list[int]
+    attempts: dict[AttemptId, int] = attrs.Factory(dict)
+
+
+@attrs.define
+class ClusterState:
+    """Result of applying the log; equal on every entry host.
+
+    Attributes
+    ----------
+    now_ms : int
+        Cluster time: the leader's wall clock in ms, never going back.
+    queues : dict
+        For each workspace the ids of queued requests, in order.
+    rooms : dict
+        For each worker what is free on it.
+    recent : dict
+        Ended requests in the order they ended, for retention.
+    """
+
+    version: int = STATE_VERSION
+    now_ms: int = 0
+    history: list[ConfigurationChange] = attrs.field(
+        factory=lambda: [ConfigurationChange(0, "", 0, Configuration())]
+    )
+    number_in_force: int = 0
+    requests: dict[str, Request] = attrs.Factory(dict)
+    queues: dict[str, dict[str, None]] = attrs.Factory(dict)
+    attempts: dict[AttemptId, Attempt] = attrs.Factory(dict)
+    workers: dict[str, Worker] = attrs.Factory(dict)
+    rooms: dict[str, WorkerRoom] = attrs.Factory(dict)
+    answered: dict[str, AnsweredCommand] = attrs.Factory(dict)
+    recent: dict[str, int] = attrs.Factory(dict)
+    report_sequences: dict[str, int] = attrs.Factory(dict)
+
+    @property
+    def configuration(self) -> Configuration:
+        """The newest accepted configuration."""
+        return self.history[-1].configuration
+
+    @property
+    def number(self) -> int:
+        """Number of the newest accepted configuration."""
+        return self.history[-1].number
+
+
+# --- agreement -----------------------------------------------------------
+
+
+class Role(enum.Enum):
+    """Role in the agreement protocol."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@attrs.define
+class PeerProgress:
+    """What the leader knows of one other host.
+
+    Attributes
+    ----------
+    acknowledged_ms : int
+        Time of sending of the newest heartbeat round it acknowledged.
+    """
+
+    next_index: int
+    match_index: int = 0
+    acknowledged_round: int = 0
+    acknowledged_ms: int = 0
+    snapshot_sent_ms: int | None = None
+
+
+@attrs.define
+class ConsensusState:
+    """State of the agreement protocol on one entry host.
+
+    Attributes
+    ----------
+    entries : list of LogEntry
+        Entries after `snapshot_index`.
+    synced_index : int
+        Highest index known to be on this host's disk.
+    heard_leader_ms : int
+        Time at which a current leader was last heard.
+    rounds : dict
+        For each unacknowledged heartbeat round its time of sending in ms.
+    lease_until_ms : int
+        End of the leader's lease.
+    """
+
+    term: int = 0
+    voted_for: str | None = None
+    role: Role = Role.FOLLOWER
+    leader: str | None = None
+    hosts: tuple[EntryHost, ...] = ()
+    voters: tuple[str, ...] = ()
+    entries: list[LogEntry] = attrs.Factory(list)
+    snapshot_index: int = 0
+    snapshot_term: int = 0
+    synced_index: int = 0
+    commit_index: int = 0
+    applied_index: int = 0
+    heard_leader_ms: int = -1_000_000
+    votes: dict[str, bool] = attrs.Factory(dict)
+    progress: dict[str, PeerProgress] = attrs.Factory(dict)
+    round: int = 0
+    rounds: dict[int, int] = attrs.Factory(dict)
+    lease_until_ms: int = 0
+    leader_since_ms: int = 0
+    transferring_to: str | None = None
+
+
+# --- entry host ----------------------------------------------------------
+
+
+@attrs.frozen
+class EntryConfig:
+    """Fixed settings of an entry host.
+
+    Attributes
+    ----------
+    hosts : tuple of EntryHost
+        First membership; later ones come from the log.
+    initial_configuration : Configuration
+        Applied as number 0 before any change.
+    """
+
+    host: EntryHost
+    hosts: tuple[EntryHost, ...]
+    voters: tuple[str, ...]
+    seed: int = 0
+    heartbeat_ms: int = 150
+    leader_lease_ms: int = 500
+    election_min_ms: int = 600
+    election_max_ms: int = 1_200
+    liveness_ms: int = 500
+    retry_ms: int = 400
+    agent_heartbeat_ms: int = 1_000
+    agent_silence_ms: int = 2_500
+    lease_margin_ms: int = 500
+    admission_lease_ms: int = 5_000
+    snapshot_entries: int = 2_000
+    replace_voter_ms: int = 30_000
+    call_limit_ms: int = 30_000
+    stop_limit_ms: int = 20_000
+
+
+@attrs.define
+class AgentSession:
+    """An agent's stream on this entry host.
+
+    Attributes
+    ----------
+    heard_ms : int
+        Time of the last message.
+    heard_sequence : int
+        Newest heartbeat sequence received.
+    reported_sequence : int
+        Heartbeat sequence contained in the `Liveness` numbered
+        `liveness_sequence`.
+    confirmed_sequence : int
+        Heartbeat sequence whose liveness the leader confirmed.
+    """
+
+    stream_id: int
+    worker: str
+    incarnation: str
+    heard_ms: int
+    heard_sequence: int = 0
+    reported_sequence: int = 0
+    confirmed_sequence: int = 0
+    number: int = 0
+    welcomed: bool = False
+
+
+@attrs.define
+class PendingCall:
+    """A call that waits for its answer.
+
+    Attributes
+    ----------
+    read_index : int or None
+        Index to apply before a read is answered; None until known.
+    """
+
+    call_id: int
+    received_ms: int
+    limit_ms: int
+    command_id: str = ""
+    read: ReadCall | None = None
+    read_index: int | None = None
+
+
+@attrs.define
+class PendingProposal:
+    """A proposal from this host that is not yet applied here."""
+
+    proposal: Proposal
+    sent_ms: int
+
+
+@attrs.define
+class HeardWorker:
+    """The leader's knowledge of an agent's liveness.
+
+    Attributes
+    ----------
+    number : int
+        Configuration number that the agent confirmed.
+    """
+
+    incarnation: str
+    heard_ms: int
+    number: int = 0
+
+
+@attrs.define
+class EntryState:
+    """State of an entry host.
+
+    Attributes
+    ----------
+    heard_workers : dict
+        On the leader: when each worker was last heard.
+    heard_hosts : dict
+        On the leader: for each entry host the configuration number it
+        has applied.
+    liveness_sent : dict
+        For each unconfirmed `Liveness` the sequences it covered, by
+        worker.
+    read_calls : dict
+        Calls that wait for a read index, by read id.
+    """
+
+    cfg: EntryConfig
+    rng: random.Random
+    now_ms: int = 0
+    wall_ms: int = 0
+    consensus: ConsensusState = attrs.Factory(ConsensusState)
+    cluster: ClusterState = attrs.Factory(ClusterState)
+    sessions: dict[str, AgentSession] = attrs.Factory(dict)
+    streams: dict[int, str] = attrs.Factory(dict)
+    calls: dict[int, PendingCall] = attrs.Factory(dict)
+    proposals: dict[str, PendingProposal] = attrs.Factory(dict)
+    heard_workers: dict[str, HeardWorker] = attrs.Factory(dict)
+    heard_hosts: dict[str, int] = attrs.Factory(dict)
+    liveness_sequence: int = 0
+    liveness_sent: dict[int, dict[str, int]] = attrs.Factory(dict)
+    cluster_timer_at_ms: int | None = None
+    stopping: bool = False
+
+
+# --- agent ---------------------------------------------------------------
+
+
+@attrs.frozen
+class AgentConfig:
+    """Fixed settings of an agent.
+
+    Attributes
+    ----------
+    entries : tuple of str
+        `host:port` of the entry hosts' agent listeners.
+    """
+
+    entries: tuple[str, ...]
+    incarnation: str
+    seed: int = 0
+    heartbeat_ms: int = 1_000
+    silence_ms: int = 2_500
+    tick_ms: int = 250
+    poll_ms: int = 250
+    admission_lease_ms: int = 5_000
+    backoff_min_ms: int = 100
+    backoff_max_ms: int = 3_000
+    stop_limit_ms: int = 20_000
+
+
+class TaskPhase(enum.Enum):
+    """Where a task stands on the agent."""
+
+    RESERVED = "reserved"
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+    FETCHING = "fetching"
+    ENDED = "ended"
+
+
+@attrs.define
+class AgentTask:
+    """A task as the agent knows it."""
+
+    attempt: AttemptId
+    rank: int
+    phase: TaskPhase
+    resources: Resources
+    order: StartTask | None = None
+    last: BackendTask | None = None
+
+
+@attrs.define
+class AgentState:
+    """State of an agent.
+
+    Attributes
+    ----------
+    sent_heartbeats : dict
+        For each unconfirmed heartbeat sequence its time of sending.
+    lease_from_ms : int
+        Time from which the leases run; they end at this time plus their
+        length.
+    epochs : dict
+        For each request the highest epoch seen, to refuse older orders.
+    reports : list of Report
+        Reports not yet acknowledged; the first has number
+        `first_report`.
+    """
+
+    cfg: AgentConfig
+    rng: random.Random
+    now_ms: int = 0
+    wall_ms: int = 0
+    info: WorkerInfo | None = None
+    backend_incarnation: str = ""
+    stream_id: int = 0
+    connected: bool = False
+    welcomed: bool = False
+    heard_ms: int = 0
+    connect_at_ms: int = 0
+    failures: int = 0
+    entry_index: int = 0
+    sequence: int = 0
+    sent_heartbeats: dict[int, int] = attrs.Factory(dict)
+    heartbeat_sent_ms: int = -1_000_000
+    lease_from_ms: int = -1_000_000
+    run_lease_ms: int = 15_000
+    number: int = 0
+    tasks: dict[AttemptId, dict[int, AgentTask]] = attrs.Factory(dict)
+    epochs: dict[str, int] = attrs.Factory(dict)
+    reports: list[Report] = attrs.Factory(list)
+    first_report: int = 1
+    counters: dict[str, int] = attrs.Factory(dict)
+    stopping: bool = False
--- /dev/null
+++ b/packages/daemon/crocuswell_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The long-running process crocuswelld: entry host or agent."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems; not part of what ships."""
--- /dev/null
+++ b/tests/test_errors.py
@@ -0,0 +1,10 @@
+"""Guards against an error kind without a promise."""
+
+import pytest
+
+from crocuswell_core.errors import PROMISES, ErrorKind
+
+
+@pytest.mark.parametrize("kind", list(ErrorKind))
+def test_each_kind_has_a_promise(kind: ErrorKind) -> None:
+    assert PROMISES[kind].title
