--- a/packages/core/crocuswell_core/agent.py
+++ b/packages/core/crocuswell_core/agent.py
@@ -1,1 +1,266 @@
-"""The agent's side: orders, reports, leases, calls to the backend server."""
+"""The agent's side: events, timers and messages from the entry host."""
+
+from crocuswell_core import agent_leases, agent_stream
+from crocuswell_core.agent_backend import describe, handle_reply
+from crocuswell_core.agent_reports import (
+    all_tasks,
+    count,
+    drop_acknowledged,
+    drop_task,
+    find_task,
+    flush_reports,
+)
+from crocuswell_core.agent_tasks import (
+    conclude_unstarted,
+    follow_order,
+    lease_stop_due_ms,
+    stop_for_lease,
+    stop_task,
+)
+from crocuswell_core.backend import ForgetOnBackend
+from crocuswell_core.commands import TaskReserved
+from crocuswell_core.dispatch import handle, handle_entry, handle_timer
+from crocuswell_core.effects import (
+    CallBackend,
+    ChangeLevel,
+    CloseEntryStream,
+    Effect,
+    Halt,
+    Label,
+    LogChange,
+    StartTimer,
+)
+from crocuswell_core.events import (
+    AgentBooted,
+    AgentStopRequested,
+    BackendReplied,
+    EntryMessageReceived,
+    EntryStreamClosed,
+    EntryStreamOpened,
+)
+from crocuswell_core.messages import (
+    EntryHeartbeat,
+    Goodbye,
+    Orders,
+    ReportAck,
+    StopTask,
+    Welcome,
+)
+from crocuswell_core.state import AgentState, AgentTask, TaskPhase
+from crocuswell_core.timers import AgentTimer, PollTimer
+
+# --- events --------------------------------------------------------------
+
+
+@handle.register
+def _(event: AgentBooted, state: AgentState) -> list[Effect]:
+    state.booted_ms = state.now_ms
+    poll = StartTimer(PollTimer(), state.cfg.poll_ms)
+    return _settle(state, [*describe(state), poll])
+
+
+@handle.register
+def _(event: EntryStreamOpened, state: AgentState) -> list[Effect]:
+    if event.stream_id != state.stream_id or not state.opening:
+        return [CloseEntryStream(event.stream_id)]
+    return _settle(state, agent_stream.greet(state))
+
+
+@handle.register
+def _(event: EntryStreamClosed, state: AgentState) -> list[Effect]:
+    if event.stream_id != state.stream_id or not agent_stream.has_stream(state):
+        return []
+    return _settle(state, agent_stream.lose_stream(state, event.detail))
+
+
+@handle.register
+def _(event: EntryMessageReceived, state: AgentState) -> list[Effect]:
+    if event.stream_id != state.stream_id or not state.connected:
+        count(state, "stale_messages")
+        return []
+    state.heard_ms = state.now_ms
+    return _settle(state, handle_entry(event.message, state))
+
+
+@handle.register
+def _(event: BackendReplied, state: AgentState) -> list[Effect]:
+    return _settle(state, handle_reply(event.call, state, event.reply))
+
+
+@handle.register
+def _(event: AgentStopRequested, state: AgentState) -> list[Effect]:
+    if state.stopping:
+        return []
+    state.stopping = True
+    state.stop_by_ms = state.now_ms + state.cfg.stop_limit_ms
+    effects: list[Effect] = [LogChange("agent stopping")]
+    for task in all_tasks(state):
+        if task.phase is TaskPhase.RESERVED:
+            effects += conclude_unstarted(state, task, "the agent is stopping")
+    return _settle(state, effects)
+
+
+def _settle(state: AgentState, effects: list[Effect]) -> list[Effect]:
+    """Send new reports, end a planned stop, set the timer for what is next."""
+    effects += flush_reports(state)
+    if state.stopping and _may_halt(state):
+        if agent_stream.has_stream(state):
+            effects.append(CloseEntryStream(state.stream_id))
+        return [*effects, Halt()]
+    due_ms = _next_due_ms(state)
+    if due_ms != state.timer_at_ms:
+        state.timer_at_ms = due_ms
+        effects.append(StartTimer(AgentTimer(), max(0, due_ms - state.now_ms)))
+    return effects
+
+
+def _may_halt(state: AgentState) -> bool:
+    """Tell whether a planned stop may end.
+
+    Calls in flight and reports are awaited, unless nobody takes them;
+    the next incarnation finds all else on the backend server.
+    """
+    if state.now_ms >= state.stop_by_ms:
+        return True
+    is_calling = any(
+        task.start_in_flight or task.stop_in_flight or task.phase is TaskPhase.FETCHING
+        for task in all_tasks(state)
+    )
+    return not is_calling and (not state.reports or not state.connected)
+
+
+# --- timers --------------------------------------------------------------
+
+
+@handle_timer.register
+def _(timer: AgentTimer, state: AgentState) -> list[Effect]:
+    state.timer_at_ms = None
+    effects = _stop_before_lease_ends(state)
+    if not agent_stream.has_stream(state):
+        if state.info is not None and _connect_due(state):
+            effects += agent_stream.open_stream(state)
+    elif state.now_ms - state.heard_ms >= state.cfg.silence_ms:
+        effects += agent_stream.replace_stream(state, "silent")
+    elif state.connected and _heartbeat_due_ms(state) <= state.now_ms:
+        effects += agent_stream.send_heartbeat(state)
+    return _settle(state, effects)
+
+
+@handle_timer.register
+def _(timer: PollTimer, state: AgentState) -> list[Effect]:
+    delay_ms = state.cfg.poll_ms if state.tasks else state.cfg.heartbeat_ms
+    return _settle(state, [*describe(state), StartTimer(PollTimer(), delay_ms)])
+
+
+def _stop_before_lease_ends(state: AgentState) -> list[Effect]:
+    effects: list[Effect] = []
+    for task in all_tasks(state):
+        due_ms = lease_stop_due_ms(state, task)
+        if due_ms is not None and due_ms <= state.now_ms:
+            count(state, "lease_stops")
+            effects += stop_for_lease(state, task)
+    if effects:
+        level = ChangeLevel.WARNING
+        effects.append(LogChange("run lease ends, tasks stopped", level=level))
+    return effects
+
+
+def _connect_due(state: AgentState) -> bool:
+    return not state.stopping and state.connect_at_ms <= state.now_ms
+
+
+def _heartbeat_due_ms(state: AgentState) -> int:
+    return state.heartbeat_sent_ms + state.cfg.heartbeat_ms
+
+
+def _next_due_ms(state: AgentState) -> int:
+    """Time of the next periodic work, at most one heartbeat away."""
+    due = [state.now_ms + state.cfg.heartbeat_ms]
+    if state.timer_at_ms is not None and state.timer_at_ms > state.now_ms:
+        due = [state.timer_at_ms]
+    if state.stopping:
+        due.append(state.stop_by_ms)
+    if agent_stream.has_stream(state):
+        due.append(state.heard_ms + state.cfg.silence_ms)
+    elif state.info is not None and not state.stopping:
+        due.append(state.connect_at_ms)
+    if state.connected:
+        due.append(_heartbeat_due_ms(state))
+    due += [
+        due_ms
+        for task in all_tasks(state)
+        if (due_ms := lease_stop_due_ms(state, task)) is not None
+    ]
+    return min(due)
+
+
+# --- messages from the entry host ----------------------------------------
+
+
+@handle_entry.register
+def _(message: Welcome, state: AgentState) -> list[Effect]:
+    inherited = not state.was_welcomed
+    state.welcomed = state.was_welcomed = True
+    state.number = message.number
+    state.run_lease_ms = message.run_lease_ms
+    agent_leases.extend(state, message.confirmed)
+    effects: list[Effect] = [
+        LogChange("entry stream ready", (Label("number", str(message.number)),))
+    ]
+    effects += _acknowledge(state, message.acknowledged)
+    wanted = {(order.attempt, order.rank) for order in message.orders}
+    for task in all_tasks(state):
+        if (task.attempt, task.rank) not in wanted:
+            effects += _stop_unwanted(state, task)
+    stops = [order for order in message.orders if isinstance(order, StopTask)]
+    others = [order for order in message.orders if not isinstance(order, StopTask)]
+    for order in stops + others:
+        effects += follow_order(order, state, inherited)
+    return effects
+
+
+@handle_entry.register
+def _(message: Orders, state: AgentState) -> list[Effect]:
+    if not state.welcomed:
+        count(state, "orders_before_welcome")
+        return []
+    effects: list[Effect] = []
+    for order in message.orders:
+        effects += follow_order(order, state, inherited=False)
+    return effects
+
+
+@handle_entry.register
+def _(message: EntryHeartbeat, state: AgentState) -> list[Effect]:
+    state.number = message.number
+    state.run_lease_ms = message.run_lease_ms
+    agent_leases.extend(state, message.confirmed)
+    return []
+
+
+@handle_entry.register
+def _(message: ReportAck, state: AgentState) -> list[Effect]:
+    return _acknowledge(state, message.sequence)
+
+
+@handle_entry.register
+def _(message: Goodbye, state: AgentState) -> list[Effect]:
+    return agent_stream.replace_stream(state, "the entry host is stopping")
+
+
+def _acknowledge(state: AgentState, sequence: int) -> list[Effect]:
+    effects: list[Effect] = []
+    for report in drop_acknowledged(state, sequence):
+        if isinstance(report, TaskReserved):
+            continue
+        task = find_task(state, report.attempt, report.rank)
+        if task is not None and task.phase is TaskPhase.ENDED:
+            drop_task(state, report.attempt, report.rank)
+            call = ForgetOnBackend(report.attempt, report.rank)
+            effects.append(CallBackend(call))
+    return effects
+
+
+def _stop_unwanted(state: AgentState, task: AgentTask) -> list[Effect]:
+    count(state, "unwanted_stopped")
+    return stop_task(state, task, None)
--- /dev/null
+++ b/packages/core/crocuswell_core/agent_backend.py
@@ -0,0 +1,328 @@
+"""The agent's reading of its backend server's replies."""
+
+from functools import singledispatch
+
+from crocuswell_core.agent_leases import backend_lease_until_ms
+from crocuswell_core.agent_reports import (
+    add_task,
+    all_tasks,
+    count,
+    ended_unrun,
+    find_task,
+)
+from crocuswell_core.agent_stream import (
+    has_stream,
+    plan_connect,
+    replace_stream,
+)
+from crocuswell_core.agent_tasks import (
+    conclude_unstarted,
+    end_task,
+    lose_task,
+    retry_stop,
+    send_stop,
+    stop_task,
+)
+from crocuswell_core.backend import (
+    Accepted,
+    BackendCall,
+    BackendReply,
+    BackendTask,
+    Describe,
+    Described,
+    FetchResult,
+    ForgetOnBackend,
+    Rejected,
+    ResultFetched,
+    StartOnBackend,
+    StopOnBackend,
+    ThrottleOnBackend,
+    Unreachable,
+)
+from crocuswell_core.commands import (
+    TaskFailed,
+    TaskFinished,
+    TaskRefused,
+    TaskStopped,
+)
+from crocuswell_core.effects import CallBackend, Effect, Label, LogChange, SendEntry
+from crocuswell_core.messages import DrainNotice
+from crocuswell_core.state import AgentState, AgentTask, TaskPhase
+
+RUNNING = "running"
+FINISHED = "finished"
+FAILED = "failed"
+STOPPED = "stopped"
+FENCED = "fenced"
+
+
+def describe(state: AgentState) -> list[Effect]:
+    """Ask for the announcement and the tasks, one call at a time."""
+    if state.describe_in_flight:
+        state.describe_again = True
+        return []
+    state.describe_in_flight = True
+    state.describe_sequence += 1
+    state.describe_sent_ms = state.now_ms
+    call = Describe(state.describe_sequence, backend_lease_until_ms(state))
+    return [CallBackend(call)]
+
+
+@singledispatch
+def handle_reply(
+    call: BackendCall, state: AgentState, reply: BackendReply
+) -> list[Effect]:
+    """Handle the end of a call, dispatched on the call."""
+    raise NotImplementedError(type(call).__name__)
+
+
+@handle_reply.register
+def _(call: Describe, state: AgentState, reply: BackendReply) -> list[Effect]:
+    state.describe_in_flight = False
+    effects: list[Effect] = []
+    if isinstance(reply, Described):
+        state.described_ms = state.describe_sent_ms
+        effects += _take_announcement(state, reply)
+        effects += _reconcile(state, call, reply)
+    else:
+        count(state, "backend_unreachable")
+    if state.describe_again:
+        state.describe_again = False
+        effects += describe(state)
+    return effects
+
+
+@handle_reply.register
+def _(call: StartOnBackend, state: AgentState, reply: BackendReply) -> list[Effect]:
+    task = find_task(state, call.attempt, call.rank)
+    if task is None:
+        return []
+    task.start_in_flight = False
+    task.checked_after = state.describe_sequence
+    return start_replied(reply, state, task)
+
+
+@handle_reply.register
+def _(call: StopOnBackend, state: AgentState, reply: BackendReply) -> list[Effect]:
+    task = find_task(state, call.attempt, call.rank)
+    if task is None:
+        return []
+    task.stop_in_flight = False
+    task.checked_after = state.describe_sequence
+    return describe(state) if isinstance(reply, Accepted) else []
+
+
+@handle_reply.register
+def _(call: FetchResult, state: AgentState, reply: BackendReply) -> list[Effect]:
+    task = find_task(state, call.attempt, call.rank)
+    if task is None or task.phase is not TaskPhase.FETCHING:
+        return []
+    task.fetch_in_flight = False
+    task.checked_after = state.describe_sequence
+    if isinstance(reply, ResultFetched):
+        end_task(
+            state,
+            task,
+            TaskFinished(task.attempt, task.rank, reply.result, reply.digest),
+        )
+    else:
+        count(state, "fetches_failed")
+    return []
+
+
+@handle_reply.register(ForgetOnBackend)
+@handle_reply.register(ThrottleOnBackend)
+def _(call: BackendCall, state: AgentState, reply: BackendReply) -> list[Effect]:
+    # A lost `ForgetOnBackend` is repeated when the task is listed again.
+    return []
+
+
+# --- the reply to a start ------------------------------------------------
+
+
+@singledispatch
+def start_replied(
+    reply: BackendReply, state: AgentState, task: AgentTask
+) -> list[Effect]:
+    """Handle the reply to a start, dispatched on the reply."""
+    raise NotImplementedError(type(reply).__name__)
+
+
+@start_replied.register
+def _(reply: Accepted, state: AgentState, task: AgentTask) -> list[Effect]:
+    task.ran = True
+    if task.phase is TaskPhase.STARTING:
+        task.phase = TaskPhase.RUNNING
+    return []
+
+
+@start_replied.register
+def _(reply: Rejected, state: AgentState, task: AgentTask) -> list[Effect]:
+    if reply.known:
+        task.ran = task.in_doubt = True
+        return describe(state)
+    if task.phase is not TaskPhase.STARTING:
+        return []
+    task.on_backend = False
+    return conclude_unstarted(state, task, reply.detail)
+
+
+@start_replied.register
+def _(reply: Unreachable, state: AgentState, task: AgentTask) -> list[Effect]:
+    if task.phase is not TaskPhase.STARTING:
+        return []
+    if not reply.sent:
+        task.on_backend = False
+        return conclude_unstarted(state, task, reply.detail)
+    task.in_doubt = True
+    count(state, "starts_in_doubt")
+    return describe(state)
+
+
+# --- the list of tasks ---------------------------------------------------
+
+
+def _take_announcement(state: AgentState, reply: Described) -> list[Effect]:
+    before, old_incarnation = state.info, state.backend_incarnation
+    state.info, state.backend_incarnation = reply.info, reply.incarnation
+    if before is None:
+        plan_connect(state)
+        return []
+    effects: list[Effect] = []
+    if old_incarnation != reply.incarnation:
+        count(state, "backend_restarts")
+        ids = (Label("backend_incarnation", reply.incarnation),)
+        effects.append(LogChange("backend server restarted", ids))
+    is_other = (before.capacity, before.slots, before.rack, before.failure_domain) != (
+        reply.info.capacity,
+        reply.info.slots,
+        reply.info.rack,
+        reply.info.failure_domain,
+    )
+    if (is_other or old_incarnation != reply.incarnation) and has_stream(state):
+        # Only a `Hello`, which opens a stream, carries the announcement.
+        return effects + replace_stream(state, "the backend server changed")
+    if before.draining != reply.info.draining and state.connected:
+        notice = DrainNotice(reply.info.draining)
+        effects.append(SendEntry(state.stream_id, notice))
+    return effects
+
+
+def _reconcile(state: AgentState, call: Describe, reply: Described) -> list[Effect]:
+    effects: list[Effect] = []
+    for listed in reply.tasks:
+        task = find_task(state, listed.attempt, listed.rank)
+        if task is None:
+            effects += _take_over(state, listed)
+        else:
+            effects += _follow(state, task, listed)
+    listed_members = {(listed.attempt, listed.rank) for listed in reply.tasks}
+    for task in all_tasks(state):
+        is_listed = (task.attempt, task.rank) in listed_members
+        if not is_listed and call.sequence > task.checked_after:
+            effects += _miss(state, task, reply.incarnation)
+    return effects
+
+
+def _take_over(state: AgentState, listed: BackendTask) -> list[Effect]:
+    """Handle a listed task of which this agent holds nothing."""
+    never_ran = ended_unrun(state, listed.attempt, listed.rank)
+    if never_ran is not None and listed.state != RUNNING:
+        return [CallBackend(ForgetOnBackend(listed.attempt, listed.rank))]
+    if never_ran is not None:
+        count(state, "orphans_stopped")
+        return [CallBackend(StopOnBackend(listed.attempt, listed.rank, None))]
+    task = AgentTask(
+        listed.attempt,
+        listed.rank,
+        TaskPhase.RUNNING,
+        listed.resources,
+        accelerators=listed.accelerators,
+        ran=listed.state != FENCED,
+        on_backend=True,
+        inherited=True,
+        backend_incarnation=state.backend_incarnation,
+    )
+    add_task(state, task)
+    count(state, "tasks_taken_over")
+    effects = _follow(state, task, listed)
+    if state.was_welcomed:
+        # Nobody wants it: the full set is known and does not contain it.
+        effects += stop_task(state, task, None)
+    return effects
+
+
+def _follow(state: AgentState, task: AgentTask, listed: BackendTask) -> list[Effect]:
+    """Bring a task in line with its state on the backend server."""
+    task.last = listed
+    task.ran = task.ran or listed.state != FENCED
+    task.in_doubt = False
+    if task.phase is TaskPhase.RESERVED:
+        task.on_backend = True
+    if task.phase is TaskPhase.ENDED:
+        if listed.state == RUNNING:
+            return [CallBackend(StopOnBackend(task.attempt, task.rank, None))]
+        return []
+    return _FOLLOWERS[listed.state](state, task, listed)
+
+
+def _follow_running(
+    state: AgentState, task: AgentTask, listed: BackendTask
+) -> list[Effect]:
+    if task.phase is TaskPhase.STOPPING:
+        return retry_stop(state, task)
+    if task.phase in (TaskPhase.STARTING, TaskPhase.RESERVED):
+        task.phase = TaskPhase.RUNNING
+    return []
+
+
+def _follow_finished(
+    state: AgentState, task: AgentTask, listed: BackendTask
+) -> list[Effect]:
+    task.phase = TaskPhase.FETCHING
+    if task.fetch_in_flight:
+        return []
+    task.fetch_in_flight = True
+    return [CallBackend(FetchResult(task.attempt, task.rank))]
+
+
+def _follow_failed(
+    state: AgentState, task: AgentTask, listed: BackendTask
+) -> list[Effect]:
+    end_task(state, task, TaskFailed(task.attempt, task.rank, listed.detail))
+    return []
+
+
+def _follow_stopped(
+    state: AgentState, task: AgentTask, listed: BackendTask
+) -> list[Effect]:
+    end_task(state, task, TaskStopped(task.attempt, task.rank, listed.checkpoint))
+    return []
+
+
+def _follow_fenced(
+    state: AgentState, task: AgentTask, listed: BackendTask
+) -> list[Effect]:
+    end_task(state, task, TaskRefused(task.attempt, task.rank, "fenced"))
+    return []
+
+
+_FOLLOWERS = {
+    RUNNING: _follow_running,
+    FINISHED: _follow_finished,
+    FAILED: _follow_failed,
+    STOPPED: _follow_stopped,
+    FENCED: _follow_fenced,
+}
+
+
+def _miss(state: AgentState, task: AgentTask, incarnation: str) -> list[Effect]:
+    """Handle a task that the backend server does not know."""
+    if task.phase in (TaskPhase.RESERVED, TaskPhase.ENDED) or task.start_in_flight:
+        return []
+    if task.ran or task.backend_incarnation != incarnation:
+        lose_task(state, task)
+        return []
+    if task.phase is TaskPhase.STARTING:
+        return send_stop(state, task, None)
+    return retry_stop(state, task)
--- /dev/null
+++ b/packages/core/crocuswell_core/agent_tasks.py
@@ -0,0 +1,321 @@
+"""An agent's tasks: orders, room, stops."""
+
+from functools import singledispatch
+
+from crocuswell_core.agent_leases import (
+    admission_end_ms,
+    backend_lease_until_ms,
+    may_admit,
+    quick_checkpoint_ms,
+    stop_due_ms,
+)
+from crocuswell_core.agent_reports import (
+    add_report,
+    add_task,
+    all_tasks,
+    count,
+    drop_task,
+    ended_unrun,
+    find_task,
+    has_unsent_or_pending,
+    refuse_unknown,
+    remember_end,
+)
+from crocuswell_core.backend import StartOnBackend, StopOnBackend
+from crocuswell_core.commands import Report, TaskLost, TaskRefused, TaskReserved
+from crocuswell_core.effects import CallBackend, Effect, StartTimer
+from crocuswell_core.messages import Order, ReserveTask, StartTask, StopTask
+from crocuswell_core.resources import NOTHING, Resources
+from crocuswell_core.state import AgentState, AgentTask, TaskPhase
+from crocuswell_core.timers import PollTimer
+
+# A backend server that has not answered for so long may be leaving
+# without the agent's knowledge; nothing new starts 2 s after it said so.
+BACKEND_SILENCE_MS = 1_500
+# An unanswered or ineffective stop is sent again after this time.
+STOP_RETRY_MS = 500
+
+HOLDING_PHASES = frozenset(
+    {
+        TaskPhase.RESERVED,
+        TaskPhase.STARTING,
+        TaskPhase.RUNNING,
+        TaskPhase.STOPPING,
+    }
+)
+
+
+def holding_tasks(state: AgentState) -> list[AgentTask]:
+    """Return the tasks that occupy a slot."""
+    return [task for task in all_tasks(state) if task.phase in HOLDING_PHASES]
+
+
+def held_resources(state: AgentState) -> Resources:
+    """Return the sum of what reserved and started tasks occupy."""
+    return sum((task.resources for task in holding_tasks(state)), NOTHING)
+
+
+def why_not_admitted(state: AgentState) -> str:
+    """Return why nothing new may start now; empty if it may."""
+    if state.stopping:
+        return "the agent is stopping"
+    if not may_admit(state):
+        return "the admission lease has ended"
+    if state.info is None or state.now_ms - state.described_ms > BACKEND_SILENCE_MS:
+        return "the backend server does not answer"
+    if state.info.draining:
+        return "the backend server is leaving"
+    return ""
+
+
+def why_no_room(state: AgentState, order: ReserveTask | StartTask) -> str:
+    """Return why an order does not fit beside the others; empty if it does."""
+    if state.info is None:
+        return "the backend server is not known"
+    holding = holding_tasks(state)
+    if len(holding) >= state.info.slots:
+        return "no slot is free"
+    if not (held_resources(state) + order.resources).fits_in(state.info.capacity):
+        return "the resources are in use"
+    taken = {index for task in holding for index in task.accelerators}
+    if taken.intersection(order.accelerators):
+        return "an accelerator is in use"
+    return ""
+
+
+# --- orders --------------------------------------------------------------
+
+
+def follow_order(order: Order, state: AgentState, inherited: bool) -> list[Effect]:
+    """Carry out an order unless a newer attempt makes it void.
+
+    Parameters
+    ----------
+    inherited : bool
+        The order may have reached an earlier incarnation of this agent.
+    """
+    newest = state.epochs.get(order.attempt.request_id, 0)
+    if (
+        order.attempt.epoch < newest
+        and find_task(state, order.attempt, order.rank) is None
+    ):
+        count(state, "orders_outdated")
+        return []
+    effects: list[Effect] = []
+    if order.attempt.epoch > newest:
+        effects += _stop_older_attempts(state, order)
+    return effects + handle_order(order, state, inherited)
+
+
+def _stop_older_attempts(state: AgentState, order: Order) -> list[Effect]:
+    effects: list[Effect] = []
+    for task in all_tasks(state):
+        if (
+            task.attempt.request_id == order.attempt.request_id
+            and task.attempt.epoch < order.attempt.epoch
+        ):
+            effects += stop_task(state, task, None)
+    return effects
+
+
+@singledispatch
+def handle_order(order: Order, state: AgentState, inherited: bool) -> list[Effect]:
+    """Carry out one order, whose attempt is not outdated."""
+    raise NotImplementedError(type(order).__name__)
+
+
+@handle_order.register
+def _(order: ReserveTask, state: AgentState, inherited: bool) -> list[Effect]:
+    task = find_task(state, order.attempt, order.rank)
+    if task is not None:
+        _confirm_reservation(state, task)
+        return []
+    if _is_over(state, order):
+        return []
+    detail = why_not_admitted(state) or why_no_room(state, order)
+    if detail:
+        return _refuse(state, order, inherited, detail)
+    task = AgentTask(
+        order.attempt,
+        order.rank,
+        TaskPhase.RESERVED,
+        order.resources,
+        accelerators=order.accelerators,
+        inherited=inherited,
+    )
+    add_task(state, task)
+    _confirm_reservation(state, task)
+    return []
+
+
+@handle_order.register
+def _(order: StartTask, state: AgentState, inherited: bool) -> list[Effect]:
+    task = find_task(state, order.attempt, order.rank)
+    if task is not None and task.phase is not TaskPhase.RESERVED:
+        task.order = task.order or order
+        count(state, "starts_repeated")
+        return []
+    if task is None and _is_over(state, order):
+        return []
+    detail = why_not_admitted(state)
+    if task is None:
+        detail = detail or why_no_room(state, order)
+    if detail and task is not None:
+        return conclude_unstarted(state, task, detail)
+    if detail:
+        return _refuse(state, order, inherited, detail)
+    if task is None:
+        task = AgentTask(
+            order.attempt,
+            order.rank,
+            TaskPhase.STARTING,
+            order.resources,
+            accelerators=order.accelerators,
+            inherited=inherited,
+        )
+        add_task(state, task)
+    return _start(state, task, order)
+
+
+@handle_order.register
+def _(order: StopTask, state: AgentState, inherited: bool) -> list[Effect]:
+    task = find_task(state, order.attempt, order.rank)
+    if task is not None:
+        return stop_task(state, task, order.checkpoint_ms)
+    if _is_over(state, order):
+        return []
+    return _refuse(state, order, inherited, "stopped before it started")
+
+
+def _is_over(state: AgentState, order: Order) -> bool:
+    never_ran = ended_unrun(state, order.attempt, order.rank)
+    if never_ran is None:
+        return False
+    count(state, "orders_after_end")
+    report = TaskRefused(order.attempt, order.rank, "ended before it started")
+    if never_ran and not has_unsent_or_pending(state, report):
+        add_report(state, report)
+    return True
+
+
+def _confirm_reservation(state: AgentState, task: AgentTask) -> None:
+    report = TaskReserved(task.attempt, task.rank)
+    if task.phase is TaskPhase.RESERVED and not has_unsent_or_pending(state, report):
+        add_report(state, report)
+
+
+def _refuse(
+    state: AgentState, order: Order, inherited: bool, detail: str
+) -> list[Effect]:
+    """Refuse a member for which nothing is held.
+
+    If an earlier incarnation may have sent its start, the backend server
+    must fence it before the refusal can be truthful.
+    """
+    if not inherited:
+        refuse_unknown(state, order.attempt, order.rank, detail)
+        return []
+    task = AgentTask(
+        order.attempt, order.rank, TaskPhase.STOPPING, NOTHING, inherited=True
+    )
+    add_task(state, task)
+    return send_stop(state, task, None)
+
+
+def _start(state: AgentState, task: AgentTask, order: StartTask) -> list[Effect]:
+    task.phase = TaskPhase.STARTING
+    task.order = order
+    task.on_backend = True
+    task.start_in_flight = True
+    task.backend_incarnation = state.backend_incarnation
+    task.checked_after = state.describe_sequence
+    count(state, "starts_sent")
+    call = StartOnBackend(
+        order.attempt,
+        order.rank,
+        order.members,
+        order.resources,
+        order.accelerators,
+        order.payload,
+        order.run_time_ms,
+        order.checkpoint,
+        admission_end_ms(state),
+        backend_lease_until_ms(state),
+    )
+    # Without tasks the poll is slower, see `PollTimer`.
+    return [CallBackend(call), StartTimer(PollTimer(), state.cfg.poll_ms)]
+
+
+# --- stops and ends ------------------------------------------------------
+
+
+def stop_task(
+    state: AgentState, task: AgentTask, checkpoint_ms: int | None
+) -> list[Effect]:
+    """Stop a task, or drop its reservation."""
+    if task.phase is TaskPhase.RESERVED:
+        return conclude_unstarted(state, task, "stopped before it started")
+    if task.phase in (TaskPhase.STARTING, TaskPhase.RUNNING):
+        return send_stop(state, task, checkpoint_ms)
+    is_harder = checkpoint_ms is None and task.checkpoint_ms is not None
+    if task.phase is TaskPhase.STOPPING and is_harder:
+        return send_stop(state, task, None)
+    return []
+
+
+def send_stop(
+    state: AgentState, task: AgentTask, checkpoint_ms: int | None
+) -> list[Effect]:
+    """Ask the backend server to stop a task, or to fence it if unknown."""
+    task.phase = TaskPhase.STOPPING
+    task.on_backend = True
+    task.stop_in_flight = True
+    task.stop_sent_ms = state.now_ms
+    task.checkpoint_ms = checkpoint_ms
+    task.backend_incarnation = task.backend_incarnation or state.backend_incarnation
+    return [CallBackend(StopOnBackend(task.attempt, task.rank, checkpoint_ms))]
+
+
+def retry_stop(state: AgentState, task: AgentTask) -> list[Effect]:
+    """Send a stop again that had no effect in time."""
+    due_ms = task.stop_sent_ms + STOP_RETRY_MS + (task.checkpoint_ms or 0)
+    if task.stop_in_flight or state.now_ms < due_ms:
+        return []
+    count(state, "stops_repeated")
+    return send_stop(state, task, None)
+
+
+def stop_for_lease(state: AgentState, task: AgentTask) -> list[Effect]:
+    """Stop a task whose run lease ends, with a checkpoint if it is quick."""
+    declared = task.order.checkpoint_ms if task.order else None
+    return stop_task(state, task, quick_checkpoint_ms(state, declared))
+
+
+def lease_stop_due_ms(state: AgentState, task: AgentTask) -> int | None:
+    """Time at which the end of the run lease stops a task; None if never."""
+    if task.phase not in HOLDING_PHASES or task.phase is TaskPhase.STOPPING:
+        return None
+    return stop_due_ms(state, task.order.checkpoint_ms if task.order else None)
+
+
+def end_task(state: AgentState, task: AgentTask, report: Report) -> None:
+    """Report the end of a task; it stays until that is acknowledged."""
+    never_ran = isinstance(report, TaskRefused)
+    remember_end(state, task.attempt, task.rank, never_ran)
+    task.phase = TaskPhase.ENDED
+    add_report(state, report)
+    if not task.on_backend:
+        drop_task(state, task.attempt, task.rank)
+
+
+def conclude_unstarted(state: AgentState, task: AgentTask, detail: str) -> list[Effect]:
+    """Refuse a task whose start this incarnation did not carry out."""
+    if task.inherited:
+        return send_stop(state, task, None)
+    end_task(state, task, TaskRefused(task.attempt, task.rank, detail))
+    return []
+
+
+def lose_task(state: AgentState, task: AgentTask) -> None:
+    """Report a task that may have run and is not known any more."""
+    end_task(state, task, TaskLost(task.attempt, task.rank))
--- a/packages/core/crocuswell_core/backend.py
+++ b/packages/core/crocuswell_core/backend.py
@@ -3,17 +3,38 @@
 import attrs
 
 from crocuswell_core.records import AttemptId, WorkerInfo
-from crocuswell_core.resources import Resources
+from crocuswell_core.resources import NOTHING, Resources
 
 
 @attrs.frozen
 class Describe:
-    """Ask for the announcement and the list of tasks."""
+    """Ask for the announcement and the list of tasks; renews their leases.
+
+    Attributes
+    ----------
+    sequence : int
+        Number of this call, to tell whether it was made after another.
+    lease_until_ms : int
+        End of the tasks' leases on the agent's monotonic clock; 0 leaves
+        them as they are.
+    """
+
+    sequence: int = 0
+    lease_until_ms: int = 0
 
 
 @attrs.frozen
 class StartOnBackend:
-    """Start a task; the backend server refuses an attempt it knows."""
+    """Start a task; the backend server refuses an attempt it knows.
+
+    Attributes
+    ----------
+    send_by_ms : int
+        Time on the agent's monotonic clock after which the call is not
+        sent any more.
+    lease_until_ms : int
+        End of the task's lease on the agent's monotonic clock.
+    """
 
     attempt: AttemptId
     rank: int
@@ -23,11 +44,17 @@
     payload: bytes
     run_time_ms: int
     checkpoint: bytes | None
+    send_by_ms: int = 0
+    lease_until_ms: int = 0
 
 
 @attrs.frozen
 class StopOnBackend:
-    """Stop a task, writing a checkpoint first if a time is given."""
+    """Stop a task, writing a checkpoint first if a time is given.
+
+    The backend server fences an attempt that it does not know: it lists
+    it as `fenced` and refuses a later start of it.
+    """
 
     attempt: AttemptId
     rank: int
@@ -76,7 +103,10 @@
     Attributes
     ----------
     state : str
-        `running`, `finished`, `failed` or `stopped`.
+        `running`, `finished`, `failed`, `stopped`, or `fenced` for one
+        that was stopped before it was started.
+    resources : Resources
+        What the start asked for.
     """
 
     attempt: AttemptId
@@ -85,6 +115,8 @@
     used: Resources
     detail: str = ""
     checkpoint: bytes | None = None
+    resources: Resources = NOTHING
+    accelerators: tuple[int, ...] = ()
 
 
 @attrs.frozen
@@ -103,9 +135,16 @@
 
 @attrs.frozen
 class Rejected:
-    """The backend server refused the call and did nothing."""
+    """The backend server refused the call and did nothing.
+
+    Attributes
+    ----------
+    known : bool
+        It knows the attempt already, so an earlier call may have run it.
+    """
 
     detail: str
+    known: bool = False
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/messages.py
+++ b/packages/core/crocuswell_core/messages.py
@@ -181,12 +181,19 @@
 
 @attrs.frozen
 class Hello:
-    """First message on a stream."""
+    """First message on a stream.
+
+    Attributes
+    ----------
+    sequence : int
+        Counts as a heartbeat; `Welcome.confirmed` may echo it.
+    """
 
     info: WorkerInfo
     incarnation: str
     backend_incarnation: str
     attempts: tuple[AttemptId, ...]
+    sequence: int = 0
 
 
 @attrs.frozen
@@ -260,7 +267,15 @@
 
 @attrs.frozen
 class StartTask:
-    """Start a member; refused if its epoch is old or it was started."""
+    """Start a member; refused if its epoch is old or it was started.
+
+    Attributes
+    ----------
+    checkpoint : bytes or None
+        Token of the checkpoint to resume from.
+    checkpoint_ms : int or None
+        Time in ms to write a checkpoint, None if the task cannot.
+    """
 
     attempt: AttemptId
     rank: int
@@ -271,6 +286,7 @@
     idempotent: bool
     run_time_ms: int
     checkpoint: bytes | None = None
+    checkpoint_ms: int | None = None
 
 
 @attrs.frozen
@@ -294,12 +310,17 @@
     run_lease_ms : int
         Run lease in ms, counted from the sending of the heartbeat that
         is being answered.
+    acknowledged : int
+        Highest report sequence of this incarnation that is committed.
+    confirmed : int
+        As in `EntryHeartbeat`; 0 extends no lease.
     """
 
     orders: tuple[Order, ...]
     number: int
     run_lease_ms: int
     acknowledged: int
+    confirmed: int = 0
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/state.py
+++ b/packages/core/crocuswell_core/state.py
@@ -335,7 +335,27 @@
 
 @attrs.define
 class AgentTask:
-    """A task as the agent knows it."""
+    """A task as the agent knows it.
+
+    Attributes
+    ----------
+    ran : bool
+        The backend server is known to have started it.
+    on_backend : bool
+        The backend server lists it, or may.
+    in_doubt : bool
+        Nobody answered the start, so it may have been carried out.
+    inherited : bool
+        Ordered before this incarnation, so an earlier one may have sent
+        its start.
+    backend_incarnation : str
+        Incarnation of the backend server when the start was sent.
+    checked_after : int
+        Only a `Describe` with a higher sequence shows that the backend
+        server does not know the task.
+    checkpoint_ms : int or None
+        Time in ms for the checkpoint of the newest stop.
+    """
 
     attempt: AttemptId
     rank: int
@@ -343,6 +363,20 @@
     resources: Resources
     order: StartTask | None = None
     last: BackendTask | None = None
+    accelerators: tuple[int, ...] = ()
+    ran: bool = False
+    on_backend: bool = False
+    in_doubt: bool = False
+    inherited: bool = False
+    backend_incarnation: str = ""
+    checked_after: int = 0
+    start_in_flight: bool = False
+    stop_in_flight: bool = False
+    fetch_in_flight: bool = False
+    stop_sent_ms: int = 0
+    checkpoint_ms: int | None = None
+    usage_sent: Resources | None = None
+    usage_sent_ms: int = 0
 
 
 @attrs.define
@@ -361,6 +395,21 @@
     reports : list of Report
         Reports not yet acknowledged; the first has number
         `first_report`.
+    ended : dict
+        For each attempt the ranks that ended here, and whether the rank
+        provably never ran; orders for these are not carried out again.
+    reports_sent : int
+        Number of the last report sent on the present stream.
+    opening, opened_ms : bool, int
+        Whether a stream is being opened, and when that began.
+    was_welcomed : bool
+        This incarnation has received the full set of wanted members.
+    describe_sequence : int
+        Sequence of the newest `Describe`.
+    described_ms : int
+        Time of sending of the newest `Describe` that was answered.
+    timer_at_ms : int or None
+        Time for which `AgentTimer` is set.
     """
 
     cfg: AgentConfig
@@ -388,3 +437,17 @@
     first_report: int = 1
     counters: dict[str, int] = attrs.Factory(dict)
     stopping: bool = False
+    ended: dict[AttemptId, dict[int, bool]] = attrs.Factory(dict)
+    reports_sent: int = 0
+    counters_sent: dict[str, int] = attrs.Factory(dict)
+    opening: bool = False
+    opened_ms: int = 0
+    was_welcomed: bool = False
+    booted_ms: int = 0
+    describe_sequence: int = 0
+    describe_sent_ms: int = 0
+    describe_in_flight: bool = False
+    describe_again: bool = False
+    described_ms: int = -1_000_000
+    timer_at_ms: int | None = None
+    stop_by_ms: int = 0
