--- /dev/null
+++ b/packages/core/crocuswell_core/agenda.py
@@ -0,0 +1,36 @@
+"""What falls due at a cluster time: retries, deadlines, retention."""
+
+import heapq
+from collections.abc import Iterator
+
+from crocuswell_core.effects import Effect, StartTimer
+from crocuswell_core.state import ClusterState, Due, DueItem, EntryState, Role
+from crocuswell_core.timers import ClusterTimer
+
+
+def add_due(cluster: ClusterState, at_ms: int, due: Due) -> None:
+    """Note that `due` falls due at cluster time `at_ms`."""
+    cluster.agenda_sequence += 1
+    heapq.heappush(cluster.agenda, DueItem(at_ms, cluster.agenda_sequence, due))
+
+
+def next_due_ms(cluster: ClusterState) -> int | None:
+    """Return the cluster time in ms of the next due item, or None."""
+    return cluster.agenda[0].at_ms if cluster.agenda else None
+
+
+def pop_due(cluster: ClusterState) -> Iterator[Due]:
+    """Remove and yield everything that is due by now."""
+    while cluster.agenda and cluster.agenda[0].at_ms <= cluster.now_ms:
+        yield heapq.heappop(cluster.agenda).due
+
+
+def start_cluster_timer(state: EntryState) -> list[Effect]:
+    """On the leader, subscribe to the time of the next due item."""
+    due_ms = next_due_ms(state.cluster)
+    if state.consensus.role is not Role.LEADER or due_ms is None:
+        return []
+    if state.cluster_timer_at_ms is not None and state.cluster_timer_at_ms <= due_ms:
+        return []
+    state.cluster_timer_at_ms = due_ms
+    return [StartTimer(ClusterTimer(), max(0, due_ms - state.wall_ms))]
--- /dev/null
+++ b/packages/core/crocuswell_core/attempts.py
@@ -0,0 +1,262 @@
+"""Attempts: placing, starting, stopping, and what follows from reports.
+
+An attempt goes from `RESERVING` (gangs only) to `RUNNING` to its end, or to
+`STOPPING` as soon as one member cannot go on. Room is released member by
+member; the attempt leaves the table when its last member has ended.
+"""
+
+from functools import singledispatch
+
+import attrs
+
+from crocuswell_core.commands import (
+    Report,
+    TaskFailed,
+    TaskFinished,
+    TaskLost,
+    TaskRefused,
+    TaskReserved,
+    TaskStopped,
+)
+from crocuswell_core.effects import ClusterEffect, Count, OrderWorker
+from crocuswell_core.messages import Order, ReserveTask, StartTask, StopTask
+from crocuswell_core.outcomes import finish_attempt, resolve_unknown
+from crocuswell_core.records import (
+    ENDED_MEMBER_PHASES,
+    Attempt,
+    AttemptId,
+    AttemptPhase,
+    Member,
+    MemberPhase,
+    Request,
+    RequestPhase,
+    StopReason,
+)
+from crocuswell_core.rooms import set_member_phase, take_room
+from crocuswell_core.state import ClusterState
+
+FAILURE_REASONS = {
+    MemberPhase.REFUSED: StopReason.MEMBER_REFUSED,
+    MemberPhase.FAILED: StopReason.MEMBER_FAILED,
+    MemberPhase.LOST: StopReason.MEMBER_LOST,
+    MemberPhase.STOPPED: StopReason.MEMBER_LOST,
+}
+
+
+def place_request(
+    cluster: ClusterState, request: Request, workers: tuple[str, ...]
+) -> list[ClusterEffect]:
+    """Take room for all members of a request in one step.
+
+    Parameters
+    ----------
+    cluster : ClusterState
+        The replicated state.
+    request : Request
+        A queued request.
+    workers : tuple of str
+        Worker of each rank; the caller has checked that all fit.
+
+    Returns
+    -------
+    list of ClusterEffect
+        Reservation orders for a gang, the start order for a single task.
+    """
+    epoch = request.attempts_made + 1
+    attempt_id = AttemptId(request.id, epoch)
+    amount = request.spec.shape.per_member
+    members = tuple(
+        take_room(cluster, attempt_id, rank, worker, amount)
+        for rank, worker in enumerate(workers)
+    )
+    single = len(members) == 1
+    attempt = Attempt(
+        id=attempt_id,
+        workspace=request.workspace,
+        members=members,
+        phase=AttemptPhase.RUNNING if single else AttemptPhase.RESERVING,
+        placed_at_ms=cluster.now_ms,
+        started_at_ms=cluster.now_ms if single else None,
+    )
+    cluster.attempts[attempt_id] = attempt
+    cluster.requests[request.id] = attrs.evolve(
+        request,
+        phase=RequestPhase.ACTIVE,
+        attempts_made=epoch,
+        started_at_ms=_first_start_ms(request, attempt),
+    )
+    cluster.queues[request.workspace].pop(request.id, None)
+    return [OrderWorker(m.worker, wanted_order(cluster, attempt, m)) for m in members]
+
+
+def stop_attempt(
+    cluster: ClusterState, attempt: Attempt, reason: StopReason, detail: str = ""
+) -> list[ClusterEffect]:
+    """Order all members that have not ended to stop.
+
+    A second call changes nothing: the first reason stands.
+    """
+    if attempt.phase is AttemptPhase.STOPPING:
+        return []
+    attempt = attrs.evolve(
+        attempt, phase=AttemptPhase.STOPPING, stop_reason=reason, detail=detail
+    )
+    cluster.attempts[attempt.id] = attempt
+    effects: list[ClusterEffect] = [
+        OrderWorker(m.worker, wanted_order(cluster, attempt, m))
+        for m in attempt.members
+        if m.phase not in ENDED_MEMBER_PHASES
+    ]
+    return effects + _settle(cluster, attempt)
+
+
+def wanted_order(cluster: ClusterState, attempt: Attempt, member: Member) -> Order:
+    """Return the order that brings an agent to a member's wanted state."""
+    spec = cluster.requests[attempt.id.request_id].spec
+    if attempt.phase is AttemptPhase.RESERVING:
+        return ReserveTask(
+            attempt.id, member.rank, spec.shape.per_member, member.accelerators
+        )
+    if attempt.phase is AttemptPhase.STOPPING:
+        checkpoint_ms = None if _discards_work(attempt) else spec.checkpoint_ms
+        return StopTask(attempt.id, member.rank, checkpoint_ms)
+    return StartTask(
+        attempt=attempt.id,
+        rank=member.rank,
+        members=len(attempt.members),
+        resources=spec.shape.per_member,
+        accelerators=member.accelerators,
+        payload=spec.payload,
+        idempotent=spec.idempotent,
+        run_time_ms=spec.run_time_ms,
+        checkpoint=cluster.requests[attempt.id.request_id].checkpoint,
+    )
+
+
+def lose_member(
+    cluster: ClusterState, attempt: Attempt, rank: int
+) -> list[ClusterEffect]:
+    """Record that a member's worker is gone or forgot it."""
+    return _end(cluster, attempt, rank, MemberPhase.LOST)
+
+
+def record_report(cluster: ClusterState, report: Report) -> list[ClusterEffect]:
+    """Apply one report of an agent.
+
+    A report that matches no member of a current attempt is counted and
+    dropped, unless it resolves an unknown outcome.
+    """
+    attempt = cluster.attempts.get(report.attempt)
+    if attempt is None:
+        return resolve_unknown(cluster, report)
+    if not 0 <= report.rank < len(attempt.members):
+        return [Count("reports_dropped_total")]
+    if attempt.members[report.rank].phase in ENDED_MEMBER_PHASES:
+        return [Count("reports_dropped_total")]
+    return _apply_report(report, cluster, attempt)
+
+
+@singledispatch
+def _apply_report(
+    report: Report, cluster: ClusterState, attempt: Attempt
+) -> list[ClusterEffect]:
+    raise NotImplementedError(type(report).__name__)
+
+
+@_apply_report.register
+def _(
+    report: TaskReserved, cluster: ClusterState, attempt: Attempt
+) -> list[ClusterEffect]:
+    if attempt.phase is not AttemptPhase.RESERVING:
+        return []
+    attempt = set_member_phase(cluster, attempt, report.rank, MemberPhase.RESERVED)
+    return _settle(cluster, attempt)
+
+
+@_apply_report.register
+def _(
+    report: TaskFinished, cluster: ClusterState, attempt: Attempt
+) -> list[ClusterEffect]:
+    if report.rank == 0:
+        attempt = attrs.evolve(attempt, result=report.result, digest=report.digest)
+    return _end(cluster, attempt, report.rank, MemberPhase.FINISHED)
+
+
+@_apply_report.register
+def _(
+    report: TaskFailed, cluster: ClusterState, attempt: Attempt
+) -> list[ClusterEffect]:
+    attempt = attrs.evolve(attempt, detail=attempt.detail or report.detail)
+    return _end(cluster, attempt, report.rank, MemberPhase.FAILED)
+
+
+@_apply_report.register
+def _(
+    report: TaskRefused, cluster: ClusterState, attempt: Attempt
+) -> list[ClusterEffect]:
+    attempt = attrs.evolve(attempt, detail=attempt.detail or report.detail)
+    return _end(cluster, attempt, report.rank, MemberPhase.REFUSED)
+
+
+@_apply_report.register
+def _(
+    report: TaskStopped, cluster: ClusterState, attempt: Attempt
+) -> list[ClusterEffect]:
+    if report.rank == 0 and report.checkpoint is not None:
+        attempt = attrs.evolve(attempt, checkpoint=report.checkpoint)
+    return _end(cluster, attempt, report.rank, MemberPhase.STOPPED)
+
+
+@_apply_report.register
+def _(report: TaskLost, cluster: ClusterState, attempt: Attempt) -> list[ClusterEffect]:
+    return _end(cluster, attempt, report.rank, MemberPhase.LOST)
+
+
+def _end(
+    cluster: ClusterState, attempt: Attempt, rank: int, phase: MemberPhase
+) -> list[ClusterEffect]:
+    attempt = set_member_phase(cluster, attempt, rank, phase)
+    reason = FAILURE_REASONS.get(phase)
+    if reason is not None and attempt.phase is not AttemptPhase.STOPPING:
+        return stop_attempt(cluster, attempt, reason, attempt.detail)
+    return _settle(cluster, attempt)
+
+
+def _settle(cluster: ClusterState, attempt: Attempt) -> list[ClusterEffect]:
+    phases = [m.phase for m in attempt.members]
+    if all(phase in ENDED_MEMBER_PHASES for phase in phases):
+        del cluster.attempts[attempt.id]
+        return finish_attempt(cluster, attempt)
+    if attempt.phase is AttemptPhase.RESERVING and all(
+        phase is MemberPhase.RESERVED for phase in phases
+    ):
+        return _start_gang(cluster, attempt)
+    return []
+
+
+def _start_gang(cluster: ClusterState, attempt: Attempt) -> list[ClusterEffect]:
+    attempt = attrs.evolve(
+        attempt, phase=AttemptPhase.RUNNING, started_at_ms=cluster.now_ms
+    )
+    cluster.attempts[attempt.id] = attempt
+    request = cluster.requests[attempt.id.request_id]
+    cluster.requests[request.id] = attrs.evolve(
+        request, started_at_ms=_first_start_ms(request, attempt)
+    )
+    return [
+        OrderWorker(m.worker, wanted_order(cluster, attempt, m))
+        for m in attempt.members
+    ]
+
+
+def _first_start_ms(request: Request, attempt: Attempt) -> int | None:
+    if request.started_at_ms is not None:
+        return request.started_at_ms
+    return attempt.started_at_ms
+
+
+def _discards_work(attempt: Attempt) -> bool:
+    return attempt.started_at_ms is None or attempt.stop_reason in {
+        StopReason.CANCELLED,
+        StopReason.DEADLINE_PASSED,
+    }
--- a/packages/core/crocuswell_core/callers.py
+++ b/packages/core/crocuswell_core/callers.py
@@ -1,1 +1,337 @@
-"""Calls of callers and operators on an entry host."""
+"""Calls of callers and operators on an entry host.
+
+Any entry host takes any call. A command is proposed and answered once it is
+applied here; a read waits until this host has applied the leader's commit
+index.
+"""
+
+from functools import singledispatch
+
+from crocuswell_core import election, replication
+from crocuswell_core.commands import AdvanceTime, Proposal, Refused
+from crocuswell_core.dispatch import (
+    answer_read,
+    handle,
+    handle_call,
+    handle_peer,
+    handle_timer,
+    pass_on,
+)
+from crocuswell_core.effects import (
+    AnswerCall,
+    AppliedUpTo,
+    CancelTimer,
+    CommandApplied,
+    Effect,
+    RequestEnded,
+    SendPeer,
+    StartTimer,
+)
+from crocuswell_core.errors import ErrorKind
+from crocuswell_core.events import CallAbandoned, CallReceived
+from crocuswell_core.messages import (
+    CommandCall,
+    ExplainRequest,
+    Forward,
+    GetConfiguration,
+    GetHistory,
+    GetMembers,
+    GetRequest,
+    GetWorkers,
+    ListRequests,
+    ReadCall,
+    ReadIndexReply,
+    ReadIndexRequest,
+)
+from crocuswell_core.records import RequestPhase
+from crocuswell_core.replies import ReadReply, RequestView
+from crocuswell_core.state import EntryState, PendingCall, PendingProposal, Role
+from crocuswell_core.timers import CallTimer, ClusterTimer, RetryTimer
+
+UNAVAILABLE_RETRY_MS = 1_000
+
+
+def proposal_key(proposal: Proposal) -> str:
+    """Return the key of a proposal: its command id and its content."""
+    return f"{proposal.command_id}#{proposal.digest}"
+
+
+def submit_proposal(state: EntryState, proposal: Proposal) -> list[Effect]:
+    """Propose a command and repeat it until it is applied here."""
+    leading = state.consensus.role is Role.LEADER
+    term = state.consensus.term if leading else 0
+    key = proposal_key(proposal)
+    known = state.proposals.get(key)
+    first_sent_ms = known.first_sent_ms if known else state.now_ms
+    state.proposals[key] = PendingProposal(proposal, state.now_ms, first_sent_ms, term)
+    return replication.propose(state, proposal)
+
+
+def in_contact(state: EntryState) -> bool:
+    """Tell whether a leader was in reach within the admission lease."""
+    if election.holds_lease(state):
+        return True
+    age_ms = state.now_ms - state.consensus.heard_leader_ms
+    return age_ms < state.cfg.admission_lease_ms
+
+
+def leads_with_commits(state: EntryState) -> bool:
+    """Tell whether this is a leader whose state covers all earlier commits.
+
+    A new leader learns of the commits of earlier terms only when an entry
+    of its own term is committed.
+    """
+    if not election.holds_lease(state):
+        return False
+    consensus = state.consensus
+    term = replication.term_at(consensus, consensus.commit_index)
+    return term == consensus.term
+
+
+@handle.register
+def _(event: CallReceived, state: EntryState) -> list[Effect]:
+    if not in_contact(state):
+        return [AnswerCall(event.call_id, _unavailable("no leader is in reach"))]
+    return handle_call(event.call, state, event.call_id)
+
+
+@handle.register
+def _(event: CallAbandoned, state: EntryState) -> list[Effect]:
+    _forget_call(state, event.call_id)
+    return _stop_waiting(state, event.call_id)
+
+
+@handle_call.register
+def _(call: CommandCall, state: EntryState, call_id: int) -> list[Effect]:
+    proposal = call.proposal
+    first = state.cluster.answered.get(proposal.command_id)
+    if first is not None and first.digest == proposal.digest:
+        return [AnswerCall(call_id, first.reply)]
+    key = proposal_key(proposal)
+    state.calls[call_id] = PendingCall(call_id, state.now_ms, proposal_key=key)
+    state.command_calls.setdefault(key, []).append(call_id)
+    if key in state.proposals:
+        return []
+    return submit_proposal(state, proposal)
+
+
+@handle_call.register(GetRequest)
+@handle_call.register(ListRequests)
+@handle_call.register(GetConfiguration)
+@handle_call.register(GetHistory)
+@handle_call.register(GetWorkers)
+@handle_call.register(ExplainRequest)
+def _(call: ReadCall, state: EntryState, call_id: int) -> list[Effect]:
+    pending = PendingCall(call_id, state.now_ms, read=call)
+    state.calls[call_id] = pending
+    return _ask_read_index(state, pending)
+
+
+@handle_call.register
+def _(call: GetMembers, state: EntryState, call_id: int) -> list[Effect]:
+    return [AnswerCall(call_id, answer_read(call, state))]
+
+
+@handle_peer.register
+def _(message: Forward, state: EntryState, sender: str) -> list[Effect]:
+    if state.consensus.role is not Role.LEADER:
+        return []
+    return replication.propose(state, message.proposal)
+
+
+@handle_peer.register
+def _(message: ReadIndexRequest, state: EntryState, sender: str) -> list[Effect]:
+    if not leads_with_commits(state):
+        return []
+    index = state.consensus.commit_index
+    return [SendPeer(sender, ReadIndexReply(message.read_id, index))]
+
+
+@handle_peer.register
+def _(message: ReadIndexReply, state: EntryState, sender: str) -> list[Effect]:
+    pending = state.calls.get(message.read_id)
+    if pending is None or pending.read is None:
+        return []
+    pending.read_index = message.index
+    return _answer_if_applied(state, pending)
+
+
+@pass_on.register
+def _(effect: CommandApplied, state: EntryState) -> list[Effect]:
+    key = proposal_key(effect.proposal)
+    state.proposals.pop(key, None)
+    call_ids = state.command_calls.pop(key, [])
+    for call_id in call_ids:
+        state.calls.pop(call_id, None)
+    return [AnswerCall(call_id, effect.reply) for call_id in call_ids]
+
+
+@pass_on.register
+def _(effect: AppliedUpTo, state: EntryState) -> list[Effect]:
+    effects: list[Effect] = []
+    for pending in list(state.calls.values()):
+        effects += _answer_if_applied(state, pending)
+    return effects
+
+
+@pass_on.register
+def _(effect: RequestEnded, state: EntryState) -> list[Effect]:
+    effects: list[Effect] = []
+    for call_id in state.outcome_calls.pop(effect.request_id, []):
+        call = state.outcome_waits.pop(call_id)
+        effects += [
+            CancelTimer(CallTimer(call_id)),
+            AnswerCall(call_id, answer_read(call, state)),
+        ]
+    return effects
+
+
+@handle_timer.register
+def _(timer: CallTimer, state: EntryState) -> list[Effect]:
+    call = state.outcome_waits.get(timer.call_id)
+    if call is None:
+        return []
+    _stop_waiting(state, timer.call_id)
+    return [AnswerCall(timer.call_id, answer_read(call, state))]
+
+
+@handle_timer.register
+def _(timer: RetryTimer, state: EntryState) -> list[Effect]:
+    effects: list[Effect] = [StartTimer(timer, state.cfg.retry_ms)]
+    for pending in list(state.calls.values()):
+        effects += _retry_call(state, pending)
+    for proposal in list(state.proposals.values()):
+        effects += _retry_proposal(state, proposal)
+    return effects
+
+
+@handle_timer.register
+def _(timer: ClusterTimer, state: EntryState) -> list[Effect]:
+    state.cluster_timer_at_ms = None
+    if state.consensus.role is not Role.LEADER:
+        return []
+    return replication.propose(state, Proposal("", "", AdvanceTime()))
+
+
+def answer_waits(state: EntryState) -> list[Effect]:
+    """Answer all reads that wait for an outcome with what stands now."""
+    effects: list[Effect] = []
+    for call_id, call in list(state.outcome_waits.items()):
+        effects += _stop_waiting(state, call_id)
+        effects.append(AnswerCall(call_id, answer_read(call, state)))
+    return effects
+
+
+def _ask_read_index(state: EntryState, pending: PendingCall) -> list[Effect]:
+    pending.sent_ms = state.now_ms
+    if leads_with_commits(state):
+        pending.read_index = state.consensus.commit_index
+        return _answer_if_applied(state, pending)
+    leader = state.consensus.leader
+    if leader is None or leader == state.cfg.host.id:
+        return []
+    return [SendPeer(leader, ReadIndexRequest(pending.call_id))]
+
+
+def _answer_if_applied(state: EntryState, pending: PendingCall) -> list[Effect]:
+    if pending.read is None or pending.read_index is None:
+        return []
+    if pending.read_index > state.consensus.applied_index:
+        return []
+    del state.calls[pending.call_id]
+    reply = answer_read(pending.read, state)
+    wait_ms = _wait_ms(pending.read, reply) - (state.now_ms - pending.received_ms)
+    if wait_ms <= 0:
+        return [AnswerCall(pending.call_id, reply)]
+    return _wait_for_outcome(pending.read, state, pending.call_id, wait_ms)
+
+
+@singledispatch
+def _wait_ms(call: ReadCall, reply: ReadReply) -> int:
+    """Return for how long the call may wait for a better reply, in ms."""
+    return 0
+
+
+@_wait_ms.register
+def _(call: GetRequest, reply: ReadReply) -> int:
+    return 0 if is_settled(reply) else call.wait_ms
+
+
+@singledispatch
+def _wait_for_outcome(
+    call: ReadCall, state: EntryState, call_id: int, wait_ms: int
+) -> list[Effect]:
+    raise NotImplementedError(type(call).__name__)
+
+
+@_wait_for_outcome.register
+def _(call: GetRequest, state: EntryState, call_id: int, wait_ms: int) -> list[Effect]:
+    state.outcome_waits[call_id] = call
+    state.outcome_calls.setdefault(call.request_id, []).append(call_id)
+    return [StartTimer(CallTimer(call_id), wait_ms)]
+
+
+@singledispatch
+def is_settled(reply: ReadReply) -> bool:
+    """Tell whether waiting longer would not change the reply."""
+    return True
+
+
+@is_settled.register
+def _(reply: RequestView) -> bool:
+    return reply.request.phase is RequestPhase.DONE
+
+
+def _retry_call(state: EntryState, pending: PendingCall) -> list[Effect]:
+    if state.now_ms - pending.received_ms >= state.cfg.call_limit_ms:
+        _forget_call(state, pending.call_id)
+        detail = "no majority answered in time"
+        return [AnswerCall(pending.call_id, _unavailable(detail))]
+    waits = pending.read is not None and pending.read_index is None
+    if waits and state.now_ms - pending.sent_ms >= state.cfg.retry_ms:
+        return _ask_read_index(state, pending)
+    return []
+
+
+def _retry_proposal(state: EntryState, pending: PendingProposal) -> list[Effect]:
+    if state.now_ms - pending.sent_ms < state.cfg.retry_ms:
+        return []
+    leading = state.consensus.role is Role.LEADER
+    # An entry in this leader's own log is replicated already.
+    if leading and pending.term == state.consensus.term:
+        return []
+    key = proposal_key(pending.proposal)
+    waited_ms = state.now_ms - pending.first_sent_ms
+    if waited_ms >= state.cfg.call_limit_ms and not state.command_calls.get(key):
+        del state.proposals[key]
+        return []
+    return submit_proposal(state, pending.proposal)
+
+
+def _forget_call(state: EntryState, call_id: int) -> None:
+    pending = state.calls.pop(call_id, None)
+    if pending is None or not pending.proposal_key:
+        return
+    waiting = state.command_calls.get(pending.proposal_key, [])
+    if call_id in waiting:
+        waiting.remove(call_id)
+    # Nobody waits any more: the command may still be applied, and a caller
+    # that sends it again with its key gets that answer.
+    if not waiting:
+        state.command_calls.pop(pending.proposal_key, None)
+        state.proposals.pop(pending.proposal_key, None)
+
+
+def _stop_waiting(state: EntryState, call_id: int) -> list[Effect]:
+    call = state.outcome_waits.pop(call_id, None)
+    if call is None:
+        return []
+    waiting = state.outcome_calls[call.request_id]
+    waiting.remove(call_id)
+    if not waiting:
+        del state.outcome_calls[call.request_id]
+    return [CancelTimer(CallTimer(call_id))]
+
+
+def _unavailable(detail: str) -> Refused:
+    return Refused(ErrorKind.UNAVAILABLE, detail, retry_after_ms=UNAVAILABLE_RETRY_MS)
--- a/packages/core/crocuswell_core/changes.py
+++ b/packages/core/crocuswell_core/changes.py
@@ -1,1 +1,80 @@
-"""Configuration changes and presets."""
+"""Commands for the configuration and its one preset in force."""
+
+import attrs
+
+from crocuswell_core.commands import (
+    ChangeAccepted,
+    ChangeConfiguration,
+    ConfirmInForce,
+    Done,
+    LogEntry,
+    Refused,
+    SwitchPreset,
+)
+from crocuswell_core.configuration import (
+    Configuration,
+    ConfigurationChange,
+    find_problem,
+)
+from crocuswell_core.dispatch import apply_command
+from crocuswell_core.effects import Applied, Label, LogChange
+from crocuswell_core.errors import ErrorKind
+from crocuswell_core.state import ClusterState
+
+HISTORY_LENGTH = 200
+
+
+@apply_command.register
+def _(command: ChangeConfiguration, cluster: ClusterState, entry: LogEntry) -> Applied:
+    if command.expected_number != cluster.number:
+        return Applied(_conflict(cluster, command.expected_number))
+    return _accept(cluster, command.configuration, command.author, command.note)
+
+
+@apply_command.register
+def _(command: SwitchPreset, cluster: ClusterState, entry: LogEntry) -> Applied:
+    if command.expected_number != cluster.number:
+        return Applied(_conflict(cluster, command.expected_number))
+    changed = attrs.evolve(cluster.configuration, active_preset=command.preset)
+    note = f"preset {cluster.configuration.active_preset} to {command.preset}"
+    return _accept(cluster, changed, command.author, note)
+
+
+@apply_command.register
+def _(command: ConfirmInForce, cluster: ClusterState, entry: LogEntry) -> Applied:
+    if not cluster.number_in_force < command.number <= cluster.number:
+        return Applied(Done())
+    cluster.number_in_force = command.number
+    ids = (Label("number", str(command.number)),)
+    return Applied(Done(), (LogChange("configuration in force", ids),))
+
+
+def _accept(
+    cluster: ClusterState, configuration: Configuration, author: str, note: str
+) -> Applied:
+    problem = find_problem(configuration)
+    if problem is not None:
+        return Applied(Refused(ErrorKind.INVALID_REQUEST, problem))
+    number = cluster.number + 1
+    cluster.history.append(
+        ConfigurationChange(number, author, cluster.now_ms, configuration, note)
+    )
+    del cluster.history[:-HISTORY_LENGTH]
+    cluster.needs_scheduling = True
+    ids = (
+        Label("number", str(number)),
+        Label("author", author),
+        Label("preset", configuration.active_preset),
+    )
+    return Applied(ChangeAccepted(number), (LogChange("configuration accepted", ids),))
+
+
+def _conflict(cluster: ClusterState, expected_number: int) -> Refused:
+    change = cluster.history[-1]
+    detail = (
+        f"change {expected_number + 1} is taken; the newest is {change.number} "
+        f"by {change.author or 'nobody'} at {change.at_ms} ms"
+    )
+    if change.note:
+        detail += f": {change.note}"
+    return Refused(ErrorKind.CONFLICT, detail, current_number=change.number)
--- a/packages/core/crocuswell_core/committed.py
+++ b/packages/core/crocuswell_core/committed.py
@@ -1,1 +1,102 @@
-"""Committed entries: doubles, application, effects."""
+"""Committed entries: dropping doubles, application, effects on this host."""
+
+from functools import singledispatch
+
+from crocuswell_core.agenda import add_due, start_cluster_timer
+from crocuswell_core.commands import CommandReply, LogEntry, Refused
+from crocuswell_core.dispatch import apply_command, pass_on
+from crocuswell_core.effects import (
+    Applied,
+    AppliedUpTo,
+    CommandApplied,
+    Count,
+    Effect,
+    LogChange,
+    Observe,
+)
+from crocuswell_core.errors import PROMISES, ErrorKind
+from crocuswell_core.outcomes import RECORD_RETENTION_MS
+from crocuswell_core.scheduling import schedule
+from crocuswell_core.state import (
+    AnswerDue,
+    AnsweredCommand,
+    ClusterState,
+    EntryState,
+    Role,
+)
+
+# Command ids with these prefixes come from callers and operators, who may send
+# a command again; its first answer is kept for them.
+ANSWERED_PREFIXES = ("workspace/", "operator:")
+
+
+def apply_entry(cluster: ClusterState, entry: LogEntry) -> Applied:
+    """Apply one committed entry to the replicated state.
+
+    Parameters
+    ----------
+    cluster : ClusterState
+        Changed in place.
+    entry : LogEntry
+        The next committed entry.
+
+    Returns
+    -------
+    Applied
+        The reply and the effects, equal on every entry host.
+    """
+    cluster.now_ms = max(cluster.now_ms, entry.at_ms)
+    proposal = entry.proposal
+    first = cluster.answered.get(proposal.command_id)
+    if first is not None:
+        if first.digest == proposal.digest:
+            return Applied(first.reply)
+        detail = "send other content with another key"
+        return Applied(Refused(ErrorKind.KEY_REUSED, detail))
+    applied = apply_command(proposal.command, cluster, entry)
+    if proposal.command_id.startswith(ANSWERED_PREFIXES) and _is_final(applied.reply):
+        cluster.answered[proposal.command_id] = AnsweredCommand(
+            proposal.digest, applied.reply, cluster.now_ms
+        )
+        due = AnswerDue(proposal.command_id)
+        add_due(cluster, cluster.now_ms + RECORD_RETENTION_MS, due)
+    return Applied(applied.reply, (*applied.effects, *schedule(cluster)))
+
+
+def apply_committed(state: EntryState) -> list[Effect]:
+    """Apply all entries up to the commit index.
+
+    Returns
+    -------
+    list of Effect
+        Answers, orders and acknowledgements that this host must send.
+    """
+    consensus = state.consensus
+    effects: list[Effect] = []
+    while consensus.applied_index < consensus.commit_index:
+        entry = consensus.entries[consensus.applied_index - consensus.snapshot_index]
+        applied = apply_entry(state.cluster, entry)
+        consensus.applied_index += 1
+        for effect in applied.effects:
+            effects += pass_on(effect, state)
+        effects += pass_on(CommandApplied(entry.proposal, applied.reply), state)
+    effects += pass_on(AppliedUpTo(consensus.applied_index), state)
+    return effects + start_cluster_timer(state)
+
+
+@singledispatch
+def _is_final(reply: CommandReply) -> bool:
+    """Tell whether a reply stays the answer when the command is resent."""
+    return True
+
+
+@_is_final.register
+def _(reply: Refused) -> bool:
+    return not PROMISES[reply.kind].resend
+
+
+@pass_on.register(Count)
+@pass_on.register(Observe)
+@pass_on.register(LogChange)
+def _(effect: Count | Observe | LogChange, state: EntryState) -> list[Effect]:
+    return [effect] if state.consensus.role is Role.LEADER else []
--- a/packages/core/crocuswell_core/dispatch.py
+++ b/packages/core/crocuswell_core/dispatch.py
@@ -7,9 +7,16 @@
 from functools import singledispatch
 
 from crocuswell_core.commands import Command, LogEntry
-from crocuswell_core.effects import Applied, Effect
+from crocuswell_core.effects import Applied, ClusterEffect, Effect
 from crocuswell_core.events import Event
-from crocuswell_core.messages import AgentMessage, Call, EntryMessage, PeerMessage
+from crocuswell_core.messages import (
+    AgentMessage,
+    Call,
+    EntryMessage,
+    PeerMessage,
+    ReadCall,
+)
+from crocuswell_core.replies import ReadReply
 from crocuswell_core.state import AgentState, ClusterState, EntryState
 from crocuswell_core.timers import Timer
 
@@ -59,3 +66,15 @@
     No handler may iterate over a set, read a clock or use a generator.
     """
     raise NotImplementedError(type(command).__name__)
+
+
+@singledispatch
+def pass_on(effect: ClusterEffect, state: EntryState) -> list[Effect]:
+    """Turn a result of applying a command into effects of this host."""
+    raise NotImplementedError(type(effect).__name__)
+
+
+@singledispatch
+def answer_read(call: ReadCall, state: EntryState) -> ReadReply:
+    """Answer a read from this host's applied state."""
+    raise NotImplementedError(type(call).__name__)
--- a/packages/core/crocuswell_core/effects.py
+++ b/packages/core/crocuswell_core/effects.py
@@ -10,7 +10,7 @@
 import attrs
 
 from crocuswell_core.backend import BackendCall
-from crocuswell_core.commands import CommandReply, EntryHost, LogEntry
+from crocuswell_core.commands import CommandReply, EntryHost, LogEntry, Proposal
 from crocuswell_core.errors import ErrorKind
 from crocuswell_core.messages import AgentMessage, EntryMessage, Order, PeerMessage
 from crocuswell_core.replies import ReadReply
@@ -228,7 +228,47 @@
     request_id: str
 
 
-ClusterEffect = OrderWorker | RequestEnded | Count | Observe | LogChange
+@attrs.frozen
+class WorkerAnnounced:
+    """A worker's announcement was applied; its agent gets a `Welcome`."""
+
+    worker: str
+
+
+@attrs.frozen
+class ReportsRecorded:
+    """Reports of a worker up to `sequence` were applied."""
+
+    worker: str
+    sequence: int
+
+
+@attrs.frozen
+class CommandApplied:
+    """A committed command was applied here; calls that wait get `reply`."""
+
+    proposal: Proposal
+    reply: CommandReply
+
+
+@attrs.frozen
+class AppliedUpTo:
+    """All entries up to `index` are applied here; reads may be answered."""
+
+    index: int
+
+
+ClusterEffect = (
+    OrderWorker
+    | RequestEnded
+    | WorkerAnnounced
+    | ReportsRecorded
+    | CommandApplied
+    | AppliedUpTo
+    | Count
+    | Observe
+    | LogChange
+)
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/fleet.py
+++ b/packages/core/crocuswell_core/fleet.py
@@ -1,1 +1,203 @@
-"""Workers: announcement, silence, draining, reports."""
+"""Commands for workers: announcement, silence, modes."""
+
+import attrs
+
+from crocuswell_core.attempts import lose_member, stop_attempt
+from crocuswell_core.commands import (
+    AnnounceWorker,
+    DeclareSilent,
+    Done,
+    LogEntry,
+    ModeSet,
+    Refused,
+    SetWorkerMode,
+    SuspectWorker,
+)
+from crocuswell_core.dispatch import apply_command
+from crocuswell_core.effects import (
+    Applied,
+    ChangeLevel,
+    ClusterEffect,
+    Label,
+    LogChange,
+    WorkerAnnounced,
+)
+from crocuswell_core.errors import ErrorKind
+from crocuswell_core.records import (
+    Attempt,
+    AttemptPhase,
+    MemberPhase,
+    StopReason,
+    Worker,
+    WorkerMode,
+)
+from crocuswell_core.rooms import members_on, new_room, set_member_phase, takes_work
+from crocuswell_core.state import ClusterState
+
+OPERATOR_MODES = frozenset(
+    {WorkerMode.ACTIVE, WorkerMode.DRAINING, WorkerMode.QUARANTINED}
+)
+
+
+@apply_command.register
+def _(command: AnnounceWorker, cluster: ClusterState, entry: LogEntry) -> Applied:
+    name = command.info.worker
+    known = cluster.workers.get(name)
+    effects: list[ClusterEffect] = []
+    if known is not None and name in cluster.rooms:
+        if _tasks_are_gone(known, command):
+            effects += _lose_worker(cluster, name)
+        else:
+            _adopt_members(cluster, name, command.incarnation)
+    if known is None or known.incarnation != command.incarnation:
+        cluster.report_sequences[name] = 0
+    cluster.workers[name] = Worker(
+        info=command.info,
+        incarnation=command.incarnation,
+        backend_incarnation=command.backend_incarnation,
+        operator_mode=known.operator_mode if known else WorkerMode.ACTIVE,
+    )
+    cluster.rooms.setdefault(name, new_room(command.info))
+    cluster.needs_scheduling = True
+    effects += _leave_worker(cluster, name)
+    ids = (Label("worker", name), Label("incarnation", command.incarnation))
+    change = "worker draining" if command.info.draining else "worker announced"
+    return Applied(Done(), (LogChange(change, ids), WorkerAnnounced(name), *effects))
+
+
+@apply_command.register
+def _(command: DeclareSilent, cluster: ClusterState, entry: LogEntry) -> Applied:
+    worker = _matching_worker(cluster, command.worker, command.incarnation)
+    if worker is None or worker.mode is WorkerMode.SILENT:
+        return Applied(Done())
+    cluster.workers[command.worker] = attrs.evolve(worker, mode=WorkerMode.SILENT)
+    effects = _lose_worker(cluster, command.worker)
+    ids = (Label("worker", command.worker), Label("incarnation", command.incarnation))
+    change = LogChange("worker silent, leases ended", ids, ChangeLevel.WARNING)
+    return Applied(Done(), (change, *effects))
+
+
+@apply_command.register
+def _(command: SuspectWorker, cluster: ClusterState, entry: LogEntry) -> Applied:
+    worker = _matching_worker(cluster, command.worker, command.incarnation)
+    before, after = (
+        (WorkerMode.ACTIVE, WorkerMode.SUSPECT)
+        if command.suspect
+        else (WorkerMode.SUSPECT, WorkerMode.ACTIVE)
+    )
+    if worker is None or worker.mode is not before:
+        return Applied(Done())
+    cluster.workers[command.worker] = attrs.evolve(worker, mode=after)
+    cluster.needs_scheduling = True
+    change = "worker suspect" if command.suspect else "worker heard again"
+    return Applied(Done(), (LogChange(change, (Label("worker", command.worker),)),))
+
+
+@apply_command.register
+def _(command: SetWorkerMode, cluster: ClusterState, entry: LogEntry) -> Applied:
+    worker = cluster.workers.get(command.worker)
+    if worker is None:
+        return Applied(Refused(ErrorKind.NOT_FOUND, f"worker {command.worker!r}"))
+    if command.mode not in OPERATOR_MODES:
+        return Applied(
+            Refused(ErrorKind.INVALID_REQUEST, "mode: active, draining or quarantined")
+        )
+    cluster.workers[command.worker] = attrs.evolve(worker, operator_mode=command.mode)
+    cluster.needs_scheduling = True
+    ids = (
+        Label("worker", command.worker),
+        Label("mode", command.mode.value),
+        Label("author", command.author),
+    )
+    return Applied(
+        ModeSet(command.worker, command.mode),
+        (
+            LogChange("worker mode set", ids),
+            *_leave_worker(cluster, command.worker),
+        ),
+    )
+
+
+def _tasks_are_gone(known: Worker, command: AnnounceWorker) -> bool:
+    return (
+        known.backend_incarnation != command.backend_incarnation
+        or known.info.capacity != command.info.capacity
+    )
+
+
+def _matching_worker(
+    cluster: ClusterState, name: str, incarnation: str
+) -> Worker | None:
+    worker = cluster.workers.get(name)
+    if worker is None or worker.incarnation != incarnation:
+        return None
+    return worker
+
+
+def _attempts_on(cluster: ClusterState, name: str) -> list[Attempt]:
+    return [cluster.attempts[i] for i in list(cluster.rooms[name].attempts)]
+
+
+def _adopt_members(cluster: ClusterState, name: str, incarnation: str) -> None:
+    """Pass the members on a worker to the agent's new incarnation.
+
+    The agent has no disk and forgot its reservations, so these are asked
+    for again by the orders in its `Welcome`.
+    """
+    for attempt in _attempts_on(cluster, name):
+        members = tuple(
+            attrs.evolve(
+                m,
+                incarnation=incarnation,
+                phase=MemberPhase.ORDERED
+                if m.phase is MemberPhase.RESERVED
+                and attempt.phase is AttemptPhase.RESERVING
+                else m.phase,
+            )
+            if m.worker == name
+            else m
+            for m in attempt.members
+        )
+        cluster.attempts[attempt.id] = attrs.evolve(attempt, members=members)
+
+
+def _lose_worker(cluster: ClusterState, name: str) -> list[ClusterEffect]:
+    """End all members on a worker whose tasks are gone, and its room."""
+    attempts = _attempts_on(cluster, name) if name in cluster.rooms else []
+    cluster.rooms.pop(name, None)
+    effects: list[ClusterEffect] = []
+    for lost in attempts:
+        effects += _lose_members(cluster, lost, name)
+    cluster.needs_scheduling = True
+    return effects
+
+
+def _lose_members(
+    cluster: ClusterState, attempt: Attempt, name: str
+) -> list[ClusterEffect]:
+    effects: list[ClusterEffect] = []
+    ranks = [m.rank for m in members_on(attempt, name)]
+    # All members on the worker end before the attempt is settled, so that no
+    # stop order goes to a worker that is gone.
+    for rank in ranks[:-1]:
+        attempt = set_member_phase(cluster, attempt, rank, MemberPhase.LOST)
+    for rank in ranks[-1:]:
+        effects += lose_member(cluster, attempt, rank)
+    return effects
+
+
+def _leave_worker(cluster: ClusterState, name: str) -> list[ClusterEffect]:
+    """Move what can be moved off a worker that takes no more work.
+
+    An attempt that did not start is placed elsewhere; one that can
+    checkpoint is moved with its checkpoint; anything else ends here.
+    """
+    if takes_work(cluster.workers[name]):
+        return []
+    effects: list[ClusterEffect] = []
+    for attempt in _attempts_on(cluster, name):
+        spec = cluster.requests[attempt.id.request_id].spec
+        reserving = attempt.phase is AttemptPhase.RESERVING
+        if reserving or spec.checkpoint_ms is not None:
+            effects += stop_attempt(cluster, attempt, StopReason.DRAINED)
+    return effects
--- a/packages/core/crocuswell_core/messages.py
+++ b/packages/core/crocuswell_core/messages.py
@@ -154,11 +154,14 @@
 
     Attributes
     ----------
+    number : int
+        The leader's newest configuration number.
     refused : tuple of str
         Workers that must announce themselves again; no extension.
     """
 
     sequence: int
+    number: int = 0
     refused: tuple[str, ...] = ()
 
 
--- a/packages/core/crocuswell_core/records.py
+++ b/packages/core/crocuswell_core/records.py
@@ -163,6 +163,8 @@
         Token of the newest checkpoint, from which an attempt resumes.
     failed_on : tuple of str
         Workers on which attempts failed.
+    may_have_run : bool
+        Whether any attempt may have run; then it never ends as `NOT_RUN`.
     """
 
     id: str
@@ -174,6 +176,7 @@
     not_before_ms: int = 0
     checkpoint: bytes | None = None
     failed_on: tuple[str, ...] = ()
+    may_have_run: bool = False
     started_at_ms: int | None = None
     outcome: OutcomeRecord | None = None
 
--- a/packages/core/crocuswell_core/reducer.py
+++ b/packages/core/crocuswell_core/reducer.py
@@ -9,10 +9,13 @@
     clock,
     election,
     fleet,
+    liveness,
     members,
     replication,
     requests,
     sessions,
+    stopping,
+    views,
 )
 from crocuswell_core.dispatch import handle
 from crocuswell_core.effects import Effect
--- a/packages/core/crocuswell_core/requests.py
+++ b/packages/core/crocuswell_core/requests.py
@@ -1,1 +1,263 @@
-"""Requests, attempts and their outcomes."""
+"""Commands for requests: submission, cancellation, what falls due."""
+
+from functools import singledispatch
+
+import attrs
+
+from crocuswell_core.agenda import add_due, pop_due
+from crocuswell_core.attempts import record_report, stop_attempt
+from crocuswell_core.commands import (
+    AdvanceTime,
+    CancelRequests,
+    Done,
+    LogEntry,
+    NoOperation,
+    RecordReports,
+    Refused,
+    RequestAccepted,
+    RequestsCancelled,
+    SubmitRequest,
+)
+from crocuswell_core.configuration import Workspace
+from crocuswell_core.dispatch import apply_command
+from crocuswell_core.effects import (
+    Applied,
+    ClusterEffect,
+    Count,
+    Label,
+    ReportsRecorded,
+)
+from crocuswell_core.errors import ErrorKind
+from crocuswell_core.outcomes import end_request
+from crocuswell_core.placement import can_ever_fit
+from crocuswell_core.records import (
+    AttemptId,
+    JobSpec,
+    Outcome,
+    OutcomeRecord,
+    Request,
+    RequestPhase,
+    StopReason,
+)
+from crocuswell_core.resources import Resources
+from crocuswell_core.state import (
+    AnswerDue,
+    ClusterState,
+    DeadlineDue,
+    Due,
+    RecordDue,
+    ResultDue,
+    RetryDue,
+)
+
+OVERLOAD_RETRY_MS = 2_000
+LARGEST_GANG = 1_024
+
+
+@apply_command.register
+def _(command: NoOperation, cluster: ClusterState, entry: LogEntry) -> Applied:
+    return Applied(Done())
+
+
+@apply_command.register
+def _(command: AdvanceTime, cluster: ClusterState, entry: LogEntry) -> Applied:
+    effects: list[ClusterEffect] = []
+    for due in pop_due(cluster):
+        effects += _act_on_due(due, cluster)
+    return Applied(Done(), tuple(effects))
+
+
+@apply_command.register
+def _(command: SubmitRequest, cluster: ClusterState, entry: LogEntry) -> Applied:
+    refused = _find_refusal(command, cluster)
+    labels = (Label("workspace", command.workspace),)
+    if refused is not None:
+        # An unknown workspace must not become a label: callers choose it.
+        if refused.kind is ErrorKind.NOT_FOUND:
+            labels = (Label("workspace", ""),)
+        kind = Label("kind", refused.kind.value)
+        return Applied(
+            refused, (Count("requests_refused_total", labels=(*labels, kind)),)
+        )
+    request = Request(
+        id=command.request_id,
+        workspace=command.workspace,
+        spec=command.spec,
+        accepted_at_ms=cluster.now_ms,
+    )
+    cluster.requests[request.id] = request
+    cluster.queues.setdefault(request.workspace, {})[request.id] = None
+    cluster.needs_scheduling = True
+    if command.spec.deadline_ms is not None:
+        due = DeadlineDue(request.id)
+        add_due(cluster, cluster.now_ms + command.spec.deadline_ms, due)
+    return Applied(
+        RequestAccepted(request.id),
+        (Count("requests_accepted_total", labels=labels),),
+    )
+
+
+@apply_command.register
+def _(command: CancelRequests, cluster: ClusterState, entry: LogEntry) -> Applied:
+    effects: list[ClusterEffect] = []
+    count = 0
+    for request in _select_requests(command, cluster):
+        count += 1
+        effects += cancel_request(cluster, request)
+    return Applied(RequestsCancelled(count), tuple(effects))
+
+
+@apply_command.register
+def _(command: RecordReports, cluster: ClusterState, entry: LogEntry) -> Applied:
+    worker = cluster.workers.get(command.worker)
+    if worker is None or worker.incarnation != command.incarnation:
+        return Applied(Done(), (Count("reports_stale_total"),))
+    last = cluster.report_sequences.get(command.worker, 0)
+    first = command.last_sequence - len(command.reports) + 1
+    effects: list[ClusterEffect] = []
+    for sequence, report in enumerate(command.reports, start=first):
+        if sequence > last:
+            effects += record_report(cluster, report)
+    last = max(last, command.last_sequence)
+    cluster.report_sequences[command.worker] = last
+    effects.append(ReportsRecorded(command.worker, last))
+    return Applied(Done(), tuple(effects))
+
+
+def cancel_request(cluster: ClusterState, request: Request) -> list[ClusterEffect]:
+    """Cancel one request that has not ended."""
+    if request.phase is RequestPhase.ACTIVE:
+        attempt = cluster.attempts[AttemptId(request.id, request.attempts_made)]
+        return stop_attempt(cluster, attempt, StopReason.CANCELLED)
+    outcome = OutcomeRecord(Outcome.CANCELLED, None, "cancelled while waiting")
+    return end_request(cluster, request, outcome)
+
+
+def _find_refusal(command: SubmitRequest, cluster: ClusterState) -> Refused | None:
+    workspace = cluster.configuration.workspace(command.workspace)
+    if workspace is None:
+        return Refused(ErrorKind.NOT_FOUND, f"workspace {command.workspace!r}")
+    if command.request_id in cluster.requests:
+        return Refused(ErrorKind.INVALID_REQUEST, "the request id is taken")
+    problem = find_spec_problem(command.spec)
+    if problem:
+        return Refused(ErrorKind.INVALID_REQUEST, problem)
+    shape = command.spec.shape
+    if workspace.quota is not None and not shape.total.fits_in(workspace.quota):
+        return Refused(
+            ErrorKind.OVER_QUOTA, "the job needs more than the workspace's quota"
+        )
+    if cluster.workers and not can_ever_fit(cluster, shape):
+        return Refused(
+            ErrorKind.NEVER_FITS,
+            "no set of known workers has the room that the shape needs",
+        )
+    return _find_overload(workspace, cluster)
+
+
+def _find_overload(workspace: Workspace, cluster: ClusterState) -> Refused | None:
+    waiting = len(cluster.queues.get(workspace.name, ()))
+    if waiting < workspace.queue_limit:
+        return None
+    return Refused(
+        ErrorKind.OVERLOADED,
+        f"{waiting} requests wait, which is the limit",
+        retry_after_ms=OVERLOAD_RETRY_MS,
+    )
+
+
+def find_spec_problem(spec: JobSpec) -> str | None:
+    """Return what is wrong with a declared job in one sentence, or None."""
+    amount = spec.shape.per_member
+    if not 1 <= spec.shape.members <= LARGEST_GANG:
+        return f"shape.members: must be from 1 to {LARGEST_GANG}"
+    if amount.is_negative() or amount == Resources():
+        return "shape.per_member: must ask for something, and for nothing negative"
+    if spec.run_time_ms < 1:
+        return "run_time_ms: must be at least 1"
+    if spec.checkpoint_ms is not None and spec.checkpoint_ms < 0:
+        return "checkpoint_ms: must not be negative"
+    if spec.deadline_ms is not None and spec.deadline_ms < 1:
+        return "deadline_ms: must be at least 1"
+    return None
+
+
+def _select_requests(command: CancelRequests, cluster: ClusterState) -> list[Request]:
+    candidates = (
+        [cluster.requests[i] for i in command.request_ids if i in cluster.requests]
+        if command.request_ids
+        else list(cluster.requests.values())
+    )
+    return [
+        request
+        for request in candidates
+        if request.workspace == command.workspace
+        and request.phase is not RequestPhase.DONE
+        and command.job_class in {"", request.spec.job_class}
+    ]
+
+
+@singledispatch
+def _act_on_due(due: Due, cluster: ClusterState) -> list[ClusterEffect]:
+    raise NotImplementedError(type(due).__name__)
+
+
+@_act_on_due.register
+def _(due: RetryDue, cluster: ClusterState) -> list[ClusterEffect]:
+    request = cluster.requests.get(due.request_id)
+    if request is None or not 0 < request.not_before_ms <= cluster.now_ms:
+        return []
+    cluster.retries[request.workspace] -= 1
+    cluster.requests[request.id] = attrs.evolve(request, not_before_ms=0)
+    cluster.needs_scheduling = True
+    return []
+
+
+@_act_on_due.register
+def _(due: DeadlineDue, cluster: ClusterState) -> list[ClusterEffect]:
+    request = cluster.requests.get(due.request_id)
+    if request is None or request.phase is not RequestPhase.QUEUED:
+        return []
+    if request.may_have_run:
+        outcome = OutcomeRecord(
+            Outcome.FAILED, None, "its deadline passed before a retry could start"
+        )
+    else:
+        outcome = OutcomeRecord(
+            Outcome.NOT_RUN, ErrorKind.DEADLINE_PASSED, "it waited too long for room"
+        )
+    return end_request(cluster, request, outcome)
+
+
+@_act_on_due.register
+def _(due: ResultDue, cluster: ClusterState) -> list[ClusterEffect]:
+    request = cluster.requests.get(due.request_id)
+    if request is None or request.outcome is None:
+        return []
+    if cluster.now_ms - request.outcome.at_ms < _result_retention_ms(cluster):
+        return []
+    cluster.requests[request.id] = attrs.evolve(
+        request,
+        spec=attrs.evolve(request.spec, payload=b""),
+        checkpoint=None,
+        outcome=attrs.evolve(request.outcome, result=None),
+    )
+    return []
+
+
+@_act_on_due.register
+def _(due: RecordDue, cluster: ClusterState) -> list[ClusterEffect]:
+    request = cluster.requests.get(due.request_id)
+    if request is not None and request.phase is RequestPhase.DONE:
+        del cluster.requests[due.request_id]
+    return []
+
+
+@_act_on_due.register
+def _(due: AnswerDue, cluster: ClusterState) -> list[ClusterEffect]:
+    cluster.answered.pop(due.command_id, None)
+    return []
+
+
+def _result_retention_ms(cluster: ClusterState) -> int:
+    return cluster.configuration.limits.result_retention_ms
--- /dev/null
+++ b/packages/core/crocuswell_core/rooms.py
@@ -0,0 +1,95 @@
+"""Accounting of free room on workers; every take and release goes here."""
+
+from bisect import insort
+
+import attrs
+
+from crocuswell_core.records import (
+    ENDED_MEMBER_PHASES,
+    Attempt,
+    AttemptId,
+    Member,
+    MemberPhase,
+    Worker,
+    WorkerInfo,
+    WorkerMode,
+)
+from crocuswell_core.resources import Resources
+from crocuswell_core.state import ClusterState, WorkerRoom
+
+
+def new_room(info: WorkerInfo) -> WorkerRoom:
+    """Return the room of a worker that holds nothing."""
+    return WorkerRoom(
+        free=info.capacity,
+        free_slots=info.slots,
+        accelerators=list(range(info.capacity.accelerators)),
+    )
+
+
+def takes_work(worker: Worker) -> bool:
+    """Tell whether new work may be placed on the worker."""
+    return (
+        worker.mode is WorkerMode.ACTIVE
+        and worker.operator_mode is WorkerMode.ACTIVE
+        and not worker.info.draining
+    )
+
+
+def take_room(
+    cluster: ClusterState,
+    attempt_id: AttemptId,
+    rank: int,
+    worker: str,
+    amount: Resources,
+) -> Member:
+    """Take room for one member; the caller has checked that it fits."""
+    room = cluster.rooms[worker]
+    indices = tuple(room.accelerators[: amount.accelerators])
+    del room.accelerators[: amount.accelerators]
+    room.free = room.free - amount
+    room.free_slots -= 1
+    room.attempts[attempt_id] = room.attempts.get(attempt_id, 0) + 1
+    return Member(rank, worker, cluster.workers[worker].incarnation, indices)
+
+
+def release_room(cluster: ClusterState, attempt: Attempt, member: Member) -> None:
+    """Give back the room of a member that has ended."""
+    room = cluster.rooms.get(member.worker)
+    if room is None or attempt.id not in room.attempts:
+        return
+    for index in member.accelerators:
+        insort(room.accelerators, index)
+    room.free = (
+        room.free + cluster.requests[attempt.id.request_id].spec.shape.per_member
+    )
+    room.free_slots += 1
+    room.attempts[attempt.id] -= 1
+    if not room.attempts[attempt.id]:
+        del room.attempts[attempt.id]
+    cluster.needs_scheduling = True
+
+
+def set_member_phase(
+    cluster: ClusterState, attempt: Attempt, rank: int, phase: MemberPhase
+) -> Attempt:
+    """Record a member's phase, and release its room if it ended now."""
+    member = attempt.members[rank]
+    if member.phase in ENDED_MEMBER_PHASES:
+        return attempt
+    changed = attrs.evolve(member, phase=phase)
+    members = (*attempt.members[:rank], changed, *attempt.members[rank + 1 :])
+    attempt = attrs.evolve(attempt, members=members)
+    cluster.attempts[attempt.id] = attempt
+    if phase in ENDED_MEMBER_PHASES:
+        release_room(cluster, attempt, member)
+    return attempt
+
+
+def members_on(attempt: Attempt, worker: str) -> tuple[Member, ...]:
+    """Return the members of an attempt on one worker that have not ended."""
+    return tuple(
+        m
+        for m in attempt.members
+        if m.worker == worker and m.phase not in ENDED_MEMBER_PHASES
+    )
--- a/packages/core/crocuswell_core/state.py
+++ b/packages/core/crocuswell_core/state.py
@@ -8,7 +8,7 @@
 from crocuswell_core.backend import BackendTask
 from crocuswell_core.commands import CommandReply, EntryHost, LogEntry, Proposal, Report
 from crocuswell_core.configuration import Configuration, ConfigurationChange
-from crocuswell_core.messages import ReadCall, StartTask
+from crocuswell_core.messages import GetRequest, ReadCall, StartTask
 from crocuswell_core.records import Attempt, AttemptId, Request, Worker, WorkerInfo
 from crocuswell_core.resources import Resources
 
@@ -45,6 +45,53 @@
     attempts: dict[AttemptId, int] = attrs.Factory(dict)
 
 
+@attrs.frozen
+class RetryDue:
+    """A request's back-off ends."""
+
+    request_id: str
+
+
+@attrs.frozen
+class DeadlineDue:
+    """A request's latest start passes."""
+
+    request_id: str
+
+
+@attrs.frozen
+class ResultDue:
+    """The retention of a request's result ends."""
+
+    request_id: str
+
+
+@attrs.frozen
+class RecordDue:
+    """The retention of a request's record ends."""
+
+    request_id: str
+
+
+@attrs.frozen
+class AnswerDue:
+    """The retention of a command's first answer ends."""
+
+    command_id: str
+
+
+Due = RetryDue | DeadlineDue | ResultDue | RecordDue | AnswerDue
+
+
+@attrs.frozen(order=True)
+class DueItem:
+    """Something to do at a cluster time; ordered by time, then sequence."""
+
+    at_ms: int
+    sequence: int
+    due: Due = attrs.field(order=False)
+
+
 @attrs.define
 class ClusterState:
     """Result of applying the log; equal on every entry host.
@@ -57,8 +104,15 @@
         For each workspace the ids of queued requests, in order.
     rooms : dict
         For each worker what is free on it.
-    recent : dict
-        Ended requests in the order they ended, for retention.
+    report_sequences : dict
+        For each worker the last report of its current incarnation.
+    agenda : list of DueItem
+        Binary heap of what falls due.
+    retries : dict
+        For each workspace the number of queued requests that wait for a
+        retry after a failure.
+    needs_scheduling : bool
+        Whether something changed that may let a request start.
     """
 
     version: int = STATE_VERSION
@@ -73,8 +127,11 @@
     workers: dict[str, Worker] = attrs.Factory(dict)
     rooms: dict[str, WorkerRoom] = attrs.Factory(dict)
     answered: dict[str, AnsweredCommand] = attrs.Factory(dict)
-    recent: dict[str, int] = attrs.Factory(dict)
     report_sequences: dict[str, int] = attrs.Factory(dict)
+    agenda: list[DueItem] = attrs.Factory(list)
+    agenda_sequence: int = 0
+    retries: dict[str, int] = attrs.Factory(dict)
+    needs_scheduling: bool = False
 
     @property
     def configuration(self) -> Configuration:
@@ -206,6 +263,9 @@
         `liveness_sequence`.
     confirmed_sequence : int
         Heartbeat sequence whose liveness the leader confirmed.
+    confirmed : bool
+        Whether the leader confirmed any heartbeat of this stream, so
+        that the agent holds its leases.
     """
 
     stream_id: int
@@ -216,7 +276,13 @@
     reported_sequence: int = 0
     confirmed_sequence: int = 0
     number: int = 0
+    confirmed: bool = False
     welcomed: bool = False
+    heartbeat_sent_ms: int = 0
+    info: WorkerInfo | None = None
+    backend_incarnation: str = ""
+    attempts: tuple[AttemptId, ...] = ()
+    counters: dict[str, int] = attrs.Factory(dict)
 
 
 @attrs.define
@@ -225,24 +291,37 @@
 
     Attributes
     ----------
+    proposal_key : str
+        Key of the proposal that it waits for; empty for a read.
+    sent_ms : int
+        Time at which the read index was last asked for.
     read_index : int or None
         Index to apply before a read is answered; None until known.
     """
 
     call_id: int
     received_ms: int
-    limit_ms: int
-    command_id: str = ""
+    proposal_key: str = ""
     read: ReadCall | None = None
+    sent_ms: int = 0
     read_index: int | None = None
 
 
 @attrs.define
 class PendingProposal:
-    """A proposal from this host that is not yet applied here."""
+    """A proposal from this host that is not yet applied here.
+
+    Attributes
+    ----------
+    term : int
+        Term in which this host appended it as leader; 0 if it was
+        forwarded.
+    """
 
     proposal: Proposal
     sent_ms: int
+    first_sent_ms: int
+    term: int = 0
 
 
 @attrs.define
@@ -260,6 +339,14 @@
     number: int = 0
 
 
+@attrs.define
+class HeardHost:
+    """The leader's knowledge of another entry host."""
+
+    heard_ms: int
+    number: int
+
+
 @attrs.define
 class EntryState:
     """State of an entry host.
@@ -269,13 +356,22 @@
     heard_workers : dict
         On the leader: when each worker was last heard.
     heard_hosts : dict
-        On the leader: for each entry host the configuration number it
-        has applied.
+        On the leader: when each entry host was last heard and the
+        configuration number it has applied.
     liveness_sent : dict
-        For each unconfirmed `Liveness` the sequences it covered, by
-        worker.
-    read_calls : dict
-        Calls that wait for a read index, by read id.
+        For each unconfirmed `Liveness` the heartbeat sequences that it
+        covered, by stream.
+    proposals : dict
+        This host's proposals that are not yet applied here, by key.
+    command_calls : dict
+        For each proposal key the calls that wait for its reply.
+    outcome_waits : dict
+        Reads that wait for an outcome, by call id.
+    outcome_calls : dict
+        For each request id the calls that wait for its outcome.
+    declared : dict
+        On the leader: workers whose `DeclareSilent` was proposed, with
+        the incarnation; their liveness is refused.
     """
 
     cfg: EntryConfig
@@ -289,11 +385,16 @@
     calls: dict[int, PendingCall] = attrs.Factory(dict)
     proposals: dict[str, PendingProposal] = attrs.Factory(dict)
     heard_workers: dict[str, HeardWorker] = attrs.Factory(dict)
-    heard_hosts: dict[str, int] = attrs.Factory(dict)
+    heard_hosts: dict[str, HeardHost] = attrs.Factory(dict)
+    declared: dict[str, str] = attrs.Factory(dict)
+    command_calls: dict[str, list[int]] = attrs.Factory(dict)
+    outcome_waits: dict[int, GetRequest] = attrs.Factory(dict)
+    outcome_calls: dict[str, list[int]] = attrs.Factory(dict)
     liveness_sequence: int = 0
-    liveness_sent: dict[int, dict[str, int]] = attrs.Factory(dict)
+    liveness_sent: dict[int, dict[int, int]] = attrs.Factory(dict)
     cluster_timer_at_ms: int | None = None
     stopping: bool = False
+    stopping_since_ms: int = 0
 
 
 # --- agent ---------------------------------------------------------------
@@ -388,3 +489,4 @@
     first_report: int = 1
     counters: dict[str, int] = attrs.Factory(dict)
     stopping: bool = False
+    stopping_since_ms: int = 0
--- /dev/null
+++ b/packages/core/crocuswell_core/stopping.py
@@ -0,0 +1,50 @@
+"""Planned stop of an entry host: no call in flight is cut off."""
+
+from crocuswell_core import election
+from crocuswell_core.callers import answer_waits
+from crocuswell_core.dispatch import handle, handle_timer
+from crocuswell_core.effects import Effect, Halt, LogChange, SetReady, StartTimer
+from crocuswell_core.events import EntryStopRequested
+from crocuswell_core.sessions import close_sessions
+from crocuswell_core.state import EntryState, Role
+from crocuswell_core.timers import StopTimer
+
+STOP_CHECK_MS = 100
+
+# Time in ms for which the listener still takes calls after `/readyz` turned,
+# so that the balancer notices before it closes.
+BALANCER_NOTICE_MS = 1_000
+
+
+@handle.register
+def _(event: EntryStopRequested, state: EntryState) -> list[Effect]:
+    if state.stopping:
+        return []
+    state.stopping = True
+    state.stopping_since_ms = state.now_ms
+    return [
+        LogChange("stopping"),
+        SetReady(False),
+        *answer_waits(state),
+        *election.transfer_leadership(state),
+        *close_sessions(state),
+        StartTimer(StopTimer(), STOP_CHECK_MS),
+    ]
+
+
+@handle_timer.register
+def _(timer: StopTimer, state: EntryState) -> list[Effect]:
+    elapsed_ms = state.now_ms - state.stopping_since_ms
+    busy = (
+        bool(state.calls)
+        or bool(state.proposals)
+        or state.consensus.role is Role.LEADER
+    )
+    if elapsed_ms >= state.cfg.stop_limit_ms:
+        return [Halt()]
+    if not busy and elapsed_ms >= BALANCER_NOTICE_MS:
+        return [Halt()]
+    effects = [*answer_waits(state), StartTimer(timer, STOP_CHECK_MS)]
+    if state.consensus.role is Role.LEADER:
+        effects += election.transfer_leadership(state)
+    return effects
--- /dev/null
+++ b/packages/core/crocuswell_core/views.py
@@ -0,0 +1,121 @@
+"""Answers to reads from the applied state."""
+
+from collections.abc import Iterator
+from itertools import islice
+
+from crocuswell_core.commands import Refused
+from crocuswell_core.dispatch import answer_read
+from crocuswell_core.errors import ErrorKind
+from crocuswell_core.messages import (
+    ExplainRequest,
+    GetConfiguration,
+    GetHistory,
+    GetMembers,
+    GetRequest,
+    GetWorkers,
+    ListRequests,
+)
+from crocuswell_core.records import AttemptId, Request
+from crocuswell_core.replies import (
+    ConfigurationView,
+    Explanation,
+    HistoryView,
+    MembersView,
+    ReadReply,
+    RequestsView,
+    RequestView,
+    WorkersView,
+    WorkerView,
+)
+from crocuswell_core.resources import NOTHING
+from crocuswell_core.scheduling import explain_waiting
+from crocuswell_core.state import ClusterState, EntryState
+
+
+@answer_read.register
+def _(call: GetRequest, state: EntryState) -> ReadReply:
+    request = _find_request(state.cluster, call.request_id, call.workspace)
+    if request is None:
+        return _not_found(call.request_id)
+    return RequestView(request)
+
+
+@answer_read.register
+def _(call: ListRequests, state: EntryState) -> ReadReply:
+    if state.cluster.configuration.workspace(call.workspace) is None:
+        return Refused(ErrorKind.NOT_FOUND, f"workspace {call.workspace!r}")
+    newest = islice(_newest_requests(state.cluster, call.workspace), call.limit)
+    return RequestsView(tuple(newest))
+
+
+@answer_read.register
+def _(call: GetConfiguration, state: EntryState) -> ReadReply:
+    return ConfigurationView(state.cluster.history[-1], state.cluster.number_in_force)
+
+
+@answer_read.register
+def _(call: GetHistory, state: EntryState) -> ReadReply:
+    return HistoryView(tuple(reversed(state.cluster.history[-call.limit :])))
+
+
+@answer_read.register
+def _(call: GetWorkers, state: EntryState) -> ReadReply:
+    return WorkersView(
+        tuple(_view_worker(state.cluster, name) for name in state.cluster.workers)
+    )
+
+
+@answer_read.register
+def _(call: GetMembers, state: EntryState) -> ReadReply:
+    consensus = state.consensus
+    return MembersView(
+        host=state.cfg.host.id,
+        leader=consensus.leader or "",
+        term=consensus.term,
+        commit_index=consensus.commit_index,
+        hosts=consensus.hosts,
+        voters=consensus.voters,
+    )
+
+
+@answer_read.register
+def _(call: ExplainRequest, state: EntryState) -> ReadReply:
+    request = _find_request(state.cluster, call.request_id, call.workspace)
+    if request is None:
+        return _not_found(call.request_id)
+    waiting = explain_waiting(state.cluster, request)
+    attempt_id = AttemptId(request.id, request.attempts_made)
+    return Explanation(
+        request=request,
+        waiting_for=waiting.reason,
+        expected_start_ms=waiting.expected_start_ms,
+        attempt=state.cluster.attempts.get(attempt_id),
+    )
+
+
+def _find_request(
+    cluster: ClusterState, request_id: str, workspace: str
+) -> Request | None:
+    request = cluster.requests.get(request_id)
+    if request is None or workspace not in {"", request.workspace}:
+        return None
+    return request
+
+
+def _not_found(request_id: str) -> Refused:
+    return Refused(ErrorKind.NOT_FOUND, f"request {request_id!r}")
+
+
+def _newest_requests(cluster: ClusterState, workspace: str) -> Iterator[Request]:
+    for request in reversed(cluster.requests.values()):
+        if request.workspace == workspace:
+            yield request
+
+
+def _view_worker(cluster: ClusterState, name: str) -> WorkerView:
+    room = cluster.rooms.get(name)
+    return WorkerView(
+        worker=cluster.workers[name],
+        free=room.free if room else NOTHING,
+        attempts=tuple(str(i) for i in room.attempts) if room else (),
+    )
