--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,278 @@
+"""Requests and attempts: truthful outcomes when members fail or vanish."""
+
+import pytest
+
+from crocuswell_core.commands import (
+    CancelRequests,
+    DeclareSilent,
+    Refused,
+    RequestAccepted,
+    SetWorkerMode,
+    SubmitRequest,
+    TaskFailed,
+    TaskFinished,
+    TaskLost,
+    TaskRefused,
+    TaskReserved,
+    TaskStopped,
+)
+from crocuswell_core.configuration import Workspace
+from crocuswell_core.errors import ErrorKind
+from crocuswell_core.messages import ReserveTask, StartTask, StopTask
+from crocuswell_core.records import AttemptId, JobSpec, Outcome, WorkerMode
+from crocuswell_core.resources import Adjacency, Resources, Shape
+from tests.clusters import Cluster, gang, small_cluster
+
+SINGLE = JobSpec(shape=gang(1))
+ONCE = JobSpec(shape=gang(1), idempotent=False)
+PAIR = JobSpec(shape=gang(2, 8))
+PAIR_ONCE = JobSpec(shape=gang(2, 8), idempotent=False)
+FIRST = AttemptId("q", 1)
+
+
+def running_pair(spec: JobSpec = PAIR) -> Cluster:
+    cluster = small_cluster()
+    cluster.submit("q", spec)
+    cluster.report("w1", TaskReserved(FIRST, 0))
+    cluster.report("w2", TaskReserved(FIRST, 1))
+    cluster.orders()
+    return cluster
+
+
+def test_single_task_is_started_and_completed() -> None:
+    cluster = small_cluster()
+    assert cluster.submit("q", SINGLE) == RequestAccepted("q")
+    [(worker, order)] = cluster.orders()
+    assert worker == "w1"
+    assert type(order) is StartTask
+    cluster.report("w1", TaskFinished(FIRST, 0, b"answer", "digest"))
+    outcome = cluster.request("q").outcome
+    assert outcome is not None
+    assert outcome.outcome is Outcome.COMPLETED
+    assert (outcome.result, outcome.length) == (b"answer", 6)
+    assert cluster.state.rooms["w1"].free.accelerators == 8
+
+
+def test_gang_starts_only_after_all_members_reserved() -> None:
+    """Guards against a gang that runs with part of its accelerators."""
+    cluster = small_cluster()
+    cluster.submit("q", PAIR)
+    assert [type(order) for _, order in cluster.orders()] == [ReserveTask, ReserveTask]
+    cluster.report("w1", TaskReserved(FIRST, 0))
+    assert cluster.orders() == []
+    cluster.report("w2", TaskReserved(FIRST, 1))
+    assert [type(order) for _, order in cluster.orders()] == [StartTask, StartTask]
+
+
+def test_refused_member_stops_the_gang_and_it_is_placed_again() -> None:
+    cluster = small_cluster()
+    cluster.submit("q", PAIR)
+    cluster.report("w1", TaskReserved(FIRST, 0))
+    cluster.orders()
+    cluster.report("w2", TaskRefused(FIRST, 1))
+    assert [(w, type(o)) for w, o in cluster.orders()] == [("w1", StopTask)]
+    cluster.report("w1", TaskRefused(FIRST, 0))
+    cluster.advance(60_000)
+    assert cluster.request("q").attempts_made == 2
+
+
+@pytest.mark.parametrize(
+    ("spec", "report", "expected"),
+    [
+        (ONCE, TaskFailed(FIRST, 0, "no paper"), Outcome.FAILED),
+        (ONCE, TaskLost(FIRST, 0), Outcome.OUTCOME_UNKNOWN),
+        (ONCE, TaskStopped(FIRST, 0), Outcome.FAILED),
+        (ONCE, TaskRefused(FIRST, 0), None),
+        (SINGLE, TaskFailed(FIRST, 0, "no paper"), None),
+        (SINGLE, TaskLost(FIRST, 0), None),
+        (SINGLE, TaskStopped(FIRST, 0), None),
+    ],
+)
+def test_retry_only_what_is_idempotent_or_did_not_run(
+    spec: JobSpec, report: TaskFailed, expected: Outcome | None
+) -> None:
+    """Guards against a second run of a non-idempotent request."""
+    cluster = small_cluster()
+    cluster.submit("q", spec)
+    cluster.report("w1", report)
+    cluster.advance(60_000)
+    assert cluster.outcome("q") is expected
+    assert cluster.request("q").attempts_made == (2 if expected is None else 1)
+
+
+@pytest.mark.parametrize(
+    ("report", "expected"),
+    [
+        (TaskFinished(FIRST, 0, b"late", "d"), Outcome.COMPLETED),
+        (TaskFailed(FIRST, 0), Outcome.FAILED),
+        (TaskStopped(FIRST, 0), Outcome.FAILED),
+        (TaskRefused(FIRST, 0), Outcome.NOT_RUN),
+        (TaskFinished(AttemptId("q", 7), 0, b"x", "d"), Outcome.OUTCOME_UNKNOWN),
+    ],
+)
+def test_unknown_outcome_is_resolved_when_the_worker_returns(
+    report: TaskFinished, expected: Outcome
+) -> None:
+    cluster = small_cluster(workers=1)
+    cluster.submit("q", ONCE)
+    cluster.apply(DeclareSilent("w1", "i1"))
+    assert cluster.outcome("q") is Outcome.OUTCOME_UNKNOWN
+    cluster.announce("w1")
+    cluster.report("w1", report)
+    assert cluster.outcome("q") is expected
+
+
+def test_lost_member_stops_the_rest_of_the_gang() -> None:
+    cluster = running_pair()
+    cluster.apply(DeclareSilent("w2", "i1"))
+    assert [(w, type(o)) for w, o in cluster.orders()] == [("w1", StopTask)]
+    assert cluster.state.rooms["w1"].free.accelerators == 0
+    cluster.report("w1", TaskStopped(FIRST, 0))
+    assert cluster.state.rooms["w1"].free.accelerators == 8
+    assert cluster.outcome("q") is None
+
+
+def test_lost_member_of_a_non_idempotent_gang_is_an_unknown_outcome() -> None:
+    cluster = running_pair(PAIR_ONCE)
+    cluster.apply(DeclareSilent("w2", "i1"))
+    cluster.report("w1", TaskStopped(FIRST, 0))
+    assert cluster.outcome("q") is Outcome.OUTCOME_UNKNOWN
+
+
+def test_doubled_and_late_reports_are_dropped() -> None:
+    """Guards against room that is released twice."""
+    cluster = running_pair()
+    for _ in range(2):
+        cluster.report("w1", TaskFinished(FIRST, 0, b"a", "d"))
+    cluster.report("w2", TaskFinished(FIRST, 1, b"b", "d"))
+    cluster.report("w2", TaskFinished(FIRST, 1, b"c", "d"))
+    outcome = cluster.request("q").outcome
+    assert outcome is not None
+    assert outcome.result == b"a"
+    assert [r.free.accelerators for r in cluster.state.rooms.values()] == [8, 8]
+
+
+def test_new_agent_incarnation_is_asked_to_reserve_again() -> None:
+    """Guards against a gang that starts on a forgotten reservation."""
+    cluster = small_cluster()
+    cluster.submit("q", PAIR)
+    cluster.report("w1", TaskReserved(FIRST, 0))
+    cluster.announce("w1", incarnation="i2")
+    cluster.orders()
+    cluster.report("w2", TaskReserved(FIRST, 1))
+    assert cluster.orders() == []
+    cluster.report("w1", TaskReserved(FIRST, 0))
+    assert len(cluster.orders()) == 2
+
+
+def test_new_backend_incarnation_loses_its_tasks() -> None:
+    cluster = small_cluster(workers=1)
+    cluster.submit("q", ONCE)
+    cluster.announce("w1", incarnation="i2", backend_incarnation="b2")
+    assert cluster.outcome("q") is Outcome.OUTCOME_UNKNOWN
+
+
+def test_same_command_gets_the_first_answer_and_runs_once() -> None:
+    cluster = small_cluster()
+    first = cluster.apply(SubmitRequest("a", "quotes", ONCE), "workspace/quotes:k", "d")
+    again = cluster.apply(SubmitRequest("b", "quotes", ONCE), "workspace/quotes:k", "d")
+    assert first == again == RequestAccepted("a")
+    other = cluster.apply(SubmitRequest("c", "quotes", ONCE), "workspace/quotes:k", "e")
+    assert type(other) is Refused
+    assert other.kind is ErrorKind.KEY_REUSED
+    assert list(cluster.state.requests) == ["a"]
+
+
+@pytest.mark.parametrize(
+    ("workspace", "spec", "kind"),
+    [
+        ("nobody", SINGLE, ErrorKind.NOT_FOUND),
+        ("quotes", JobSpec(shape=gang(0)), ErrorKind.INVALID_REQUEST),
+        ("quotes", JobSpec(shape=gang(1, -1)), ErrorKind.INVALID_REQUEST),
+        ("quotes", JobSpec(shape=gang(1), run_time_ms=0), ErrorKind.INVALID_REQUEST),
+        ("quotes", JobSpec(shape=gang(3, 8)), ErrorKind.NEVER_FITS),
+        (
+            "quotes",
+            JobSpec(shape=gang(2, 8, Adjacency.WORKER)),
+            ErrorKind.NEVER_FITS,
+        ),
+        ("small", JobSpec(shape=gang(2, 1)), ErrorKind.OVER_QUOTA),
+    ],
+)
+def test_refusals(workspace: str, spec: JobSpec, kind: ErrorKind) -> None:
+    cluster = small_cluster()
+    cluster.configure(
+        Workspace("quotes"), Workspace("small", quota=Resources(1, 8, 8_192))
+    )
+    reply = cluster.submit("q", spec, workspace)
+    assert type(reply) is Refused
+    assert reply.kind is kind
+    assert cluster.state.requests == {}
+
+
+def test_overload_is_refused_early_and_can_be_resent() -> None:
+    cluster = Cluster()
+    cluster.configure(Workspace("quotes", queue_limit=1))
+    command = SubmitRequest("b", "quotes", SINGLE)
+    cluster.submit("a", SINGLE)
+    reply = cluster.apply(command, "workspace/quotes:k", "d")
+    assert type(reply) is Refused
+    assert reply.kind is ErrorKind.OVERLOADED
+    assert reply.retry_after_ms > 0
+    cluster.apply(CancelRequests("quotes"))
+    assert cluster.apply(command, "workspace/quotes:k", "d") == RequestAccepted("b")
+
+
+@pytest.mark.parametrize("spec", [SINGLE, ONCE])
+def test_cancel_before_and_while_running(spec: JobSpec) -> None:
+    cluster = small_cluster(workers=1)
+    cluster.submit("q", spec)
+    cluster.apply(CancelRequests("quotes", ("q",)))
+    assert cluster.outcome("q") is None
+    cluster.report("w1", TaskStopped(FIRST, 0))
+    assert cluster.outcome("q") is Outcome.CANCELLED
+
+
+def test_deadline_that_passes_in_the_queue_is_not_run() -> None:
+    cluster = small_cluster(workers=1)
+    full = Shape(1, Resources(8, 1, 1))
+    cluster.submit("a", JobSpec(shape=full))
+    cluster.submit("b", JobSpec(shape=full, deadline_ms=5_000))
+    cluster.advance(5_000)
+    outcome = cluster.request("b").outcome
+    assert outcome is not None
+    assert outcome.outcome is Outcome.NOT_RUN
+    assert outcome.reason is ErrorKind.DEADLINE_PASSED
+
+
+def test_draining_worker_gets_no_start() -> None:
+    cluster = small_cluster(workers=1)
+    cluster.apply(SetWorkerMode("w1", WorkerMode.DRAINING, "op"))
+    cluster.submit("q", SINGLE)
+    assert cluster.orders() == []
+    cluster.apply(SetWorkerMode("w1", WorkerMode.ACTIVE, "op"))
+    assert len(cluster.orders()) == 1
+
+
+def test_drained_work_moves_with_its_checkpoint() -> None:
+    cluster = small_cluster()
+    cluster.submit("q", JobSpec(shape=gang(1), idempotent=False, checkpoint_ms=500))
+    cluster.apply(SetWorkerMode("w1", WorkerMode.DRAINING, "op"))
+    cluster.orders()
+    cluster.report("w1", TaskStopped(FIRST, 0, b"token"))
+    [(worker, order)] = cluster.orders()
+    assert worker == "w2"
+    assert type(order) is StartTask
+    assert order.checkpoint == b"token"
+
+
+def test_result_and_record_are_dropped_after_their_retention() -> None:
+    cluster = small_cluster(workers=1)
+    cluster.submit("q", SINGLE)
+    cluster.report("w1", TaskFinished(FIRST, 0, b"answer", "digest"))
+    cluster.advance(3_600_000)
+    outcome = cluster.request("q").outcome
+    assert outcome is not None
+    assert (outcome.outcome, outcome.result) == (Outcome.COMPLETED, None)
+    cluster.advance(24 * 3_600_000)
+    assert "q" not in cluster.state.requests
