--- a/packages/core/crocuswell_core/clock.py
+++ b/packages/core/crocuswell_core/clock.py
@@ -1,5 +1,6 @@
 """Handlers that both roles share: time and the dispatch of timers."""
 
+from crocuswell_core import leadership
 from crocuswell_core.dispatch import handle, handle_timer
 from crocuswell_core.effects import Effect
 from crocuswell_core.events import ClockAdvanced, TimerFired
@@ -10,6 +11,8 @@
 def _(event: ClockAdvanced, state: EntryState | AgentState) -> list[Effect]:
     state.now_ms = max(state.now_ms, event.now_ms)
     state.wall_ms = max(state.wall_ms, event.wall_ms)
+    if isinstance(state, EntryState):
+        return leadership.check_lease(state)
     return []
 
 
--- /dev/null
+++ b/packages/core/crocuswell_core/consensus_log.py
@@ -0,0 +1,63 @@
+"""Reading and changing the replicated log in memory."""
+
+from crocuswell_core.commands import LogEntry
+from crocuswell_core.state import ConsensusState
+
+# Bounds the size of one `Append`; a host that lags behind is sent the next
+# part when it acknowledges this one.
+MAX_APPEND_ENTRIES = 128
+
+
+def last_index(consensus: ConsensusState) -> int:
+    """Return the index of the newest entry."""
+    return consensus.snapshot_index + len(consensus.entries)
+
+
+def last_term(consensus: ConsensusState) -> int:
+    """Return the term of the newest entry."""
+    if consensus.entries:
+        return consensus.entries[-1].term
+    return consensus.snapshot_term
+
+
+def entry_at(consensus: ConsensusState, index: int) -> LogEntry | None:
+    """Return the entry at an index, None if it is not in memory."""
+    offset = index - consensus.snapshot_index - 1
+    if 0 <= offset < len(consensus.entries):
+        return consensus.entries[offset]
+    return None
+
+
+def term_at(consensus: ConsensusState, index: int) -> int | None:
+    """Return the term of the entry at an index, None if it is unknown."""
+    if index == consensus.snapshot_index:
+        return consensus.snapshot_term
+    entry = entry_at(consensus, index)
+    return None if entry is None else entry.term
+
+
+def entries_from(consensus: ConsensusState, first: int) -> tuple[LogEntry, ...]:
+    """Return the entries for one `Append`, starting at index `first`."""
+    offset = first - consensus.snapshot_index - 1
+    return tuple(consensus.entries[offset : offset + MAX_APPEND_ENTRIES])
+
+
+def truncate_from(consensus: ConsensusState, first: int) -> None:
+    """Drop the entries from index `first` on."""
+    del consensus.entries[first - consensus.snapshot_index - 1 :]
+    consensus.synced_index = min(consensus.synced_index, first - 1)
+
+
+def drop_up_to(consensus: ConsensusState, index: int) -> None:
+    """Drop the entries up to `index`, which must be in memory."""
+    term = term_at(consensus, index)
+    if term is None:
+        raise ValueError(f"no entry at index {index}")
+    del consensus.entries[: index - consensus.snapshot_index]
+    consensus.snapshot_index = index
+    consensus.snapshot_term = term
+
+
+def is_up_to_date(consensus: ConsensusState, index: int, term: int) -> bool:
+    """Tell whether a log that ends so holds at least what this one holds."""
+    return (term, index) >= (last_term(consensus), last_index(consensus))
--- a/packages/core/crocuswell_core/effects.py
+++ b/packages/core/crocuswell_core/effects.py
@@ -48,6 +48,10 @@
 class SaveSnapshot:
     """Write a snapshot and drop the log up to `index`.
 
+    It takes its place in order among the `Persist` effects of its batch
+    and is on disk before any message of that batch is sent: entries that
+    follow a snapshot must not reach the disk before it.
+
     Attributes
     ----------
     state : object
@@ -89,6 +93,13 @@
     round: int
 
 
+@attrs.frozen
+class SetPeers:
+    """Keep links to these entry hosts and to no others."""
+
+    hosts: tuple[EntryHost, ...]
+
+
 @attrs.frozen
 class SendAgent:
     """Send on an agent's stream; may be lost."""
@@ -263,6 +274,7 @@
     | SaveSnapshot
     | SendPeer
     | SendSnapshot
+    | SetPeers
     | SendAgent
     | CloseAgentStream
     | AnswerCall
--- a/packages/core/crocuswell_core/election.py
+++ b/packages/core/crocuswell_core/election.py
@@ -1,1 +1,219 @@
-"""Elections, votes, leadership and its lease."""
+"""Elections: start of an entry host, pre-votes, votes, hand-over."""
+
+from typing import cast
+
+from crocuswell_core import consensus_log, leadership, members, replication
+from crocuswell_core.commands import NoOperation, Proposal
+from crocuswell_core.dispatch import handle, handle_peer, handle_timer
+from crocuswell_core.effects import Effect, SendPeer, SetPeers, StartTimer
+from crocuswell_core.events import EntryBooted
+from crocuswell_core.leadership import holds_lease
+from crocuswell_core.messages import TimeoutNow, VoteReply, VoteRequest
+from crocuswell_core.state import (
+    ClusterState,
+    ConsensusState,
+    EntryState,
+    Membership,
+    Role,
+)
+from crocuswell_core.timers import ElectionTimer, LeaderTimer
+
+__all__ = ["holds_lease", "transfer_leadership"]
+
+
+def transfer_leadership(state: EntryState) -> list[Effect]:
+    """Hand leadership to another voter, if this host is the leader."""
+    return replication.begin_transfer(state)
+
+
+@handle.register
+def _(event: EntryBooted, state: EntryState) -> list[Effect]:
+    consensus = ConsensusState(
+        term=event.term,
+        voted_for=event.voted_for,
+        entries=list(event.entries),
+        snapshot_index=event.snapshot_index,
+        snapshot_term=event.snapshot_term,
+        saved_index=event.snapshot_index,
+        commit_index=event.snapshot_index,
+        applied_index=event.snapshot_index,
+        # It may have acknowledged a leader just before it stopped, and
+        # must not help to replace it within that leader's lease.
+        heard_leader_ms=state.now_ms,
+    )
+    consensus.synced_index = consensus_log.last_index(consensus)
+    members.reset(
+        consensus,
+        Membership(
+            event.snapshot_index,
+            event.hosts or state.cfg.hosts,
+            event.voters or state.cfg.voters,
+        ),
+    )
+    members.note_appended(consensus, event.entries)
+    state.consensus = consensus
+    if event.snapshot_state is not None:
+        state.cluster = cast(ClusterState, event.snapshot_state)
+    return [
+        SetPeers(consensus.hosts),
+        StartTimer(ElectionTimer(), leadership.postpone_election(state)),
+    ]
+
+
+# --- the candidate's side ------------------------------------------------
+
+
+@handle_timer.register
+def _(timer: ElectionTimer, state: EntryState) -> list[Effect]:
+    consensus = state.consensus
+    if consensus.role is Role.LEADER:
+        return []
+    # Hearing the leader moves the time instead of the timer, so that a
+    # heartbeat costs no subscription.
+    wait_ms = consensus.election_due_ms - state.now_ms
+    if wait_ms > 0:
+        return [StartTimer(ElectionTimer(), wait_ms)]
+    restart = StartTimer(ElectionTimer(), leadership.postpone_election(state))
+    if not members.may_campaign(state):
+        consensus.leader = None
+        return [restart]
+    return [restart, *_ask_pre_votes(state)]
+
+
+def _ask_pre_votes(state: EntryState) -> list[Effect]:
+    consensus = state.consensus
+    consensus.role = Role.PRE_CANDIDATE
+    consensus.leader = None
+    consensus.votes = {state.cfg.host.id: True}
+    if _has_majority(consensus):
+        return _campaign(state, transfer=False)
+    return _request_votes(state, consensus.term + 1, pre_vote=True, transfer=False)
+
+
+def _campaign(state: EntryState, *, transfer: bool) -> list[Effect]:
+    consensus = state.consensus
+    consensus.role = Role.CANDIDATE
+    consensus.leader = None
+    consensus.term += 1
+    consensus.voted_for = state.cfg.host.id
+    consensus.votes = {state.cfg.host.id: True}
+    effects = leadership.persist_term(state)
+    if _has_majority(consensus):
+        return [*effects, *_win(state)]
+    return [
+        *effects,
+        *_request_votes(state, consensus.term, pre_vote=False, transfer=transfer),
+    ]
+
+
+def _request_votes(
+    state: EntryState, term: int, *, pre_vote: bool, transfer: bool
+) -> list[Effect]:
+    consensus = state.consensus
+    request = VoteRequest(
+        term,
+        consensus_log.last_index(consensus),
+        consensus_log.last_term(consensus),
+        pre_vote,
+        transfer,
+    )
+    return [SendPeer(id_, request) for id_ in members.other_voters(state)]
+
+
+def _has_majority(consensus: ConsensusState) -> bool:
+    granted = sum(consensus.votes.get(id_, False) for id_ in consensus.voters)
+    return granted >= members.majority(consensus)
+
+
+def _win(state: EntryState) -> list[Effect]:
+    effects = leadership.lead(state)
+    leadership.start_round(state)
+    return [
+        *effects,
+        StartTimer(LeaderTimer(), state.cfg.heartbeat_ms),
+        *replication.append(state, Proposal("", "", NoOperation())),
+    ]
+
+
+@handle_peer.register
+def _(message: VoteReply, state: EntryState, sender: str) -> list[Effect]:
+    consensus = state.consensus
+    if message.pre_vote and message.granted:
+        if consensus.role is not Role.PRE_CANDIDATE:
+            return []
+        if message.term != consensus.term + 1:
+            return []
+        consensus.votes[sender] = True
+        if _has_majority(consensus):
+            return _campaign(state, transfer=False)
+        return []
+    if message.term > consensus.term:
+        return leadership.enter_term(state, message.term)
+    if message.pre_vote or message.term < consensus.term:
+        return []
+    if consensus.role is not Role.CANDIDATE:
+        return []
+    consensus.votes[sender] = message.granted
+    if _has_majority(consensus):
+        return _win(state)
+    return []
+
+
+@handle_peer.register
+def _(message: TimeoutNow, state: EntryState, sender: str) -> list[Effect]:
+    consensus = state.consensus
+    # Only the leader of the current term may give up its lease.
+    if message.term != consensus.term or sender != consensus.leader:
+        return []
+    if not members.may_campaign(state):
+        return []
+    leadership.postpone_election(state)
+    return _campaign(state, transfer=True)
+
+
+# --- the voter's side ----------------------------------------------------
+
+
+@handle_peer.register
+def _(message: VoteRequest, state: EntryState, sender: str) -> list[Effect]:
+    if not state.cfg.host.has_disk:
+        return []
+    if message.pre_vote:
+        return [SendPeer(sender, _answer_pre_vote(state, message))]
+    return _answer_vote(state, message, sender)
+
+
+def _answer_pre_vote(state: EntryState, message: VoteRequest) -> VoteReply:
+    consensus = state.consensus
+    granted = (
+        message.term > consensus.term
+        and not leadership.heard_leader_lately(state)
+        and _holds_enough(consensus, message)
+    )
+    # A granted pre-vote names the term asked for; a refusal names this
+    # host's own term, so that a candidate that is behind can catch up.
+    return VoteReply(message.term if granted else consensus.term, granted, True)
+
+
+def _answer_vote(state: EntryState, message: VoteRequest, sender: str) -> list[Effect]:
+    consensus = state.consensus
+    protected = leadership.heard_leader_lately(state) and not message.transfer
+    if message.term < consensus.term or protected:
+        # The term is not taken over: that would unseat a healthy leader.
+        return [SendPeer(sender, VoteReply(consensus.term, False, False))]
+    effects: list[Effect] = []
+    if message.term > consensus.term:
+        effects = leadership.enter_term(state, message.term)
+    granted = consensus.voted_for in (None, sender) and _holds_enough(
+        consensus, message
+    )
+    if granted and consensus.voted_for is None:
+        consensus.voted_for = sender
+        effects += leadership.persist_term(state)
+    if granted:
+        leadership.postpone_election(state)
+    return [*effects, SendPeer(sender, VoteReply(consensus.term, granted, False))]
+
+
+def _holds_enough(consensus: ConsensusState, message: VoteRequest) -> bool:
+    return consensus_log.is_up_to_date(consensus, message.last_index, message.last_term)
--- a/packages/core/crocuswell_core/replication.py
+++ b/packages/core/crocuswell_core/replication.py
@@ -1,1 +1,351 @@
-"""Log replication, commit, snapshots."""
+"""Log replication: proposals, `Append`, heartbeat rounds, commit."""
+
+from crocuswell_core import (
+    committed,
+    consensus_log,
+    leadership,
+    members,
+    snapshots,
+)
+from crocuswell_core.commands import ChangeMembers, LogEntry, Proposal
+from crocuswell_core.dispatch import handle, handle_peer, handle_timer
+from crocuswell_core.effects import (
+    Effect,
+    EntriesRecord,
+    Label,
+    LogChange,
+    Persist,
+    SendPeer,
+    SetPeers,
+    StartTimer,
+)
+from crocuswell_core.events import EntriesSynced, PeerMessageReceived
+from crocuswell_core.messages import Append, AppendReply, Forward, TimeoutNow
+from crocuswell_core.state import EntryState, PeerProgress, Role
+from crocuswell_core.timers import LeaderTimer
+
+# --- proposals -----------------------------------------------------------
+
+
+def propose(state: EntryState, proposal: Proposal) -> list[Effect]:
+    """Append a proposal on the leader, forward it elsewhere.
+
+    Nothing is promised: a proposal may be lost on its way or with its
+    leader, and is sent again by the host that holds its caller. A leader
+    takes none while it hands leadership over, and no change of members
+    that is not allowed now.
+    """
+    consensus = state.consensus
+    if consensus.role is not Role.LEADER:
+        if consensus.leader is None:
+            return []
+        return [SendPeer(consensus.leader, Forward(proposal))]
+    if consensus.transferring_to is not None:
+        return []
+    command = proposal.command
+    if isinstance(command, ChangeMembers) and not members.is_allowed(state, command):
+        return []
+    return append(state, proposal)
+
+
+def append(state: EntryState, proposal: Proposal) -> list[Effect]:
+    """Append an entry to the leader's log and replicate it."""
+    consensus = state.consensus
+    newest = consensus.entries[-1].at_ms if consensus.entries else 0
+    entry = LogEntry(
+        consensus.term,
+        consensus_log.last_index(consensus) + 1,
+        max(state.wall_ms, newest, state.cluster.now_ms),
+        proposal,
+    )
+    effects = _extend_log(state, (entry,))
+    if isinstance(proposal.command, ChangeMembers):
+        leadership.track_members(state)
+    return [*effects, *replicate(state)]
+
+
+def _extend_log(state: EntryState, entries: tuple[LogEntry, ...]) -> list[Effect]:
+    consensus = state.consensus
+    consensus.entries.extend(entries)
+    effects: list[Effect] = []
+    if state.cfg.host.has_disk:
+        effects.append(Persist(EntriesRecord(entries)))
+    if members.note_appended(consensus, entries):
+        effects.append(SetPeers(consensus.hosts))
+    return effects
+
+
+@handle.register
+def _(event: PeerMessageReceived, state: EntryState) -> list[Effect]:
+    return handle_peer(event.message, state, event.sender)
+
+
+@handle_peer.register
+def _(message: Forward, state: EntryState, sender: str) -> list[Effect]:
+    # A host that is not the leader drops it, so that it cannot circulate.
+    if state.consensus.role is not Role.LEADER:
+        return []
+    return propose(state, message.proposal)
+
+
+# --- the leader's side ---------------------------------------------------
+
+
+def replicate(state: EntryState) -> list[Effect]:
+    """Send every other host what it lacks, or an empty `Append`."""
+    effects: list[Effect] = []
+    for id_, progress in state.consensus.progress.items():
+        effects += _send_append(state, id_, progress)
+    return effects
+
+
+def _send_append(state: EntryState, to: str, progress: PeerProgress) -> list[Effect]:
+    """Send the entries from `next_index` on, without waiting for replies.
+
+    If one is lost, the host refuses the next one and tells where to resume.
+    """
+    consensus = state.consensus
+    effects: list[Effect] = []
+    if progress.next_index <= consensus.snapshot_index:
+        effects = snapshots.send(state, to, progress)
+        previous = consensus.snapshot_index
+        entries: tuple[LogEntry, ...] = ()
+    else:
+        previous = progress.next_index - 1
+        entries = consensus_log.entries_from(consensus, progress.next_index)
+        progress.next_index += len(entries)
+    previous_term = consensus_log.term_at(consensus, previous)
+    if previous_term is None:
+        raise ValueError(f"no entry {previous} to send to {to}")
+    message = Append(
+        consensus.term,
+        previous,
+        previous_term,
+        entries,
+        consensus.commit_index,
+        consensus.round,
+    )
+    return [*effects, SendPeer(to, message)]
+
+
+def heartbeat(state: EntryState) -> list[Effect]:
+    """Start a heartbeat round and subscribe to the next one."""
+    leadership.start_round(state)
+    return [
+        StartTimer(LeaderTimer(), state.cfg.heartbeat_ms),
+        *replicate(state),
+    ]
+
+
+@handle_timer.register
+def _(timer: LeaderTimer, state: EntryState) -> list[Effect]:
+    consensus = state.consensus
+    if consensus.role is not Role.LEADER:
+        return []
+    if consensus.transferring_to and state.now_ms >= consensus.transfer_until_ms:
+        consensus.transferring_to = None
+    effects = heartbeat(state)
+    change = members.replacement(state)
+    if change is None:
+        return effects
+    return [
+        *effects,
+        LogChange(
+            "members_changing",
+            (
+                Label("before", ",".join(consensus.voters)),
+                Label("after", ",".join(change.voters)),
+            ),
+        ),
+        *propose(state, Proposal("", "", change)),
+    ]
+
+
+@handle_peer.register
+def _(message: AppendReply, state: EntryState, sender: str) -> list[Effect]:
+    consensus = state.consensus
+    if message.term > consensus.term:
+        return leadership.enter_term(state, message.term)
+    if consensus.role is not Role.LEADER or message.term < consensus.term:
+        return []
+    progress = consensus.progress.get(sender)
+    if progress is None:
+        return []
+    leadership.acknowledge_round(state, progress, message.round)
+    if not message.success:
+        return _resume(state, sender, progress, message.match_index)
+    progress.match_index = max(progress.match_index, message.match_index)
+    progress.next_index = max(progress.next_index, progress.match_index + 1)
+    if progress.match_index >= consensus.snapshot_index:
+        progress.snapshot_sent_ms = None
+    effects = advance_commit(state)
+    if consensus.role is not Role.LEADER:
+        return effects
+    if sender == consensus.transferring_to and _is_complete(state, sender):
+        return [*effects, *hand_over(state, sender)]
+    if progress.next_index <= consensus_log.last_index(consensus):
+        effects += _send_append(state, sender, progress)
+    return effects
+
+
+def _resume(
+    state: EntryState, sender: str, progress: PeerProgress, hint: int
+) -> list[Effect]:
+    if sender not in state.consensus.voters:
+        # A learner without a disk starts again from nothing.
+        progress.match_index = min(progress.match_index, hint)
+    if hint + 1 >= progress.next_index:
+        return []
+    progress.next_index = hint + 1
+    if hint < state.consensus.snapshot_index:
+        return snapshots.send(state, sender, progress)
+    return _send_append(state, sender, progress)
+
+
+def _is_complete(state: EntryState, id_: str) -> bool:
+    match_index = state.consensus.progress[id_].match_index
+    return match_index == consensus_log.last_index(state.consensus)
+
+
+def begin_transfer(state: EntryState) -> list[Effect]:
+    """Hand leadership to the live voter with the longest log.
+
+    Without such a voter nothing changes.
+    """
+    consensus = state.consensus
+    if consensus.role is not Role.LEADER:
+        return []
+    live = [
+        id_
+        for id_ in members.other_voters(state)
+        if state.now_ms - consensus.progress[id_].heard_ms < state.cfg.election_min_ms
+    ]
+    if not live:
+        return []
+    target = max(live, key=lambda id_: consensus.progress[id_].match_index)
+    if _is_complete(state, target):
+        return hand_over(state, target)
+    consensus.transferring_to = target
+    consensus.transfer_until_ms = state.now_ms + state.cfg.election_min_ms
+    return _send_append(state, target, consensus.progress[target])
+
+
+def hand_over(state: EntryState, target: str) -> list[Effect]:
+    """Let a voter start an election that need not wait for the lease.
+
+    This leader steps down first: the voters no longer protect its lease.
+    """
+    term = state.consensus.term
+    return [
+        *leadership.step_down(state, "transfer"),
+        SendPeer(target, TimeoutNow(term)),
+    ]
+
+
+# --- commit --------------------------------------------------------------
+
+
+@handle.register
+def _(event: EntriesSynced, state: EntryState) -> list[Effect]:
+    consensus = state.consensus
+    # The term tells whether the entry was replaced since it was written.
+    if consensus_log.term_at(consensus, event.index) != event.term:
+        return []
+    consensus.synced_index = max(consensus.synced_index, event.index)
+    if consensus.role is not Role.LEADER:
+        return []
+    return advance_commit(state)
+
+
+def advance_commit(state: EntryState) -> list[Effect]:
+    """Commit what a majority of voters has on disk.
+
+    Only an entry of the current term is committed by count; a majority
+    that holds an entry of an earlier term can still be overruled.
+    """
+    consensus = state.consensus
+    held = [consensus.progress[id_].match_index for id_ in members.other_voters(state)]
+    if state.cfg.host.id in consensus.voters:
+        held.append(consensus.synced_index)
+    index = sorted(held, reverse=True)[members.majority(consensus) - 1]
+    if index <= consensus.commit_index or index < consensus.term_start_index:
+        return []
+    effects = commit_up_to(state, index)
+    if consensus.role is not Role.LEADER:
+        return effects
+    if state.cfg.host.id not in consensus.voters and (
+        consensus.memberships[-1].index <= index
+    ):
+        return [*effects, *replicate(state), *begin_transfer(state)]
+    return [*effects, *replicate(state)]
+
+
+def commit_up_to(state: EntryState, index: int) -> list[Effect]:
+    """Move the commit index forward, apply, and save a snapshot if due."""
+    state.consensus.commit_index = index
+    effects = committed.apply_committed(state)
+    members.note_committed(state.consensus)
+    return [*effects, *snapshots.save_if_due(state)]
+
+
+# --- the follower's side -------------------------------------------------
+
+
+@handle_peer.register
+def _(message: Append, state: EntryState, sender: str) -> list[Effect]:
+    consensus = state.consensus
+    if message.term < consensus.term:
+        reply = AppendReply(consensus.term, False, 0, message.round)
+        return [SendPeer(sender, reply)]
+    effects = leadership.follow(state, sender, message.term)
+    hint = _mismatch(state, message)
+    if hint is not None:
+        reply = AppendReply(consensus.term, False, hint, message.round)
+        return [*effects, SendPeer(sender, reply)]
+    effects += _accept(state, message.entries)
+    match_index = message.previous_index + len(message.entries)
+    reply = AppendReply(consensus.term, True, match_index, message.round)
+    effects.append(SendPeer(sender, reply))
+    commit_index = min(message.commit_index, match_index)
+    if commit_index > consensus.commit_index:
+        effects += commit_up_to(state, commit_index)
+    return effects
+
+
+def _mismatch(state: EntryState, message: Append) -> int | None:
+    """Return where the leader should resume, None if the logs match."""
+    consensus = state.consensus
+    previous = message.previous_index
+    # Committed entries equal the leader's.
+    if previous <= consensus.commit_index:
+        return None
+    term = consensus_log.term_at(consensus, previous)
+    if term is None:
+        return consensus_log.last_index(consensus)
+    if term == message.previous_term:
+        return None
+    # Entries of this term after the first conflict cannot match either.
+    while (
+        previous > consensus.commit_index
+        and consensus_log.term_at(consensus, previous) == term
+    ):
+        previous -= 1
+    return previous
+
+
+def _accept(state: EntryState, entries: tuple[LogEntry, ...]) -> list[Effect]:
+    """Add the entries that this log lacks, in place of conflicting ones."""
+    consensus = state.consensus
+    for position, entry in enumerate(entries):
+        if entry.index <= consensus.commit_index:
+            continue
+        term = consensus_log.term_at(consensus, entry.index)
+        if term == entry.term:
+            continue
+        effects: list[Effect] = []
+        if term is not None:
+            consensus_log.truncate_from(consensus, entry.index)
+            if members.note_truncated(consensus, entry.index):
+                effects.append(SetPeers(consensus.hosts))
+        return [*_extend_log(state, entries[position:]), *effects]
+    return []
--- /dev/null
+++ b/packages/core/crocuswell_core/snapshots.py
@@ -0,0 +1,136 @@
+"""Snapshots: saving, sending and installing the replicated state."""
+
+from typing import cast
+
+from crocuswell_core import committed, consensus_log, leadership, members
+from crocuswell_core.dispatch import handle
+from crocuswell_core.effects import (
+    Effect,
+    EntriesRecord,
+    Label,
+    LogChange,
+    Persist,
+    SaveSnapshot,
+    SendPeer,
+    SendSnapshot,
+    SetPeers,
+)
+from crocuswell_core.events import SnapshotReceived
+from crocuswell_core.messages import AppendReply
+from crocuswell_core.state import ClusterState, EntryState, Membership, PeerProgress
+
+# A snapshot in transit is not sent again within this time: at the target
+# size it is some megabytes, far more than a heartbeat.
+SNAPSHOT_RETRY_MS = 2_000
+
+
+def save_if_due(state: EntryState) -> list[Effect]:
+    """Save a snapshot once enough entries were applied since the last one.
+
+    Half as many entries stay in memory, so that a host that lags a little
+    needs no snapshot.
+    """
+    consensus = state.consensus
+    applied = consensus.applied_index
+    if applied - consensus.saved_index <= state.cfg.snapshot_entries:
+        return []
+    consensus.saved_index = applied
+    keep_from = applied - state.cfg.snapshot_entries // 2
+    effects = _save(state) if state.cfg.host.has_disk else []
+    if keep_from > consensus.snapshot_index:
+        consensus_log.drop_up_to(consensus, keep_from)
+    return effects
+
+
+def _save(state: EntryState) -> list[Effect]:
+    consensus = state.consensus
+    index = consensus.applied_index
+    membership = members.membership_at(consensus, index)
+    return [
+        SaveSnapshot(
+            index,
+            _applied_term(state),
+            membership.hosts,
+            membership.voters,
+            state.cluster,
+        )
+    ]
+
+
+def _applied_term(state: EntryState) -> int:
+    index = state.consensus.applied_index
+    term = consensus_log.term_at(state.consensus, index)
+    if term is None:
+        raise ValueError(f"applied entry {index} is not in memory")
+    return term
+
+
+def send(state: EntryState, to: str, progress: PeerProgress) -> list[Effect]:
+    """Send the replicated state to a host whose entries were dropped."""
+    consensus = state.consensus
+    sent_ms = progress.snapshot_sent_ms
+    if sent_ms is not None and state.now_ms - sent_ms < SNAPSHOT_RETRY_MS:
+        return []
+    progress.snapshot_sent_ms = state.now_ms
+    index = consensus.applied_index
+    membership = members.membership_at(consensus, index)
+    return [
+        SendSnapshot(
+            to,
+            consensus.term,
+            index,
+            _applied_term(state),
+            membership.hosts,
+            membership.voters,
+            state.cluster,
+            consensus.round,
+        )
+    ]
+
+
+@handle.register
+def _(event: SnapshotReceived, state: EntryState) -> list[Effect]:
+    consensus = state.consensus
+    if event.term < consensus.term:
+        reply = AppendReply(consensus.term, False, 0, event.round)
+        return [SendPeer(event.sender, reply)]
+    effects = leadership.follow(state, event.sender, event.term)
+    if event.index > consensus.commit_index:
+        effects += _install(state, event)
+    reply = AppendReply(consensus.term, True, consensus.commit_index, event.round)
+    return [*effects, SendPeer(event.sender, reply)]
+
+
+def _install(state: EntryState, event: SnapshotReceived) -> list[Effect]:
+    consensus = state.consensus
+    has_disk = state.cfg.host.has_disk
+    effects: list[Effect] = []
+    if consensus_log.term_at(consensus, event.index) == event.entry_term:
+        consensus_log.drop_up_to(consensus, event.index)
+    else:
+        stale = consensus_log.entry_at(consensus, event.index)
+        if stale is not None and has_disk:
+            # Rewriting this entry drops those after it from the disk. They
+            # conflict with the committed log, and would otherwise follow
+            # the snapshot after a restart. Those before it must stay until
+            # the snapshot is saved, since they may be committed.
+            effects.append(Persist(EntriesRecord((stale,))))
+        consensus.entries.clear()
+        consensus.snapshot_index = event.index
+        consensus.snapshot_term = event.entry_term
+        consensus.synced_index = event.index
+    consensus.synced_index = max(consensus.synced_index, event.index)
+    consensus.saved_index = event.index
+    consensus.commit_index = event.index
+    consensus.applied_index = event.index
+    state.cluster = cast(ClusterState, event.state)
+    members.reset(consensus, Membership(event.index, event.hosts, event.voters))
+    members.note_appended(consensus, tuple(consensus.entries))
+    if has_disk:
+        effects += _save(state)
+    return [
+        *effects,
+        SetPeers(consensus.hosts),
+        LogChange("snapshot_installed", (Label("index", str(event.index)),)),
+        *committed.apply_committed(state),
+    ]
