Join agreement, calls, sessions and the replicated state

Cause: agreement called hooks in a module that depends on it, a cycle of imports. Change: notices, values dispatched by dispatch.notify, tell other parts of an entry host of boot, leadership and application; agreement imports none of them.

--- a/packages/core/crocuswell_core/callers.py
+++ b/packages/core/crocuswell_core/callers.py
@@ -15,16 +15,16 @@
     handle_call,
     handle_peer,
     handle_timer,
+    notify,
     pass_on,
 )
 from crocuswell_core.effects import (
     AnswerCall,
-    AppliedUpTo,
     CancelTimer,
-    CommandApplied,
     Effect,
     RequestEnded,
     SendPeer,
+    SetReady,
     StartTimer,
 )
 from crocuswell_core.errors import ErrorKind
@@ -32,7 +32,6 @@
 from crocuswell_core.messages import (
     CommandCall,
     ExplainRequest,
-    Forward,
     GetConfiguration,
     GetHistory,
     GetMembers,
@@ -43,6 +42,7 @@
     ReadIndexReply,
     ReadIndexRequest,
 )
+from crocuswell_core.notices import CommandApplied, EntriesApplied
 from crocuswell_core.records import RequestPhase
 from crocuswell_core.replies import ReadReply, RequestView
 from crocuswell_core.state import EntryState, PendingCall, PendingProposal, Role
@@ -75,19 +75,6 @@
     return age_ms < state.cfg.admission_lease_ms
 
 
-def leads_with_commits(state: EntryState) -> bool:
-    """Tell whether this is a leader whose state covers all earlier commits.
-
-    A new leader learns of the commits of earlier terms only when an entry
-    of its own term is committed.
-    """
-    if not election.holds_lease(state):
-        return False
-    consensus = state.consensus
-    term = replication.term_at(consensus, consensus.commit_index)
-    return term == consensus.term
-
-
 @handle.register
 def _(event: CallReceived, state: EntryState) -> list[Effect]:
     if not in_contact(state):
@@ -132,16 +119,9 @@
     return [AnswerCall(call_id, answer_read(call, state))]
 
 
-@handle_peer.register
-def _(message: Forward, state: EntryState, sender: str) -> list[Effect]:
-    if state.consensus.role is not Role.LEADER:
-        return []
-    return replication.propose(state, message.proposal)
-
-
 @handle_peer.register
 def _(message: ReadIndexRequest, state: EntryState, sender: str) -> list[Effect]:
-    if not leads_with_commits(state):
+    if not election.holds_lease(state):
         return []
     index = state.consensus.commit_index
     return [SendPeer(sender, ReadIndexReply(message.read_id, index))]
@@ -156,18 +136,18 @@
     return _answer_if_applied(state, pending)
 
 
-@pass_on.register
-def _(effect: CommandApplied, state: EntryState) -> list[Effect]:
-    key = proposal_key(effect.proposal)
+@notify.register
+def _(notice: CommandApplied, state: EntryState) -> list[Effect]:
+    key = proposal_key(notice.proposal)
     state.proposals.pop(key, None)
     call_ids = state.command_calls.pop(key, [])
     for call_id in call_ids:
         state.calls.pop(call_id, None)
-    return [AnswerCall(call_id, effect.reply) for call_id in call_ids]
+    return [AnswerCall(call_id, notice.reply) for call_id in call_ids]
 
 
-@pass_on.register
-def _(effect: AppliedUpTo, state: EntryState) -> list[Effect]:
+@notify.register
+def _(notice: EntriesApplied, state: EntryState) -> list[Effect]:
     effects: list[Effect] = []
     for pending in list(state.calls.values()):
         effects += _answer_if_applied(state, pending)
@@ -198,6 +178,10 @@
 @handle_timer.register
 def _(timer: RetryTimer, state: EntryState) -> list[Effect]:
     effects: list[Effect] = [StartTimer(timer, state.cfg.retry_ms)]
+    ready = in_contact(state) and not state.stopping
+    if ready != state.ready:
+        state.ready = ready
+        effects.append(SetReady(ready))
     for pending in list(state.calls.values()):
         effects += _retry_call(state, pending)
     for proposal in list(state.proposals.values()):
@@ -224,7 +208,7 @@
 
 def _ask_read_index(state: EntryState, pending: PendingCall) -> list[Effect]:
     pending.sent_ms = state.now_ms
-    if leads_with_commits(state):
+    if election.holds_lease(state):
         pending.read_index = state.consensus.commit_index
         return _answer_if_applied(state, pending)
     leader = state.consensus.leader
--- a/packages/core/crocuswell_core/committed.py
+++ b/packages/core/crocuswell_core/committed.py
@@ -4,17 +4,16 @@
 
 from crocuswell_core.agenda import add_due, start_cluster_timer
 from crocuswell_core.commands import CommandReply, LogEntry, Refused
-from crocuswell_core.dispatch import apply_command, pass_on
+from crocuswell_core.dispatch import apply_command, notify, pass_on
 from crocuswell_core.effects import (
     Applied,
-    AppliedUpTo,
-    CommandApplied,
     Count,
     Effect,
     LogChange,
     Observe,
 )
 from crocuswell_core.errors import PROMISES, ErrorKind
+from crocuswell_core.notices import CommandApplied, EntriesApplied
 from crocuswell_core.outcomes import RECORD_RETENTION_MS
 from crocuswell_core.scheduling import schedule
 from crocuswell_core.state import (
@@ -79,8 +78,8 @@
         consensus.applied_index += 1
         for effect in applied.effects:
             effects += pass_on(effect, state)
-        effects += pass_on(CommandApplied(entry.proposal, applied.reply), state)
-    effects += pass_on(AppliedUpTo(consensus.applied_index), state)
+        effects += notify(CommandApplied(entry.proposal, applied.reply), state)
+    effects += notify(EntriesApplied(), state)
     return effects + start_cluster_timer(state)
 
 
--- a/packages/core/crocuswell_core/dispatch.py
+++ b/packages/core/crocuswell_core/dispatch.py
@@ -16,6 +16,7 @@
     PeerMessage,
     ReadCall,
 )
+from crocuswell_core.notices import Notice
 from crocuswell_core.replies import ReadReply
 from crocuswell_core.state import AgentState, ClusterState, EntryState
 from crocuswell_core.timers import Timer
@@ -78,3 +79,9 @@
 def answer_read(call: ReadCall, state: EntryState) -> ReadReply:
     """Answer a read from this host's applied state."""
     raise NotImplementedError(type(call).__name__)
+
+
+@singledispatch
+def notify(notice: Notice, state: EntryState) -> list[Effect]:
+    """Tell other parts of this entry host what happened."""
+    raise NotImplementedError(type(notice).__name__)
--- a/packages/core/crocuswell_core/effects.py
+++ b/packages/core/crocuswell_core/effects.py
@@ -10,7 +10,7 @@
 import attrs
 
 from crocuswell_core.backend import BackendCall
-from crocuswell_core.commands import CommandReply, EntryHost, LogEntry, Proposal
+from crocuswell_core.commands import CommandReply, EntryHost, LogEntry
 from crocuswell_core.errors import ErrorKind
 from crocuswell_core.messages import AgentMessage, EntryMessage, Order, PeerMessage
 from crocuswell_core.replies import ReadReply
@@ -254,28 +254,11 @@
     sequence: int
 
 
-@attrs.frozen
-class CommandApplied:
-    """A committed command was applied here; calls that wait get `reply`."""
-
-    proposal: Proposal
-    reply: CommandReply
-
-
-@attrs.frozen
-class AppliedUpTo:
-    """All entries up to `index` are applied here; reads may be answered."""
-
-    index: int
-
-
 ClusterEffect = (
     OrderWorker
     | RequestEnded
     | WorkerAnnounced
     | ReportsRecorded
-    | CommandApplied
-    | AppliedUpTo
     | Count
     | Observe
     | LogChange
--- a/packages/core/crocuswell_core/election.py
+++ b/packages/core/crocuswell_core/election.py
@@ -4,11 +4,12 @@
 
 from crocuswell_core import consensus_log, leadership, members, replication
 from crocuswell_core.commands import NoOperation, Proposal
-from crocuswell_core.dispatch import handle, handle_peer, handle_timer
+from crocuswell_core.dispatch import handle, handle_peer, handle_timer, notify
 from crocuswell_core.effects import Effect, SendPeer, SetPeers, StartTimer
 from crocuswell_core.events import EntryBooted
 from crocuswell_core.leadership import holds_lease
 from crocuswell_core.messages import TimeoutNow, VoteReply, VoteRequest
+from crocuswell_core.notices import HostBooted
 from crocuswell_core.state import (
     ClusterState,
     ConsensusState,
@@ -57,6 +58,7 @@
     return [
         SetPeers(consensus.hosts),
         StartTimer(ElectionTimer(), leadership.postpone_election(state)),
+        *notify(HostBooted(), state),
     ]
 
 
--- a/packages/core/crocuswell_core/leadership.py
+++ b/packages/core/crocuswell_core/leadership.py
@@ -1,6 +1,7 @@
 """Terms, the leader that this host follows, and the leader's lease."""
 
-from crocuswell_core import consensus_log, members, sessions
+from crocuswell_core import consensus_log, members
+from crocuswell_core.dispatch import notify
 from crocuswell_core.effects import (
     CancelTimer,
     Effect,
@@ -10,6 +11,7 @@
     StartTimer,
     TermRecord,
 )
+from crocuswell_core.notices import LeadershipGained, LeadershipLost
 from crocuswell_core.state import EntryState, PeerProgress, Role
 from crocuswell_core.timers import ElectionTimer, LeaderTimer
 
@@ -64,7 +66,7 @@
             "leadership_lost",
             (Label("term", str(consensus.term)), Label("reason", reason)),
         ),
-        *sessions.leadership_lost(state),
+        *notify(LeadershipLost(), state),
     ]
 
 
@@ -175,7 +177,7 @@
     return [
         CancelTimer(ElectionTimer()),
         LogChange("leadership_gained", (Label("term", str(consensus.term)),)),
-        *sessions.leadership_gained(state),
+        *notify(LeadershipGained(), state),
     ]
 
 
--- a/packages/core/crocuswell_core/stopping.py
+++ b/packages/core/crocuswell_core/lifecycle.py
@@ -1,13 +1,17 @@
-"""Planned stop of an entry host: no call in flight is cut off."""
+"""Start and planned stop of an entry host.
+
+A planned stop cuts off no call in flight and hands leadership over first.
+"""
 
 from crocuswell_core import election
 from crocuswell_core.callers import answer_waits
-from crocuswell_core.dispatch import handle, handle_timer
+from crocuswell_core.dispatch import handle, handle_timer, notify
 from crocuswell_core.effects import Effect, Halt, LogChange, SetReady, StartTimer
 from crocuswell_core.events import EntryStopRequested
+from crocuswell_core.notices import HostBooted
 from crocuswell_core.sessions import close_sessions
 from crocuswell_core.state import EntryState, Role
-from crocuswell_core.timers import StopTimer
+from crocuswell_core.timers import LivenessTimer, RetryTimer, SessionTimer, StopTimer
 
 STOP_CHECK_MS = 100
 
@@ -16,6 +20,15 @@
 BALANCER_NOTICE_MS = 1_000
 
 
+@notify.register
+def _(notice: HostBooted, state: EntryState) -> list[Effect]:
+    return [
+        StartTimer(RetryTimer(), state.cfg.retry_ms),
+        StartTimer(LivenessTimer(), state.cfg.liveness_ms),
+        StartTimer(SessionTimer(), state.cfg.agent_heartbeat_ms),
+    ]
+
+
 @handle.register
 def _(event: EntryStopRequested, state: EntryState) -> list[Effect]:
     if state.stopping:
--- a/packages/core/crocuswell_core/liveness.py
+++ b/packages/core/crocuswell_core/liveness.py
@@ -9,8 +9,8 @@
 
 import attrs
 
-from crocuswell_core import replication
-from crocuswell_core.callers import leads_with_commits, submit_proposal
+from crocuswell_core import election, replication
+from crocuswell_core.callers import submit_proposal
 from crocuswell_core.commands import (
     Command,
     ConfirmInForce,
@@ -18,7 +18,7 @@
     Proposal,
     SuspectWorker,
 )
-from crocuswell_core.dispatch import handle_peer, handle_timer
+from crocuswell_core.dispatch import handle_peer, handle_timer, notify
 from crocuswell_core.effects import (
     CloseAgentStream,
     Effect,
@@ -26,6 +26,7 @@
     StartTimer,
 )
 from crocuswell_core.messages import Liveness, LivenessReply, WorkerLiveness
+from crocuswell_core.notices import LeadershipGained, LeadershipLost
 from crocuswell_core.records import WorkerMode
 from crocuswell_core.sessions import (
     announce_session,
@@ -46,8 +47,9 @@
 LIVENESS_WINDOW = 8
 
 
-def leadership_gained(state: EntryState) -> list[Effect]:
-    """Start to watch all workers; each counts as heard just now."""
+@notify.register
+def _(notice: LeadershipGained, state: EntryState) -> list[Effect]:
+    # All count as heard just now, since the leader before may have heard them.
     state.heard_workers = {
         name: HeardWorker(worker.incarnation, state.now_ms)
         for name, worker in state.cluster.workers.items()
@@ -66,8 +68,8 @@
     return effects
 
 
-def leadership_lost(state: EntryState) -> list[Effect]:
-    """Forget what only a leader knows; proposals are forwarded again."""
+@notify.register
+def _(notice: LeadershipLost, state: EntryState) -> list[Effect]:
     state.heard_workers = {}
     state.heard_hosts = {}
     state.declared = {}
@@ -81,7 +83,7 @@
 def _(timer: LivenessTimer, state: EntryState) -> list[Effect]:
     effects: list[Effect] = [StartTimer(timer, state.cfg.liveness_ms)]
     message = _collect(state)
-    if leads_with_commits(state):
+    if election.holds_lease(state):
         refused = _note_heard(state, message)
         effects += _confirm(state, message.sequence, refused, state.cluster.number)
         return effects + _watch_workers(state) + _watch_configuration(state)
@@ -93,7 +95,7 @@
 
 @handle_peer.register
 def _(message: Liveness, state: EntryState, sender: str) -> list[Effect]:
-    if not leads_with_commits(state):
+    if not election.holds_lease(state):
         return []
     state.heard_hosts[sender] = HeardHost(state.now_ms, message.number)
     refused = _note_heard(state, message)
--- a/packages/core/crocuswell_core/reducer.py
+++ b/packages/core/crocuswell_core/reducer.py
@@ -9,12 +9,12 @@
     clock,
     election,
     fleet,
+    lifecycle,
     liveness,
     members,
     replication,
     requests,
     sessions,
-    stopping,
     views,
 )
 from crocuswell_core.dispatch import handle
--- a/packages/core/crocuswell_core/state.py
+++ b/packages/core/crocuswell_core/state.py
@@ -430,6 +430,7 @@
     liveness_sequence: int = 0
     liveness_sent: dict[int, dict[int, int]] = attrs.Factory(dict)
     cluster_timer_at_ms: int | None = None
+    ready: bool = False
     stopping: bool = False
     stopping_since_ms: int = 0
 
