--- a/packages/core/crocuswell_core/agent.py
+++ b/packages/core/crocuswell_core/agent.py
@@ -92,7 +92,7 @@
     if state.stopping:
         return []
     state.stopping = True
-    state.stop_by_ms = state.now_ms + state.cfg.stop_limit_ms
+    state.stopping_since_ms = state.now_ms
     effects: list[Effect] = [LogChange("agent stopping")]
     for task in all_tasks(state):
         if task.phase is TaskPhase.RESERVED:
@@ -120,7 +120,7 @@
     Calls in flight and reports are awaited, unless nobody takes them;
     the next incarnation finds all else on the backend server.
     """
-    if state.now_ms >= state.stop_by_ms:
+    if state.now_ms >= _stop_by_ms(state):
         return True
     is_calling = any(
         task.start_in_flight or task.stop_in_flight or task.phase is TaskPhase.FETCHING
@@ -129,6 +129,10 @@
     return not is_calling and (not state.reports or not state.connected)
 
 
+def _stop_by_ms(state: AgentState) -> int:
+    return state.stopping_since_ms + state.cfg.stop_limit_ms
+
+
 # --- timers --------------------------------------------------------------
 
 
@@ -141,6 +145,8 @@
             effects += agent_stream.open_stream(state)
     elif state.now_ms - state.heard_ms >= state.cfg.silence_ms:
         effects += agent_stream.replace_stream(state, "silent")
+    elif agent_stream.misses_welcome(state):
+        effects += agent_stream.replace_stream(state, "no welcome")
     elif state.connected and _heartbeat_due_ms(state) <= state.now_ms:
         effects += agent_stream.send_heartbeat(state)
     return _settle(state, effects)
@@ -179,7 +185,7 @@
     if state.timer_at_ms is not None and state.timer_at_ms > state.now_ms:
         due = [state.timer_at_ms]
     if state.stopping:
-        due.append(state.stop_by_ms)
+        due.append(_stop_by_ms(state))
     if agent_stream.has_stream(state):
         due.append(state.heard_ms + state.cfg.silence_ms)
     elif state.info is not None and not state.stopping:
--- a/packages/core/crocuswell_core/agent_tasks.py
+++ b/packages/core/crocuswell_core/agent_tasks.py
@@ -17,7 +17,7 @@
     drop_task,
     ended_unrun,
     find_task,
-    has_unsent_or_pending,
+    is_pending,
     refuse_unknown,
     remember_end,
 )
@@ -193,14 +193,14 @@
         return False
     count(state, "orders_after_end")
     report = TaskRefused(order.attempt, order.rank, "ended before it started")
-    if never_ran and not has_unsent_or_pending(state, report):
+    if never_ran and not is_pending(state, report):
         add_report(state, report)
     return True
 
 
 def _confirm_reservation(state: AgentState, task: AgentTask) -> None:
     report = TaskReserved(task.attempt, task.rank)
-    if task.phase is TaskPhase.RESERVED and not has_unsent_or_pending(state, report):
+    if task.phase is TaskPhase.RESERVED and not is_pending(state, report):
         add_report(state, report)
 
 
--- a/packages/daemon/crocuswell_daemon/backend_json.py
+++ b/packages/daemon/crocuswell_daemon/backend_json.py
@@ -22,7 +22,7 @@
     """A reply that is not whole, not well formed, or for another call."""
 
 
-def start_body(call: StartOnBackend, lease_ms: int) -> bytes:
+def start_body(call: StartOnBackend) -> bytes:
     """Encode the body of a start."""
     return _dump(
         {
@@ -32,7 +32,8 @@
             "payload": base64.b64encode(call.payload).decode(),
             "run_time_ms": call.run_time_ms,
             "checkpoint": _bytes_to_json(call.checkpoint),
-            "lease_ms": lease_ms,
+            "start_by_ms": call.start_by_ms,
+            "lease_until_ms": call.lease_until_ms,
         }
     )
 
--- /dev/null
+++ b/tests/agents.py
@@ -0,0 +1,244 @@
+"""A driver of an agent's reducer for tests: no network, no threads."""
+
+import random
+from collections.abc import Sequence
+
+import attrs
+from crocuswell_core.agent_invariants import check_agent
+from crocuswell_core.backend import (
+    Accepted,
+    BackendCall,
+    BackendReply,
+    BackendTask,
+    Describe,
+    Described,
+)
+from crocuswell_core.commands import Report
+from crocuswell_core.effects import (
+    CallBackend,
+    Effect,
+    OpenEntryStream,
+    SendEntry,
+    StartTimer,
+)
+from crocuswell_core.events import (
+    AgentBooted,
+    BackendReplied,
+    ClockAdvanced,
+    EntryMessageReceived,
+    EntryStreamOpened,
+    Event,
+    TimerFired,
+)
+from crocuswell_core.messages import (
+    AgentMessage,
+    EntryHeartbeat,
+    EntryMessage,
+    Order,
+    Orders,
+    ReserveTask,
+    SendReports,
+    StartTask,
+    Welcome,
+)
+from crocuswell_core.records import AttemptId, WorkerInfo
+from crocuswell_core.reducer import reduce
+from crocuswell_core.resources import NOTHING, Resources
+from crocuswell_core.state import AgentConfig, AgentState
+from crocuswell_core.timers import Timer
+
+ENTRIES = ("a:1", "b:1", "c:1")
+INFO = WorkerInfo("w1", "r1", "fd-a", Resources(8, 32, 64_000))
+RUN_LEASE_MS = 15_000
+ONE = Resources(1, 4, 1_000)
+
+
+def attempt(name: str = "q1", epoch: int = 1) -> AttemptId:
+    return AttemptId(name, epoch)
+
+
+def reserve(name: str = "q1", epoch: int = 1, rank: int = 0) -> ReserveTask:
+    return ReserveTask(attempt(name, epoch), rank, ONE, (rank,))
+
+
+def start(
+    name: str = "q1",
+    epoch: int = 1,
+    rank: int = 0,
+    resources: Resources = ONE,
+    accelerators: tuple[int, ...] = (0,),
+    checkpoint_ms: int | None = None,
+) -> StartTask:
+    return StartTask(
+        attempt(name, epoch),
+        rank,
+        1,
+        resources,
+        accelerators,
+        b"{}",
+        True,
+        1_000,
+        checkpoint_ms=checkpoint_ms,
+    )
+
+
+def listed(
+    state: str, name: str = "q1", epoch: int = 1, checkpoint: bytes | None = None
+) -> BackendTask:
+    return BackendTask(
+        attempt(name, epoch), 0, state, NOTHING, "", checkpoint, ONE, (0,)
+    )
+
+
+@attrs.define
+class Agent:
+    """An agent with what it asked for and sent, in order.
+
+    `events` that are due by timers are reduced by `run`; replies of the
+    backend server and messages are given by the test.
+    """
+
+    state: AgentState
+    effects: list[Effect] = attrs.Factory(list)
+    timers: dict[Timer, int] = attrs.Factory(dict)
+    timers_fired: int = 0
+    tasks: tuple[BackendTask, ...] = ()
+    backend: str = "b1"
+    info: WorkerInfo = INFO
+    answers_describe: bool = True
+    confirms: bool = False
+
+    def give(self, event: Event) -> list[Effect]:
+        """Reduce an event and return the effects that it had."""
+        before = len(self.effects)
+        self._reduce(event)
+        return self.effects[before:]
+
+    def _reduce(self, event: Event) -> None:
+        now_ms = self.state.now_ms
+        reduce(self.state, ClockAdvanced(now_ms, now_ms))
+        _, effects = reduce(self.state, event)
+        check_agent(self.state)
+        self.effects += effects
+        for effect in effects:
+            if isinstance(effect, StartTimer):
+                self.timers[effect.timer] = now_ms + effect.delay_ms
+            if isinstance(effect, CallBackend) and self.answers_describe:
+                self._answer(effect.call)
+            if isinstance(effect, SendEntry) and self.confirms:
+                self.confirm()
+
+    def _answer(self, call: BackendCall) -> None:
+        if isinstance(call, Describe):
+            self._reduce(BackendReplied(call, self.description()))
+
+    def description(self) -> Described:
+        return Described(self.info, self.backend, self.tasks)
+
+    def run(self, duration_ms: int) -> list[Effect]:
+        """Let time pass and timers fire; return the effects."""
+        before = len(self.effects)
+        end_ms = self.state.now_ms + duration_ms
+        while self.timers:
+            timer = min(self.timers, key=self.timers.__getitem__)
+            due_ms = self.timers[timer]
+            if due_ms > end_ms:
+                break
+            del self.timers[timer]
+            self.state.now_ms = max(self.state.now_ms, due_ms)
+            self.timers_fired += 1
+            self._reduce(TimerFired(timer))
+        self.state.now_ms = end_ms
+        return self.effects[before:]
+
+    # --- the backend server ----------------------------------------------
+
+    def reply(self, reply: BackendReply, call: BackendCall | None = None) -> None:
+        """Answer the newest call, or the given one."""
+        self.give(BackendReplied(call or self.calls()[-1], reply))
+
+    def calls(self) -> list[BackendCall]:
+        """Return all calls but `Describe`, oldest first."""
+        return [
+            effect.call
+            for effect in self.effects
+            if isinstance(effect, CallBackend) and not isinstance(effect.call, Describe)
+        ]
+
+    def describes(self) -> list[Describe]:
+        return [
+            effect.call
+            for effect in self.effects
+            if isinstance(effect, CallBackend) and isinstance(effect.call, Describe)
+        ]
+
+    # --- the entry host --------------------------------------------------
+
+    def opened(self) -> list[OpenEntryStream]:
+        return [e for e in self.effects if isinstance(e, OpenEntryStream)]
+
+    def sent(self) -> list[AgentMessage]:
+        return [e.message for e in self.effects if isinstance(e, SendEntry)]
+
+    def reports(self) -> list[Report]:
+        """Return each report that was sent, once, in order."""
+        found: dict[int, Report] = {}
+        for message in self.sent():
+            if isinstance(message, SendReports):
+                first = message.first_sequence
+                found |= dict(enumerate(message.reports, start=first))
+        return [found[sequence] for sequence in sorted(found)]
+
+    def receive(self, message: EntryMessage) -> list[Effect]:
+        return self.give(EntryMessageReceived(self.state.stream_id, message))
+
+    def confirm(self) -> None:
+        """Confirm the newest heartbeat, which extends both leases."""
+        self.receive(EntryHeartbeat(self.state.sequence, 1, RUN_LEASE_MS))
+
+    def order(self, *orders: Order) -> list[Effect]:
+        return self.receive(Orders(orders))
+
+    def connect(self) -> None:
+        """Let the agent open its next stream."""
+        before = len(self.opened())
+        while len(self.opened()) == before:
+            self.run(50)
+        self.give(EntryStreamOpened(self.state.stream_id))
+
+    def welcome(self, *orders: Order, acknowledged: int = 0) -> list[Effect]:
+        return self.receive(Welcome(orders, 1, RUN_LEASE_MS, acknowledged))
+
+    def start(self, order: StartTask) -> None:
+        """Have a task running."""
+        self.order(order)
+        self.reply(Accepted())
+        self.tasks = (
+            *self.tasks,
+            BackendTask(
+                order.attempt,
+                order.rank,
+                "running",
+                NOTHING,
+                resources=order.resources,
+                accelerators=order.accelerators,
+            ),
+        )
+
+
+def booted(seed: int = 1, tasks: Sequence[BackendTask] = ()) -> Agent:
+    """Return an agent that has read its backend server's announcement."""
+    cfg = AgentConfig(ENTRIES, "i1", seed)
+    state = AgentState(cfg, random.Random(seed), now_ms=1_000_000)
+    agent = Agent(state, tasks=tuple(tasks))
+    agent.give(AgentBooted())
+    return agent
+
+
+def ready(seed: int = 1) -> Agent:
+    """Return an agent that is welcomed and holds both leases."""
+    agent = booted(seed)
+    agent.connect()
+    agent.confirm()
+    agent.welcome()
+    return agent
