--- /dev/null
+++ b/packages/daemon/crocuswell_daemon/http_bodies.py
@@ -0,0 +1,313 @@
+"""Parses JSON bodies into the core's classes; pure.
+
+Unknown keys are refused, and nothing is converted silently: a string is
+not a number and 1 is not true. Each error names the key, what was found and
+what is expected.
+"""
+
+import base64
+import binascii
+import enum
+import json
+import math
+from collections.abc import Callable
+from typing import Any, TypeVar, get_args, get_origin
+
+import attrs
+import cattrs
+from cattrs.errors import (
+    ClassValidationError,
+    ForbiddenExtraKeysError,
+    IterableValidationError,
+)
+from cattrs.gen import make_dict_structure_fn
+from result import Err, Ok, Result
+
+from crocuswell_core.configuration import (
+    Configuration,
+    Limits,
+    Objective,
+    Preset,
+    Workspace,
+)
+from crocuswell_core.records import JobSpec, WorkerMode
+from crocuswell_core.resources import Shape
+from crocuswell_daemon.problems import Problem, invalid
+
+# Largest integer that every JSON reader and the wire format can hold.
+INT_MAX = 2**53 - 1
+TEXT_LIMIT = 1_024
+LIST_LIMIT = 10_000
+# Twice the slots of the target fleet; larger gangs are typing errors.
+MEMBERS_LIMIT = 10_000
+SHOWN_CHARACTERS = 60
+
+T = TypeVar("T")
+
+
+@attrs.frozen
+class CancelBody:
+    """Body of a cancellation; exactly one of the two is given."""
+
+    request_ids: tuple[str, ...] = ()
+    job_class: str = ""
+
+
+@attrs.frozen
+class PresetBody:
+    """Body of a switch of presets."""
+
+    preset: str
+
+
+class OperatorMode(enum.Enum):
+    """Modes that an operator may order."""
+
+    ACTIVE = WorkerMode.ACTIVE.value
+    DRAINING = WorkerMode.DRAINING.value
+    QUARANTINED = WorkerMode.QUARANTINED.value
+
+
+@attrs.frozen
+class ModeBody:
+    """Body of an order for a worker."""
+
+    mode: OperatorMode
+
+
+@attrs.frozen
+class _Bound:
+    """Smallest and largest value of a number."""
+
+    field: str
+    low: float
+    high: float
+
+
+_BOUNDS: dict[type, tuple[_Bound, ...]] = {
+    Shape: (_Bound("members", 1, MEMBERS_LIMIT),),
+    JobSpec: (_Bound("run_time_ms", 1, INT_MAX),),
+    Workspace: (
+        _Bound("weight", 1, INT_MAX),
+        _Bound("queue_limit", 1, INT_MAX),
+    ),
+    Preset: (_Bound("reserve_share", 0, 1),),
+    Limits: (
+        _Bound("run_lease_ms", 1, INT_MAX),
+        _Bound("quarantine_share", 0, 1),
+        _Bound("attempts", 1, INT_MAX),
+    ),
+    Objective: (
+        _Bound("completion_ms", 1, INT_MAX),
+        _Bound("target", 0, 1),
+    ),
+}
+
+
+class _MismatchError(ValueError):
+    """A value is not what is expected; `path` leads from here to it."""
+
+    def __init__(self, found: object, expected: str, path: str = "") -> None:
+        super().__init__(found, expected, path)
+        self.found = found
+        self.expected = expected
+        self.path = path
+
+
+def parse_job(body: bytes) -> Result[JobSpec, Problem]:
+    """Parse the declaration of a job; `shape` is required."""
+    return _parse(body, JobSpec, required="shape")
+
+
+def parse_configuration(body: bytes) -> Result[Configuration, Problem]:
+    """Parse a whole configuration."""
+    return _parse(body, Configuration, required="workspaces")
+
+
+def parse_preset(body: bytes) -> Result[PresetBody, Problem]:
+    """Parse a switch of presets."""
+    return _parse(body, PresetBody)
+
+
+def parse_mode(body: bytes) -> Result[WorkerMode, Problem]:
+    """Parse an order for a worker."""
+    return _parse(body, ModeBody).map(lambda parsed: WorkerMode(parsed.mode.value))
+
+
+def parse_cancel(body: bytes) -> Result[CancelBody, Problem]:
+    """Parse a cancellation."""
+    return _parse(body, CancelBody).and_then(_check_cancel)
+
+
+def _check_cancel(body: CancelBody) -> Result[CancelBody, Problem]:
+    if bool(body.request_ids) == bool(body.job_class):
+        return Err(invalid("body: expected either request_ids or job_class"))
+    return Ok(body)
+
+
+def _parse(body: bytes, cls: type[T], required: str = "") -> Result[T, Problem]:
+    try:
+        document = json.loads(
+            body.decode("utf-8"),
+            object_pairs_hook=_unique_keys,
+            parse_constant=_refuse_constant,
+        )
+    except (ValueError, RecursionError) as exc:
+        return Err(invalid(f"body: found no valid JSON ({exc}), expected an object"))
+    if isinstance(document, dict) and required and required not in document:
+        return Err(invalid(f"{required}: found nothing, expected a value"))
+    try:
+        return Ok(_CONVERTER.structure(document, cls))
+    except (cattrs.BaseValidationError, ValueError, RecursionError) as exc:
+        return Err(invalid(_first_problem(exc, "")))
+
+
+def _unique_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    document = dict(pairs)
+    if len(document) != len(pairs):
+        raise ValueError("a key occurs twice in one object")
+    return document
+
+
+def _refuse_constant(name: str) -> Any:
+    raise ValueError(f"{name} is not a JSON number")
+
+
+def _first_problem(exc: Exception, path: str) -> str:
+    if isinstance(exc, IterableValidationError):
+        return _first_noted(exc, path, lambda note: f"[{note.index}]")
+    if isinstance(exc, ClassValidationError):
+        return _first_noted(exc, path, lambda note: f".{note.name}")
+    if isinstance(exc, _MismatchError):
+        where = (path + exc.path).lstrip(".") or "body"
+        return f"{where}: found {_show(exc.found)}, expected {exc.expected}"
+    where = path.lstrip(".") or "body"
+    if isinstance(exc, ForbiddenExtraKeysError):
+        names = ", ".join(sorted(field.name for field in attrs.fields(exc.cl)))
+        unknown = ", ".join(_show(key) for key in sorted(exc.extra_fields))
+        return f"{where}: found unknown key {unknown}, expected keys among {names}"
+    if isinstance(exc, KeyError):
+        return f"{where}: found nothing, expected a value"
+    return f"{where}: found a value that is not valid ({exc})"
+
+
+def _first_noted(exc: Any, path: str, step: Callable[[Any], str]) -> str:
+    noted, others = exc.group_exceptions()
+    if noted:
+        inner, note = noted[0]
+        return _first_problem(inner, path + step(note))
+    return _first_problem(others[0], path)
+
+
+def _show(value: object) -> str:
+    try:
+        text = json.dumps(value)
+    except (TypeError, ValueError, RecursionError):
+        text = type(value).__name__
+    if len(text) <= SHOWN_CHARACTERS:
+        return text
+    return text[:SHOWN_CHARACTERS] + "..."
+
+
+def _structure_int(value: Any, _: Any) -> int:
+    if type(value) is not int or not 0 <= value <= INT_MAX:
+        raise _MismatchError(value, f"an integer from 0 to {INT_MAX}")
+    return value
+
+
+def _structure_float(value: Any, _: Any) -> float:
+    expected = "a number of at least 0"
+    if type(value) not in (int, float) or abs(value) > INT_MAX:
+        raise _MismatchError(value, expected)
+    if not math.isfinite(value) or value < 0:
+        raise _MismatchError(value, expected)
+    return float(value)
+
+
+def _structure_bool(value: Any, _: Any) -> bool:
+    if type(value) is not bool:
+        raise _MismatchError(value, "true or false")
+    return value
+
+
+def _structure_str(value: Any, _: Any) -> str:
+    expected = f"text of at most {TEXT_LIMIT} characters"
+    if type(value) is not str or len(value) > TEXT_LIMIT:
+        raise _MismatchError(value, expected)
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        raise _MismatchError(value, "text in valid Unicode") from None
+    return value
+
+
+def _structure_bytes(value: Any, _: Any) -> bytes:
+    if type(value) is not str:
+        raise _MismatchError(value, "text in base64")
+    try:
+        return base64.b64decode(value, validate=True)
+    except (binascii.Error, ValueError):
+        raise _MismatchError(value, "text in base64") from None
+
+
+def _structure_enum(value: Any, cls: type[enum.Enum]) -> enum.Enum:
+    names = [member.value for member in cls]
+    if type(value) is not str or value not in names:
+        raise _MismatchError(value, "one of " + ", ".join(names))
+    return cls(value)
+
+
+def _is_tuple(cls: Any) -> bool:
+    return get_origin(cls) is tuple
+
+
+def _structure_tuple(value: Any, cls: Any) -> tuple[Any, ...]:
+    if type(value) is not list or len(value) > LIST_LIMIT:
+        raise _MismatchError(value, f"a list of at most {LIST_LIMIT} values")
+    element = get_args(cls)[0]
+    return tuple(_CONVERTER.structure(value, list[element]))  # type: ignore[valid-type]
+
+
+def _make_class_hook(cls: type) -> Callable[[Any, Any], Any]:
+    structure: Callable[..., Any] = make_dict_structure_fn(
+        cls,
+        _CONVERTER,
+        _cattrs_forbid_extra_keys=True,
+        _cattrs_detailed_validation=True,
+    )
+
+    def hook(value: Any, _: Any) -> Any:
+        if type(value) is not dict:
+            raise _MismatchError(value, "an object")
+        record = structure(value, cls)
+        for bound in _BOUNDS.get(cls, ()):
+            number = getattr(record, bound.field)
+            if not bound.low <= number <= bound.high:
+                raise _MismatchError(
+                    number,
+                    f"a number from {bound.low} to {bound.high}",
+                    f".{bound.field}",
+                )
+        return record
+
+    return hook
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(detailed_validation=True, forbid_extra_keys=True)
+    converter.register_structure_hook(int, _structure_int)
+    converter.register_structure_hook(float, _structure_float)
+    converter.register_structure_hook(bool, _structure_bool)
+    converter.register_structure_hook(str, _structure_str)
+    converter.register_structure_hook(bytes, _structure_bytes)
+    converter.register_structure_hook_func(_is_enum, _structure_enum)
+    converter.register_structure_hook_func(_is_tuple, _structure_tuple)
+    converter.register_structure_hook_factory(attrs.has, _make_class_hook)
+    return converter
+
+
+def _is_enum(cls: Any) -> bool:
+    return isinstance(cls, type) and issubclass(cls, enum.Enum)
+
+
+_CONVERTER = _make_converter()
--- /dev/null
+++ b/packages/daemon/crocuswell_daemon/http_messages.py
@@ -0,0 +1,62 @@
+"""HTTP requests and responses as values."""
+
+import json
+from typing import Any
+
+import attrs
+
+
+@attrs.frozen
+class Header:
+    """One header of a response."""
+
+    name: str
+    value: str
+
+
+@attrs.frozen
+class HttpRequest:
+    """A whole request.
+
+    Attributes
+    ----------
+    path : str
+        Path with escapes resolved, except for `%2F`.
+    query : str
+        Query without the question mark.
+    idempotency_key, if_match, author, note : str or None
+        Values of the headers that carry meaning; None if absent.
+    fresh_id : str
+        Random id for a request that this call might create.
+    """
+
+    method: str
+    path: str
+    query: str = ""
+    body: bytes = b""
+    idempotency_key: str | None = None
+    if_match: str | None = None
+    author: str | None = None
+    note: str | None = None
+    fresh_id: str = ""
+
+
+@attrs.frozen
+class HttpResponse:
+    """A whole response."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "application/json"
+    headers: tuple[Header, ...] = ()
+
+
+def json_response(
+    status: int,
+    document: Any,
+    headers: tuple[Header, ...] = (),
+    content_type: str = "application/json",
+) -> HttpResponse:
+    """Return a response with a JSON document as its body."""
+    body = json.dumps(document, ensure_ascii=False).encode("utf-8", "replace")
+    return HttpResponse(status, body + b"\n", content_type, headers)
--- /dev/null
+++ b/packages/daemon/crocuswell_daemon/listener.py
@@ -0,0 +1,109 @@
+"""Base of the listeners for long-lived streams on an entry host."""
+
+import asyncio
+import socket
+import weakref
+from collections.abc import Awaitable, Callable
+from typing import Any, Self
+
+from grpclib.const import Cardinality, Handler
+from grpclib.encoding.base import CodecBase
+from grpclib.protocol import H2Protocol
+from grpclib.server import Server
+
+# All agents of a lost entry host connect within a second or so.
+BACKLOG = 1_024
+# A connection on which no stream was opened holds a file descriptor; if it
+# went silent, it would do so forever.
+FIRST_STREAM_LIMIT_S = 5.0
+
+Serve = Callable[[Any], Awaitable[None]]
+
+
+class _Method:
+    """The one streaming method of a listener, as `grpclib` wants it."""
+
+    def __init__(self, path: str, serve: Serve) -> None:
+        self._path = path
+        self._serve = serve
+
+    def __mapping__(self) -> dict[str, Handler]:
+        return {
+            self._path: Handler(self._serve, Cardinality.STREAM_STREAM, object, object)
+        }
+
+
+class _BoundedServer(Server):
+    """A server that drops connections without a stream, and all at its end."""
+
+    def __init__(self, method: _Method, codec: CodecBase) -> None:
+        super().__init__([method], codec=codec)
+        self._protocols: weakref.WeakSet[H2Protocol] = weakref.WeakSet()
+
+    def _protocol_factory(self) -> H2Protocol:
+        protocol = super()._protocol_factory()
+        self._protocols.add(protocol)
+        asyncio.get_running_loop().call_later(
+            FIRST_STREAM_LIMIT_S, _drop_if_unused, weakref.ref(protocol)
+        )
+        return protocol
+
+    def drop_connections(self) -> None:
+        """Drop all connections without waiting for the other ends."""
+        for protocol in list(self._protocols):
+            _drop(protocol)
+
+
+def _drop_if_unused(reference: "weakref.ref[H2Protocol]") -> None:
+    protocol = reference()
+    if protocol is not None and not protocol.processor.streams:
+        _drop(protocol)
+
+
+def _drop(protocol: H2Protocol) -> None:
+    connection = getattr(protocol, "connection", None)
+    transport = getattr(connection, "_transport", None)
+    if transport is not None:
+        transport.abort()
+
+
+class StreamListener:
+    """Listens for streams of one method; entered as a context manager.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Address to listen on; port 0 lets the system choose.
+    path : str
+        Path of the method.
+    serve : callable
+        Coroutine function that serves one stream.
+    """
+
+    def __init__(
+        self, host: str, port: int, path: str, codec: CodecBase, serve: Serve
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._method = _Method(path, serve)
+        self._codec = codec
+        self._server: _BoundedServer | None = None
+
+    @property
+    def port(self) -> int:
+        """Port on which it listens; 0 before it was entered."""
+        return self._port
+
+    async def __aenter__(self) -> Self:
+        sock = socket.create_server((self._host, self._port), backlog=BACKLOG)
+        self._port = sock.getsockname()[1]
+        self._server = _BoundedServer(self._method, self._codec)
+        await self._server.start(sock=sock, backlog=BACKLOG)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self._server is None:
+            return
+        self._server.close()
+        self._server.drop_connections()
+        await self._server.wait_closed()
--- /dev/null
+++ b/packages/daemon/crocuswell_daemon/problems.py
@@ -0,0 +1,95 @@
+"""Errors as RFC 9457 problem details."""
+
+from http import HTTPStatus
+
+import attrs
+
+from crocuswell_core.commands import Refused
+from crocuswell_core.errors import PROMISES, ErrorKind
+from crocuswell_daemon.http_messages import Header, HttpResponse, json_response
+
+CONTENT_TYPE = "application/problem+json"
+TYPE_PREFIX = "urn:crocuswell:problem:"
+DEFAULT_RETRY_MS = 1_000
+
+STATUS: dict[ErrorKind, HTTPStatus] = {
+    ErrorKind.INVALID_REQUEST: HTTPStatus.BAD_REQUEST,
+    ErrorKind.UNAUTHORISED: HTTPStatus.UNAUTHORIZED,
+    ErrorKind.NOT_FOUND: HTTPStatus.NOT_FOUND,
+    ErrorKind.CONFLICT: HTTPStatus.PRECONDITION_FAILED,
+    ErrorKind.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+    ErrorKind.NEVER_FITS: HTTPStatus.UNPROCESSABLE_ENTITY,
+    ErrorKind.OVER_QUOTA: HTTPStatus.FORBIDDEN,
+    ErrorKind.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorKind.DEADLINE_PASSED: HTTPStatus.CONFLICT,
+    ErrorKind.UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorKind.NOT_FINISHED: HTTPStatus.CONFLICT,
+    ErrorKind.RESULT_EXPIRED: HTTPStatus.GONE,
+    ErrorKind.CORRUPT_STATE: HTTPStatus.INTERNAL_SERVER_ERROR,
+    ErrorKind.STORAGE_FAILED: HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorKind.INTERNAL: HTTPStatus.INTERNAL_SERVER_ERROR,
+}
+
+
+@attrs.frozen
+class Problem:
+    """An error on its way to the caller.
+
+    Attributes
+    ----------
+    status : HTTPStatus or None
+        Overrides the status of the kind, where HTTP has a closer one.
+    retry_after_ms : int
+        Suggested wait in ms; 0 for the default of the kind.
+    headers : tuple of Header
+        Further headers of the response.
+    """
+
+    kind: ErrorKind
+    detail: str
+    status: HTTPStatus | None = None
+    retry_after_ms: int = 0
+    current_number: int | None = None
+    headers: tuple[Header, ...] = ()
+
+
+def invalid(detail: str, status: HTTPStatus | None = None) -> Problem:
+    """Return the problem of a request that is not valid."""
+    return Problem(ErrorKind.INVALID_REQUEST, detail, status)
+
+
+def to_problem(refused: Refused) -> Problem:
+    """Return the problem that tells a caller of a refusal."""
+    number = refused.current_number if refused.kind is ErrorKind.CONFLICT else None
+    return Problem(
+        refused.kind,
+        refused.detail,
+        retry_after_ms=refused.retry_after_ms,
+        current_number=number,
+    )
+
+
+def problem_response(problem: Problem) -> HttpResponse:
+    """Return the response that carries a problem."""
+    promise = PROMISES[problem.kind]
+    status = problem.status or STATUS[problem.kind]
+    document = {
+        "type": TYPE_PREFIX + problem.kind.value,
+        "title": promise.title,
+        "status": status.value,
+        "detail": problem.detail,
+        "kind": problem.kind.value,
+        "not_run": promise.not_run,
+        "resend": promise.resend,
+    }
+    if problem.current_number is not None:
+        document["current_number"] = problem.current_number
+    headers = problem.headers
+    if status is HTTPStatus.SERVICE_UNAVAILABLE:
+        headers = (*headers, _retry_after(problem))
+    return json_response(status.value, document, headers, CONTENT_TYPE)
+
+
+def _retry_after(problem: Problem) -> Header:
+    wait_ms = problem.retry_after_ms or DEFAULT_RETRY_MS
+    return Header("Retry-After", str(-(-wait_ms // 1_000)))
