Extend leases only from hosts that hold the newest configuration

Cause: found by reading: an entry host that lags behind could extend an agent's run lease by an older and longer one than the leader counts with. Change: a liveness reply that names a newer configuration than this host has applied extends nothing; Welcome and Hello carry heartbeat sequences. Conclusion: the next heartbeat is confirmed once the host has caught up.

--- a/packages/core/crocuswell_core/attempts.py
+++ b/packages/core/crocuswell_core/attempts.py
@@ -130,6 +130,7 @@
         idempotent=spec.idempotent,
         run_time_ms=spec.run_time_ms,
         checkpoint=cluster.requests[attempt.id.request_id].checkpoint,
+        checkpoint_ms=spec.checkpoint_ms,
     )
 
 
--- a/packages/core/crocuswell_core/liveness.py
+++ b/packages/core/crocuswell_core/liveness.py
@@ -85,7 +85,7 @@
     message = _collect(state)
     if election.holds_lease(state):
         refused = _note_heard(state, message)
-        effects += _confirm(state, message.sequence, refused, state.cluster.number)
+        effects += _confirm(state, message.sequence, refused)
         return effects + _watch_workers(state) + _watch_configuration(state)
     leader = state.consensus.leader
     if leader is not None and leader != state.cfg.host.id:
@@ -105,7 +105,11 @@
 
 @handle_peer.register
 def _(message: LivenessReply, state: EntryState, sender: str) -> list[Effect]:
-    return _confirm(state, message.sequence, message.refused, message.number)
+    # An extension carries this host's run lease, which must not be an older
+    # and longer one than the leader counts with.
+    if message.number > state.cluster.number:
+        return []
+    return _confirm(state, message.sequence, message.refused)
 
 
 def _collect(state: EntryState) -> Liveness:
@@ -145,7 +149,7 @@
 
 
 def _confirm(
-    state: EntryState, sequence: int, refused: tuple[str, ...], number: int
+    state: EntryState, sequence: int, refused: tuple[str, ...]
 ) -> list[Effect]:
     covered = state.liveness_sent.pop(sequence, {})
     effects: list[Effect] = []
@@ -157,7 +161,7 @@
             effects += _refuse(state, session)
             continue
         session.confirmed_sequence = max(session.confirmed_sequence, confirmed)
-        effects += send_heartbeat(state, session, number)
+        effects += send_heartbeat(state, session)
         effects += confirm_session(state, session)
     return effects
 
--- a/packages/core/crocuswell_core/sessions.py
+++ b/packages/core/crocuswell_core/sessions.py
@@ -66,6 +66,7 @@
         info=message.info,
         backend_incarnation=message.backend_incarnation,
         attempts=message.attempts,
+        heard_sequence=message.sequence,
     )
     state.sessions[worker] = session
     state.streams[stream_id] = worker
@@ -158,14 +159,12 @@
     return state.sessions.get(worker) if worker is not None else None
 
 
-def send_heartbeat(
-    state: EntryState, session: AgentSession, number: int | None = None
-) -> list[Effect]:
+def send_heartbeat(state: EntryState, session: AgentSession) -> list[Effect]:
     """Send a heartbeat to an agent, with what the leader has confirmed."""
     session.heartbeat_sent_ms = state.now_ms
     heartbeat = EntryHeartbeat(
         confirmed=session.confirmed_sequence,
-        number=max(number or 0, state.cluster.number),
+        number=state.cluster.number,
         run_lease_ms=state.cluster.configuration.limits.run_lease_ms,
     )
     return [SendAgent(session.stream_id, heartbeat)]
@@ -189,6 +188,7 @@
         number=state.cluster.number,
         run_lease_ms=state.cluster.configuration.limits.run_lease_ms,
         acknowledged=state.cluster.report_sequences.get(worker, 0),
+        confirmed=session.confirmed_sequence,
     )
     return [SendAgent(session.stream_id, welcome)]
 
