--- a/packages/core/crocuswell_core/state.py
+++ b/packages/core/crocuswell_core/state.py
@@ -8,7 +8,7 @@
 from crocuswell_core.backend import BackendTask
 from crocuswell_core.commands import CommandReply, EntryHost, LogEntry, Proposal, Report
 from crocuswell_core.configuration import Configuration, ConfigurationChange
-from crocuswell_core.messages import ReadCall, StartTask
+from crocuswell_core.messages import GetRequest, ReadCall, StartTask
 from crocuswell_core.records import Attempt, AttemptId, Request, Worker, WorkerInfo
 from crocuswell_core.resources import Resources
 
@@ -45,6 +45,53 @@
     attempts: dict[AttemptId, int] = attrs.Factory(dict)
 
 
+@attrs.frozen
+class RetryDue:
+    """A request's back-off ends."""
+
+    request_id: str
+
+
+@attrs.frozen
+class DeadlineDue:
+    """A request's latest start passes."""
+
+    request_id: str
+
+
+@attrs.frozen
+class ResultDue:
+    """The retention of a request's result ends."""
+
+    request_id: str
+
+
+@attrs.frozen
+class RecordDue:
+    """The retention of a request's record ends."""
+
+    request_id: str
+
+
+@attrs.frozen
+class AnswerDue:
+    """The retention of a command's first answer ends."""
+
+    command_id: str
+
+
+Due = RetryDue | DeadlineDue | ResultDue | RecordDue | AnswerDue
+
+
+@attrs.frozen(order=True)
+class DueItem:
+    """Something to do at a cluster time; ordered by time, then sequence."""
+
+    at_ms: int
+    sequence: int
+    due: Due = attrs.field(order=False)
+
+
 @attrs.define
 class ClusterState:
     """Result of applying the log; equal on every entry host.
@@ -57,8 +104,15 @@
         For each workspace the ids of queued requests, in order.
     rooms : dict
         For each worker what is free on it.
-    recent : dict
-        Ended requests in the order they ended, for retention.
+    report_sequences : dict
+        For each worker the last report of its current incarnation.
+    agenda : list of DueItem
+        Binary heap of what falls due.
+    retries : dict
+        For each workspace the number of queued requests that wait for a
+        retry after a failure.
+    needs_scheduling : bool
+        Whether something changed that may let a request start.
     """
 
     version: int = STATE_VERSION
@@ -73,8 +127,11 @@
     workers: dict[str, Worker] = attrs.Factory(dict)
     rooms: dict[str, WorkerRoom] = attrs.Factory(dict)
     answered: dict[str, AnsweredCommand] = attrs.Factory(dict)
-    recent: dict[str, int] = attrs.Factory(dict)
     report_sequences: dict[str, int] = attrs.Factory(dict)
+    agenda: list[DueItem] = attrs.Factory(list)
+    agenda_sequence: int = 0
+    retries: dict[str, int] = attrs.Factory(dict)
+    needs_scheduling: bool = False
 
     @property
     def configuration(self) -> Configuration:
@@ -99,20 +156,35 @@
     LEADER = "leader"
 
 
+@attrs.frozen
+class Membership:
+    """The control group as of the log entry at `index`."""
+
+    index: int
+    hosts: tuple[EntryHost, ...]
+    voters: tuple[str, ...]
+
+
 @attrs.define
 class PeerProgress:
     """What the leader knows of one other host.
 
     Attributes
     ----------
-    acknowledged_ms : int
+    heard_ms : int
+        Time of receipt of its newest reply in this term, at first the
+        start of this leader.
+    acknowledged_ms : int or None
         Time of sending of the newest heartbeat round it acknowledged.
+    snapshot_sent_ms : int or None
+        Time at which a snapshot that is not yet acknowledged was sent.
     """
 
     next_index: int
     match_index: int = 0
+    heard_ms: int = 0
     acknowledged_round: int = 0
-    acknowledged_ms: int = 0
+    acknowledged_ms: int | None = None
     snapshot_sent_ms: int | None = None
 
 
@@ -122,16 +194,33 @@
 
     Attributes
     ----------
+    hosts, voters : tuple
+        The newest membership in the log, committed or not.
+    memberships : list of Membership
+        Memberships by ascending index, from the newest committed one on;
+        the earlier ones come back if the log is truncated.
     entries : list of LogEntry
         Entries after `snapshot_index`.
+    snapshot_index : int
+        Index before the first entry in memory. Entries that a saved
+        snapshot covers may stay in memory for hosts that lag behind.
+    saved_index : int
+        Index of the newest saved snapshot.
     synced_index : int
         Highest index known to be on this host's disk.
+    term_start_index : int
+        On the leader: index of its own first entry.
     heard_leader_ms : int
         Time at which a current leader was last heard.
+    election_due_ms : int
+        Earliest time of the next election by this host.
     rounds : dict
         For each unacknowledged heartbeat round its time of sending in ms.
     lease_until_ms : int
         End of the leader's lease.
+    transferring_to : str or None
+        Voter that gets leadership once it has the whole log, until
+        `transfer_until_ms`.
     """
 
     term: int = 0
@@ -140,13 +229,17 @@
     leader: str | None = None
     hosts: tuple[EntryHost, ...] = ()
     voters: tuple[str, ...] = ()
+    memberships: list[Membership] = attrs.Factory(list)
     entries: list[LogEntry] = attrs.Factory(list)
     snapshot_index: int = 0
     snapshot_term: int = 0
+    saved_index: int = 0
     synced_index: int = 0
     commit_index: int = 0
     applied_index: int = 0
+    term_start_index: int = 0
     heard_leader_ms: int = -1_000_000
+    election_due_ms: int = 0
     votes: dict[str, bool] = attrs.Factory(dict)
     progress: dict[str, PeerProgress] = attrs.Factory(dict)
     round: int = 0
@@ -154,6 +247,7 @@
     lease_until_ms: int = 0
     leader_since_ms: int = 0
     transferring_to: str | None = None
+    transfer_until_ms: int = 0
 
 
 # --- entry host ----------------------------------------------------------
@@ -206,6 +300,9 @@
         `liveness_sequence`.
     confirmed_sequence : int
         Heartbeat sequence whose liveness the leader confirmed.
+    confirmed : bool
+        Whether the leader confirmed any heartbeat of this stream, so
+        that the agent holds its leases.
     """
 
     stream_id: int
@@ -216,7 +313,13 @@
     reported_sequence: int = 0
     confirmed_sequence: int = 0
     number: int = 0
+    confirmed: bool = False
     welcomed: bool = False
+    heartbeat_sent_ms: int = 0
+    info: WorkerInfo | None = None
+    backend_incarnation: str = ""
+    attempts: tuple[AttemptId, ...] = ()
+    counters: dict[str, int] = attrs.Factory(dict)
 
 
 @attrs.define
@@ -225,24 +328,37 @@
 
     Attributes
     ----------
+    proposal_key : str
+        Key of the proposal that it waits for; empty for a read.
+    sent_ms : int
+        Time at which the read index was last asked for.
     read_index : int or None
         Index to apply before a read is answered; None until known.
     """
 
     call_id: int
     received_ms: int
-    limit_ms: int
-    command_id: str = ""
+    proposal_key: str = ""
     read: ReadCall | None = None
+    sent_ms: int = 0
     read_index: int | None = None
 
 
 @attrs.define
 class PendingProposal:
-    """A proposal from this host that is not yet applied here."""
+    """A proposal from this host that is not yet applied here.
+
+    Attributes
+    ----------
+    term : int
+        Term in which this host appended it as leader; 0 if it was
+        forwarded.
+    """
 
     proposal: Proposal
     sent_ms: int
+    first_sent_ms: int
+    term: int = 0
 
 
 @attrs.define
@@ -260,6 +376,14 @@
     number: int = 0
 
 
+@attrs.define
+class HeardHost:
+    """The leader's knowledge of another entry host."""
+
+    heard_ms: int
+    number: int
+
+
 @attrs.define
 class EntryState:
     """State of an entry host.
@@ -269,13 +393,22 @@
     heard_workers : dict
         On the leader: when each worker was last heard.
     heard_hosts : dict
-        On the leader: for each entry host the configuration number it
-        has applied.
+        On the leader: when each entry host was last heard and the
+        configuration number it has applied.
     liveness_sent : dict
-        For each unconfirmed `Liveness` the sequences it covered, by
-        worker.
-    read_calls : dict
-        Calls that wait for a read index, by read id.
+        For each unconfirmed `Liveness` the heartbeat sequences that it
+        covered, by stream.
+    proposals : dict
+        This host's proposals that are not yet applied here, by key.
+    command_calls : dict
+        For each proposal key the calls that wait for its reply.
+    outcome_waits : dict
+        Reads that wait for an outcome, by call id.
+    outcome_calls : dict
+        For each request id the calls that wait for its outcome.
+    declared : dict
+        On the leader: workers whose `DeclareSilent` was proposed, with
+        the incarnation; their liveness is refused.
     """
 
     cfg: EntryConfig
@@ -289,11 +422,17 @@
     calls: dict[int, PendingCall] = attrs.Factory(dict)
     proposals: dict[str, PendingProposal] = attrs.Factory(dict)
     heard_workers: dict[str, HeardWorker] = attrs.Factory(dict)
-    heard_hosts: dict[str, int] = attrs.Factory(dict)
+    heard_hosts: dict[str, HeardHost] = attrs.Factory(dict)
+    declared: dict[str, str] = attrs.Factory(dict)
+    command_calls: dict[str, list[int]] = attrs.Factory(dict)
+    outcome_waits: dict[int, GetRequest] = attrs.Factory(dict)
+    outcome_calls: dict[str, list[int]] = attrs.Factory(dict)
     liveness_sequence: int = 0
-    liveness_sent: dict[int, dict[str, int]] = attrs.Factory(dict)
+    liveness_sent: dict[int, dict[int, int]] = attrs.Factory(dict)
     cluster_timer_at_ms: int | None = None
+    ready: bool = False
     stopping: bool = False
+    stopping_since_ms: int = 0
 
 
 # --- agent ---------------------------------------------------------------
@@ -335,7 +474,27 @@
 
 @attrs.define
 class AgentTask:
-    """A task as the agent knows it."""
+    """A task as the agent knows it.
+
+    Attributes
+    ----------
+    ran : bool
+        The backend server is known to have started it.
+    on_backend : bool
+        The backend server lists it, or may.
+    in_doubt : bool
+        Nobody answered the start, so it may have been carried out.
+    inherited : bool
+        Ordered before this incarnation, so an earlier one may have sent
+        its start.
+    backend_incarnation : str
+        Incarnation of the backend server when the start was sent.
+    checked_after : int
+        Only a `Describe` with a higher sequence shows that the backend
+        server does not know the task.
+    checkpoint_ms : int or None
+        Time in ms for the checkpoint of the newest stop.
+    """
 
     attempt: AttemptId
     rank: int
@@ -343,6 +502,20 @@
     resources: Resources
     order: StartTask | None = None
     last: BackendTask | None = None
+    accelerators: tuple[int, ...] = ()
+    ran: bool = False
+    on_backend: bool = False
+    in_doubt: bool = False
+    inherited: bool = False
+    backend_incarnation: str = ""
+    checked_after: int = 0
+    start_in_flight: bool = False
+    stop_in_flight: bool = False
+    fetch_in_flight: bool = False
+    stop_sent_ms: int = 0
+    checkpoint_ms: int | None = None
+    usage_sent: Resources | None = None
+    usage_sent_ms: int = 0
 
 
 @attrs.define
@@ -361,6 +534,21 @@
     reports : list of Report
         Reports not yet acknowledged; the first has number
         `first_report`.
+    ended : dict
+        For each attempt the ranks that ended here, and whether the rank
+        provably never ran; orders for these are not carried out again.
+    reports_sent : int
+        Number of the last report sent on the present stream.
+    opening, opened_ms : bool, int
+        Whether a stream is being opened, and when that began.
+    was_welcomed : bool
+        This incarnation has received the full set of wanted members.
+    describe_sequence : int
+        Sequence of the newest `Describe`.
+    described_ms : int
+        Time of sending of the newest `Describe` that was answered.
+    timer_at_ms : int or None
+        Time for which `AgentTimer` is set.
     """
 
     cfg: AgentConfig
@@ -388,3 +576,17 @@
     first_report: int = 1
     counters: dict[str, int] = attrs.Factory(dict)
     stopping: bool = False
+    ended: dict[AttemptId, dict[int, bool]] = attrs.Factory(dict)
+    reports_sent: int = 0
+    counters_sent: dict[str, int] = attrs.Factory(dict)
+    opening: bool = False
+    opened_ms: int = 0
+    was_welcomed: bool = False
+    booted_ms: int = 0
+    describe_sequence: int = 0
+    describe_sent_ms: int = 0
+    describe_in_flight: bool = False
+    describe_again: bool = False
+    described_ms: int = -1_000_000
+    timer_at_ms: int | None = None
+    stop_by_ms: int = 0
