Count with the run lease that each agent may still hold

Cause: an agent that was cut off for the admission lease no longer counts for 'in force'; with a run lease that had just been shortened, the leader then declared it silent while it still ran on the longer lease. Change: the leader takes the longest run lease of the configurations from the one that the agent confirmed on. Tests of sessions, leases and silence. Conclusion: room is given away only after the lease that the agent holds.

--- a/packages/core/crocuswell_core/liveness.py
+++ b/packages/core/crocuswell_core/liveness.py
@@ -182,7 +182,6 @@
 def _watch_workers(state: EntryState) -> list[Effect]:
     """Suspect workers that miss heartbeats; declare the silent ones."""
     effects: list[Effect] = []
-    silent_ms = _longest_run_lease_ms(state) + state.cfg.lease_margin_ms
     for name, worker in state.cluster.workers.items():
         if worker.mode is WorkerMode.SILENT:
             continue
@@ -191,6 +190,8 @@
             heard = HeardWorker(worker.incarnation, state.now_ms)
             state.heard_workers[name] = heard
         age_ms = state.now_ms - heard.heard_ms
+        run_lease_ms = _longest_run_lease_ms(state, heard.number)
+        silent_ms = run_lease_ms + state.cfg.lease_margin_ms
         if age_ms >= silent_ms and state.declared.get(name) != worker.incarnation:
             state.declared[name] = worker.incarnation
             effects += _propose(state, DeclareSilent(name, worker.incarnation))
@@ -201,16 +202,16 @@
     return effects
 
 
-def _longest_run_lease_ms(state: EntryState) -> int:
-    """Return the longest run lease in ms that an agent may still hold."""
-    history = state.cluster.history
-    in_force = state.cluster.number_in_force
-    leases = [
+def _longest_run_lease_ms(state: EntryState, number: int) -> int:
+    """Return the longest run lease in ms of an agent that confirmed `number`.
+
+    It may have received any newer configuration since.
+    """
+    return max(
         change.configuration.limits.run_lease_ms
-        for change in history
-        if change.number >= in_force
-    ]
-    return max(leases, default=state.cluster.configuration.limits.run_lease_ms)
+        for change in state.cluster.history
+        if change.number >= min(number, state.cluster.number)
+    )
 
 
 def _watch_configuration(state: EntryState) -> list[Effect]:
--- /dev/null
+++ b/tests/test_sessions.py
@@ -0,0 +1,149 @@
+"""Agents' streams, leases and silence on an entry host."""
+
+import pytest
+
+from crocuswell_core.commands import ChangeAccepted, ChangeConfiguration, SubmitRequest
+from crocuswell_core.configuration import Configuration, Limits, Workspace
+from crocuswell_core.effects import CloseAgentStream, Halt, SendPeer, SetReady
+from crocuswell_core.events import (
+    AgentMessageReceived,
+    EntryStopRequested,
+    PeerMessageReceived,
+)
+from crocuswell_core.messages import (
+    DrainNotice,
+    EntryHeartbeat,
+    GetRequest,
+    Goodbye,
+    Liveness,
+    LivenessReply,
+    Orders,
+    Welcome,
+    WorkerLiveness,
+)
+from crocuswell_core.records import JobSpec, WorkerMode
+from crocuswell_core.replies import RequestView
+from tests.clusters import gang
+from tests.hosts import Host, leading_host
+
+MARGIN_MS = 2_000
+
+
+def welcomed_host(*workers: str) -> Host:
+    host = leading_host()
+    configuration = Configuration(workspaces=(Workspace("quotes"),))
+    host.command(ChangeConfiguration(0, configuration, "op"), key="first")
+    for stream_id, worker in enumerate(workers or ("w1",), start=1):
+        host.hello(stream_id, worker)
+    host.advance(1_500, sending=tuple(range(1, len(workers) + 2)))
+    host.effects.clear()
+    return host
+
+
+def mode(host: Host, worker: str = "w1") -> WorkerMode:
+    return host.state.cluster.workers[worker].mode
+
+
+def test_agent_is_welcomed_once_announced_and_confirmed() -> None:
+    """Guards against orders to an agent that holds no lease yet."""
+    host = leading_host()
+    host.hello(1)
+    assert host.sent(1) == []
+    host.advance(1_000)
+    sent = host.sent(1)
+    welcome = next(i for i, message in enumerate(sent) if type(message) is Welcome)
+    confirmed = [m.confirmed for m in sent[:welcome] if type(m) is EntryHeartbeat]
+    assert confirmed
+    assert confirmed[-1] >= 1
+
+
+def test_second_stream_of_a_worker_replaces_the_first() -> None:
+    host = welcomed_host()
+    host.hello(7)
+    assert host.take(CloseAgentStream) == [CloseAgentStream(1)]
+    assert host.state.sessions["w1"].stream_id == 7
+
+
+def test_silent_stream_is_closed_within_three_seconds() -> None:
+    host = welcomed_host()
+    host.advance(3_000)
+    assert CloseAgentStream(1) in host.take(CloseAgentStream)
+
+
+def test_quiet_worker_is_suspect_and_active_when_heard_again() -> None:
+    host = welcomed_host()
+    host.advance(3_500)
+    assert mode(host) is WorkerMode.SUSPECT
+    host.hello(2)
+    host.advance(1_500, sending=(2,))
+    assert mode(host) is WorkerMode.ACTIVE
+
+
+def test_worker_is_declared_silent_only_after_its_run_lease() -> None:
+    """Guards against room that is given away while tasks still run."""
+    host = welcomed_host()
+    run_lease_ms = host.state.cluster.configuration.limits.run_lease_ms
+    host.advance(run_lease_ms - 500)
+    assert mode(host) is WorkerMode.SUSPECT
+    host.advance(MARGIN_MS)
+    assert mode(host) is WorkerMode.SILENT
+
+
+def test_shortened_run_lease_counts_once_all_agents_hold_it() -> None:
+    """Guards against a silent agent that still runs on the longer lease."""
+    host = welcomed_host()
+    limits = Limits(run_lease_ms=3_000)
+    host.command(ChangeConfiguration(1, Configuration(limits=limits), "op"))
+    host.advance(14_000)
+    assert mode(host) is not WorkerMode.SILENT
+
+
+def test_declared_worker_is_refused_until_it_announces_itself() -> None:
+    """Guards against a lease that is extended after its room was given away."""
+    host = welcomed_host()
+    host.state.declared["w1"] = "i1"
+    host.advance(1_000, sending=(1,))
+    assert CloseAgentStream(1) in host.take(CloseAgentStream)
+    assert type(host.sent(1)[-1]) is not Welcome
+
+
+def test_leader_refuses_liveness_of_another_incarnation() -> None:
+    host = welcomed_host()
+    liveness = Liveness(1, 1, (WorkerLiveness("w1", "other", 1),))
+    host.post(PeerMessageReceived("e2", liveness))
+    replies = [e.message for e in host.take(SendPeer) if e.to == "e2"]
+    assert replies == [LivenessReply(1, 1, ("w1",))]
+
+
+def test_draining_backend_server_gets_no_order() -> None:
+    host = welcomed_host()
+    host.post(AgentMessageReceived(1, DrainNotice(True)))
+    host.sent(1)
+    host.command(SubmitRequest("q", "quotes", JobSpec(shape=gang(1))))
+    assert [m for m in host.sent(1) if type(m) is Orders] == []
+
+
+def test_configuration_is_in_force_once_all_have_it() -> None:
+    host = welcomed_host("w1", "w2")
+    number = host.state.cluster.number
+    assert host.state.cluster.number_in_force == number
+    call_id = host.command(ChangeConfiguration(number, Configuration(), "op"))
+    assert host.answers()[call_id] == ChangeAccepted(number + 1)
+    host.advance(1_500, sending=(1,))
+    assert host.state.cluster.number_in_force == number
+    host.advance(7_000, sending=(1,))
+    assert host.state.cluster.number_in_force == number + 1
+
+
+@pytest.mark.parametrize("wait_ms", [0, 5_000])
+def test_planned_stop_answers_what_waits_and_tells_agents(wait_ms: int) -> None:
+    """Guards against a call that is cut off by a planned stop."""
+    host = welcomed_host()
+    host.command(SubmitRequest("q", "quotes", JobSpec(shape=gang(1))))
+    call_id = host.call(GetRequest("q", wait_ms=wait_ms))
+    host.post(EntryStopRequested())
+    assert type(host.answers()[call_id]) is RequestView
+    assert SetReady(False) in host.take(SetReady)
+    assert Goodbye() in host.sent(1)
+    host.advance(host.state.cfg.stop_limit_ms)
+    assert Halt() in host.take(Halt)
