--- a/packages/core/crocuswell_core/effects.py
+++ b/packages/core/crocuswell_core/effects.py
@@ -34,7 +34,23 @@
     entries: tuple[LogEntry, ...]
 
 
-Record = TermRecord | EntriesRecord
+@attrs.frozen
+class SnapshotRecord:
+    """An encoded snapshot; it replaces the log up to `index`.
+
+    The runtime makes it from `SaveSnapshot`. Entries after `index` stay if
+    the log holds the entry at `index` with the same term; otherwise the
+    whole log is dropped.
+    """
+
+    index: int
+    term: int
+    hosts: tuple[EntryHost, ...]
+    voters: tuple[str, ...]
+    state: bytes
+
+
+Record = TermRecord | EntriesRecord | SnapshotRecord
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/daemon/crocuswell_daemon/interpreter.py
@@ -0,0 +1,205 @@
+"""Carries out effects, dispatched on the effect's type."""
+
+from collections.abc import Iterable
+from functools import singledispatch
+from typing import Protocol
+
+import attrs
+
+from crocuswell_core import effects as fx
+from crocuswell_core.backend import BackendCall
+from crocuswell_core.commands import CommandReply
+from crocuswell_core.messages import AgentMessage, EntryMessage, PeerMessage
+from crocuswell_core.replies import ReadReply
+from crocuswell_core.timers import Timer
+
+
+class Timers(Protocol):
+    """One-shot timers."""
+
+    def start(self, timer: Timer, delay_ms: int) -> None:
+        """Subscribe, in place of an earlier subscription."""
+
+    def cancel(self, timer: Timer) -> None:
+        """End a subscription."""
+
+
+class Counters(Protocol):
+    """Counters and histograms."""
+
+    def count(self, name: str, amount: int, labels: tuple[fx.Label, ...]) -> None:
+        """Add to a counter."""
+
+    def observe(self, name: str, value: float, labels: tuple[fx.Label, ...]) -> None:
+        """Record a value in a histogram."""
+
+
+class ChangeLog(Protocol):
+    """The log for people."""
+
+    def write(self, change: fx.LogChange) -> None:
+        """Write one line."""
+
+
+class PeerSender(Protocol):
+    """Streams to other entry hosts."""
+
+    def send(self, to: str, message: PeerMessage) -> None:
+        """Send without waiting; the message may be lost."""
+
+
+class AgentSender(Protocol):
+    """Agents' streams on an entry host."""
+
+    def send(self, stream_id: int, message: EntryMessage) -> None:
+        """Send without waiting; the message may be lost."""
+
+    def close_stream(self, stream_id: int) -> None:
+        """Close a stream, if it is open."""
+
+
+class CallAnswerer(Protocol):
+    """The listener for callers and operators."""
+
+    def answer(self, call_id: int, reply: CommandReply | ReadReply) -> None:
+        """Answer a call, unless it was abandoned."""
+
+    def set_ready(self, ready: bool) -> None:
+        """Turn `/readyz` on or off."""
+
+
+class EntryStreams(Protocol):
+    """The agent's stream to an entry host."""
+
+    def open(self, stream_id: int, address: str) -> None:
+        """Start to open a stream."""
+
+    def send(self, stream_id: int, message: AgentMessage) -> None:
+        """Send without waiting; the message may be lost."""
+
+    def close(self, stream_id: int) -> None:
+        """Close a stream, if it is open."""
+
+
+class BackendCaller(Protocol):
+    """Calls to the backend server."""
+
+    def call(self, call: BackendCall) -> None:
+        """Start a call that ends in `BackendReplied`."""
+
+
+@attrs.frozen
+class Parts:
+    """What both roles have."""
+
+    timers: Timers
+    counters: Counters
+    log: ChangeLog
+
+
+@attrs.frozen
+class EntryParts(Parts):
+    """Parts of an entry host."""
+
+    peers: PeerSender
+    agents: AgentSender
+    callers: CallAnswerer
+
+
+@attrs.frozen
+class AgentParts(Parts):
+    """Parts of an agent."""
+
+    entry: EntryStreams
+    backend: BackendCaller
+
+
+class Interpreter:
+    """Carries out effects over the parts of one role."""
+
+    def __init__(self, parts: EntryParts | AgentParts) -> None:
+        self._parts = parts
+
+    def carry_out(self, effects: Iterable[fx.Effect]) -> fx.Halt | None:
+        """Carry out effects in order, up to a `Halt`, and return that."""
+        for effect in effects:
+            if isinstance(effect, fx.Halt):
+                return effect
+            carry_out(effect, self._parts)
+        return None
+
+
+@singledispatch
+def carry_out(effect: fx.Effect, parts: Parts) -> None:
+    """Carry out one effect; `Persist` and `Halt` are the runtime's."""
+    raise NotImplementedError(type(effect).__name__)
+
+
+@carry_out.register
+def _(effect: fx.StartTimer, parts: Parts) -> None:
+    parts.timers.start(effect.timer, effect.delay_ms)
+
+
+@carry_out.register
+def _(effect: fx.CancelTimer, parts: Parts) -> None:
+    parts.timers.cancel(effect.timer)
+
+
+@carry_out.register
+def _(effect: fx.Count, parts: Parts) -> None:
+    parts.counters.count(effect.counter, effect.amount, effect.labels)
+
+
+@carry_out.register
+def _(effect: fx.Observe, parts: Parts) -> None:
+    parts.counters.observe(effect.histogram, effect.value, effect.labels)
+
+
+@carry_out.register
+def _(effect: fx.LogChange, parts: Parts) -> None:
+    parts.log.write(effect)
+
+
+@carry_out.register
+def _(effect: fx.SendPeer, parts: EntryParts) -> None:
+    parts.peers.send(effect.to, effect.message)
+
+
+@carry_out.register
+def _(effect: fx.SendAgent, parts: EntryParts) -> None:
+    parts.agents.send(effect.stream_id, effect.message)
+
+
+@carry_out.register
+def _(effect: fx.CloseAgentStream, parts: EntryParts) -> None:
+    parts.agents.close_stream(effect.stream_id)
+
+
+@carry_out.register
+def _(effect: fx.AnswerCall, parts: EntryParts) -> None:
+    parts.callers.answer(effect.call_id, effect.reply)
+
+
+@carry_out.register
+def _(effect: fx.SetReady, parts: EntryParts) -> None:
+    parts.callers.set_ready(effect.ready)
+
+
+@carry_out.register
+def _(effect: fx.OpenEntryStream, parts: AgentParts) -> None:
+    parts.entry.open(effect.stream_id, effect.address)
+
+
+@carry_out.register
+def _(effect: fx.SendEntry, parts: AgentParts) -> None:
+    parts.entry.send(effect.stream_id, effect.message)
+
+
+@carry_out.register
+def _(effect: fx.CloseEntryStream, parts: AgentParts) -> None:
+    parts.entry.close(effect.stream_id)
+
+
+@carry_out.register
+def _(effect: fx.CallBackend, parts: AgentParts) -> None:
+    parts.backend.call(effect.call)
--- /dev/null
+++ b/packages/daemon/crocuswell_daemon/metrics.py
@@ -0,0 +1,76 @@
+"""Metrics of an entry host, for `prometheus_client`."""
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+
+from crocuswell_core.effects import Label
+from crocuswell_daemon.counters import (
+    METRICS,
+    PREFIX,
+    Metric,
+    UnknownMetricError,
+    find_metric,
+)
+
+UNKNOWN = "unknown_metric_total"
+
+
+class Metrics:
+    """Counters and histograms of the table in `counters`.
+
+    Parameters
+    ----------
+    registry : CollectorRegistry, optional
+        Where `/metrics` reads them.
+    """
+
+    def __init__(self, registry: CollectorRegistry | None = None) -> None:
+        self.registry = registry or CollectorRegistry()
+        self._counters: dict[str, Counter] = {}
+        self._histograms: dict[str, Histogram] = {}
+        for name, metric in METRICS.items():
+            self._declare(name, metric)
+        self._unknown = Counter(
+            PREFIX + UNKNOWN,
+            "Counts of metrics that are not in the table",
+            registry=self.registry,
+        )
+
+    def count(self, name: str, amount: int, labels: tuple[Label, ...]) -> None:
+        """Add to a counter."""
+        counter = self._counters.get(name)
+        if counter is None or not self._is_known(name, labels):
+            self._unknown.inc()
+            return
+        values = [label.value for label in labels]
+        (counter.labels(*values) if values else counter).inc(amount)
+
+    def observe(self, name: str, value: float, labels: tuple[Label, ...]) -> None:
+        """Record a value in a histogram."""
+        histogram = self._histograms.get(name)
+        if histogram is None or not self._is_known(name, labels):
+            self._unknown.inc()
+            return
+        values = [label.value for label in labels]
+        (histogram.labels(*values) if values else histogram).observe(value)
+
+    def _declare(self, name: str, metric: Metric) -> None:
+        if metric.buckets:
+            self._histograms[name] = Histogram(
+                PREFIX + name,
+                metric.help,
+                metric.labels,
+                buckets=metric.buckets,
+                registry=self.registry,
+            )
+            return
+        self._counters[name] = Counter(
+            PREFIX + name, metric.help, metric.labels, registry=self.registry
+        )
+
+    def _is_known(self, name: str, labels: tuple[Label, ...]) -> bool:
+        # A missing row must not stop a host; a test finds it beforehand.
+        try:
+            find_metric(name, labels)
+        except UnknownMetricError:
+            return False
+        return True
--- /dev/null
+++ b/packages/daemon/crocuswell_daemon/process.py
@@ -0,0 +1,52 @@
+"""What both roles do around the event loop: seed, signals, exit status."""
+
+import asyncio
+import os
+import signal
+from collections.abc import Callable
+
+from crocuswell_core.effects import ChangeLevel, Halt, Label, LogChange
+from crocuswell_core.errors import ErrorKind
+from crocuswell_core.events import Event
+from crocuswell_daemon.logs import LogWriter
+
+EXIT_PLANNED = 0
+EXIT_FAULT = 1
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+Post = Callable[[Event], None]
+
+
+def choose_seed(seed: int | None) -> int:
+    """Return the seed of the settings, or a random one."""
+    if seed is not None:
+        return seed
+    return int.from_bytes(os.urandom(8), "big")
+
+
+def post_on_stop_signals(post: Post, event: Event) -> None:
+    """Post an event at SIGTERM or SIGINT; needs a running event loop."""
+    loop = asyncio.get_running_loop()
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, post, event)
+
+
+def log_start(log: LogWriter, role: str) -> None:
+    """Write the line for a started process."""
+    labels = (Label("role", role), Label("pid", str(os.getpid())))
+    log.write(LogChange("process_started", labels))
+
+
+def log_stop(log: LogWriter, halt: Halt) -> int:
+    """Write the line for a stopped process and return its exit status."""
+    if halt.kind is None:
+        log.write(LogChange("process_stopped"))
+        return EXIT_PLANNED
+    labels = (Label("kind", halt.kind.value), Label("detail", halt.detail))
+    log.write(LogChange("process_halted", labels, ChangeLevel.ERROR))
+    return EXIT_FAULT
+
+
+def halt_at_start(exc: OSError) -> Halt:
+    """Return the halt for a part that could not be started."""
+    return Halt(ErrorKind.INTERNAL, f"start: {exc}")
--- /dev/null
+++ b/packages/daemon/crocuswell_daemon/runtime.py
@@ -0,0 +1,194 @@
+"""The event loop: batches of events through the reducer, then effects."""
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import AbstractContextManager
+from types import TracebackType
+from typing import Any, Protocol
+
+from crocuswell_core.effects import (
+    ChangeLevel,
+    Effect,
+    EntriesRecord,
+    Halt,
+    Label,
+    LogChange,
+    Persist,
+    Record,
+)
+from crocuswell_core.errors import ErrorKind
+from crocuswell_core.events import ClockAdvanced, EntriesSynced, Event
+from crocuswell_daemon.frames import StorageError
+from crocuswell_daemon.snapshots import decode_state_in, encode_state_in
+from crocuswell_daemon.wire import CodecError
+
+# Bounds the time for which a full queue keeps the loop from its streams.
+BATCH_EVENTS = 512
+
+Reduce = Callable[[Any, Event], tuple[Any, list[Effect]]]
+
+
+class RecordWriter(Protocol):
+    """Durable storage, used on one worker thread."""
+
+    def append(self, records: Iterable[Record]) -> None:
+        """Take records for the next sync, in order."""
+
+    def sync(self) -> None:
+        """Bring all taken records to disk or raise `StorageError`."""
+
+
+class EffectRunner(Protocol):
+    """Carries out effects other than `Persist`."""
+
+    def carry_out(self, effects: Iterable[Effect]) -> Halt | None:
+        """Carry out effects in order, up to a `Halt`, and return that."""
+
+
+def read_clock() -> ClockAdvanced:
+    """Return the current time in ms, monotonic and since the epoch."""
+    return ClockAdvanced(time.monotonic_ns() // 1_000_000, time.time_ns() // 1_000_000)
+
+
+class Runtime(AbstractContextManager["Runtime"]):
+    """Reduces batches of events; must be created on the event loop.
+
+    Parameters
+    ----------
+    reduce : callable
+        The reducer.
+    state : EntryState or AgentState
+        The state; nothing else may change it.
+    storage : RecordWriter, optional
+        For `Persist`; a role without one emits none.
+    clock : callable, optional
+        Returns the time before each batch.
+    """
+
+    def __init__(
+        self,
+        reduce: Reduce,
+        state: Any,
+        storage: RecordWriter | None = None,
+        clock: Callable[[], ClockAdvanced] = read_clock,
+    ) -> None:
+        self._reduce = reduce
+        self._state = state
+        self._storage = storage
+        self._clock = clock
+        self._loop = asyncio.get_running_loop()
+        self._queue: deque[Event] = deque()
+        self._wake = asyncio.Event()
+        self._wake_requested = False
+        self._writer = ThreadPoolExecutor(1, "storage") if storage else None
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Wait for a write in progress; later events are dropped."""
+        if self._writer:
+            self._writer.shutdown()
+
+    def post(self, event: Event) -> None:
+        """Queue an event; safe to call from any thread."""
+        self._queue.append(event)
+        if self._wake_requested:
+            return
+        self._wake_requested = True
+        try:
+            self._loop.call_soon_threadsafe(self._wake.set)
+        except RuntimeError:
+            # The loop is closed: the process is stopping.
+            return
+
+    async def run(self, runner: EffectRunner) -> Halt:
+        """Reduce events until the reducer or a fault halts the process.
+
+        Parameters
+        ----------
+        runner : EffectRunner
+            Carries out the effects.
+        """
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            # Cleared before the queue is read, so that an event posted from
+            # now on either is in this batch or wakes the loop again.
+            self._wake_requested = False
+            halt = await self._run_batch(self._take_batch(), runner)
+            if halt is not None:
+                return halt
+            if self._queue:
+                self._wake.set()
+                # `wait` on a set event returns at once, without giving the
+                # streams a turn.
+                await asyncio.sleep(0)
+
+    def _take_batch(self) -> list[Event]:
+        count = min(len(self._queue), BATCH_EVENTS)
+        return [self._queue.popleft() for _ in range(count)]
+
+    async def _run_batch(
+        self, events: list[Event], runner: EffectRunner
+    ) -> Halt | None:
+        if not events:
+            return None
+        effects: list[Effect] = []
+        for event in (self._clock(), *events):
+            try:
+                effects += self._reduce_one(event)
+            except Exception as exc:  # a fault in the core must not go on
+                return _halt_for_fault(f"reducing {type(event).__name__}", exc)
+        records = [e.record for e in effects if isinstance(e, Persist)]
+        if records:
+            try:
+                await self._write(records)
+            except StorageError as exc:
+                return Halt(exc.kind, str(exc))
+            except Exception as exc:  # a record that can't be written
+                return _halt_for_fault("writing records", exc)
+        try:
+            return runner.carry_out(e for e in effects if not isinstance(e, Persist))
+        except Exception as exc:  # part of the effects may be missing
+            return _halt_for_fault("carrying out effects", exc)
+
+    def _reduce_one(self, event: Event) -> list[Effect]:
+        try:
+            event = decode_state_in(event)
+        except CodecError as exc:
+            return [_snapshot_refused(exc)]
+        self._state, effects = self._reduce(self._state, event)
+        return [encode_state_in(effect) for effect in effects]
+
+    async def _write(self, records: list[Record]) -> None:
+        if self._writer is None:
+            raise TypeError("this role has no storage")
+        await self._loop.run_in_executor(self._writer, self._append_and_sync, records)
+        last = next(
+            (r for r in reversed(records) if isinstance(r, EntriesRecord)), None
+        )
+        if last is not None and last.entries:
+            entry = last.entries[-1]
+            self.post(EntriesSynced(entry.index, entry.term))
+
+    def _append_and_sync(self, records: list[Record]) -> None:
+        if self._storage is None:
+            return
+        self._storage.append(records)
+        self._storage.sync()
+
+
+def _halt_for_fault(action: str, exc: Exception) -> Halt:
+    return Halt(ErrorKind.INTERNAL, f"fault while {action}: {exc!r}")
+
+
+def _snapshot_refused(exc: CodecError) -> LogChange:
+    return LogChange(
+        "snapshot_refused", (Label("reason", str(exc)),), ChangeLevel.ERROR
+    )
--- /dev/null
+++ b/packages/daemon/crocuswell_daemon/settings.py
@@ -0,0 +1,222 @@
+"""Reads the YAML settings of both roles and checks them."""
+
+from collections.abc import Hashable
+from pathlib import Path
+from typing import Any
+
+import attrs
+import cattrs
+import yaml
+from cattrs.errors import (
+    AttributeValidationNote,
+    ClassValidationError,
+    ForbiddenExtraKeysError,
+    IterableValidationError,
+    IterableValidationNote,
+)
+
+from crocuswell_core.commands import EntryHost
+from crocuswell_core.state import AgentConfig, EntryConfig
+from crocuswell_daemon.host_checks import check_host
+from crocuswell_daemon.roles import (
+    AgentSettings,
+    EntrySettings,
+    Listen,
+    timing_keys,
+)
+from crocuswell_daemon.setting_rules import Mismatch, check_rules
+
+Settings = EntrySettings | AgentSettings
+ROLES: dict[str, tuple[type, tuple[str, ...]]] = {
+    "entry": (EntrySettings, timing_keys(EntryConfig)),
+    "agent": (AgentSettings, timing_keys(AgentConfig)),
+}
+EXPECTED = {str: "text", int: "a whole number", bool: "true or false"}
+
+
+class SettingsError(Exception):
+    """One line that names file, key, what was found and what is expected."""
+
+
+def load_settings(path: Path) -> Settings:
+    """Read a settings file and check everything that can be known now.
+
+    Raises
+    ------
+    SettingsError
+        With one line for the operator.
+    """
+    try:
+        settings = parse_settings(path.read_text(encoding="utf-8"))
+        check_host(settings)
+    except (OSError, UnicodeDecodeError) as exc:
+        reason = getattr(exc, "strerror", None) or "bytes that are not UTF-8"
+        raise _one_line(path, Mismatch("file", reason, "a readable file")) from exc
+    except Mismatch as exc:
+        raise _one_line(path, exc) from exc
+    return settings
+
+
+def parse_settings(text: str) -> Settings:
+    """Read settings and check all that doesn't depend on this machine.
+
+    Raises
+    ------
+    Mismatch
+        For the first key that is wrong.
+    """
+    settings = _structure(_parse_yaml(text))
+    check_rules(settings)
+    return settings
+
+
+def _one_line(path: Path, exc: Mismatch) -> SettingsError:
+    return SettingsError(" ".join(f"{path}: {exc}".split()))
+
+
+# --- YAML ----------------------------------------------------------------
+
+
+class _Loader(yaml.SafeLoader):
+    """Refuses keys that occur twice; YAML would keep only the last."""
+
+    def construct_mapping(
+        self, node: yaml.MappingNode, deep: bool = False
+    ) -> dict[Hashable, Any]:
+        seen = set()
+        for key_node, _ in node.value:
+            key = key_node.value
+            if isinstance(key, str) and key in seen:
+                raise Mismatch(key, "the key twice", "it once")
+            seen.add(key if isinstance(key, str) else None)
+        return super().construct_mapping(node, deep)
+
+
+def _parse_yaml(text: str) -> dict[str, Any]:
+    try:
+        raw = yaml.load(text, Loader=_Loader)
+    except yaml.YAMLError as exc:
+        mark = getattr(exc, "problem_mark", None)
+        place = f"line {mark.line + 1}" if mark else "file"
+        problem = getattr(exc, "problem", None) or "characters that YAML forbids"
+        raise Mismatch(place, problem, "YAML") from exc
+    except (RecursionError, ValueError) as exc:
+        raise Mismatch("file", "a value that can't be read", "YAML") from exc
+    if not isinstance(raw, dict):
+        raise Mismatch("file", show(raw), "a mapping of keys")
+    return raw
+
+
+# --- structure -----------------------------------------------------------
+
+
+def show(value: Any) -> str:
+    """Return a short form of a found value."""
+    text = "nothing" if value is None else repr(value)
+    return text if len(text) <= 60 else text[:57] + "..."
+
+
+def _check_simple(value: Any, cls: type) -> Any:
+    if type(value) is not cls:
+        raise _WrongTypeError(value, EXPECTED[cls])
+    return value
+
+
+class _WrongTypeError(Exception):
+    def __init__(self, value: Any, expected: str) -> None:
+        super().__init__(expected)
+        self.value = value
+        self.expected = expected
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for cls in EXPECTED:
+        converter.register_structure_hook(cls, _check_simple)
+    for hint in (str | None, int | None):
+        converter.register_structure_hook(hint, _check_optional)
+    for record in (EntryHost, Listen, EntrySettings, AgentSettings):
+        _require_mapping(converter, record)
+    _require_list(converter, tuple[EntryHost, ...], EntryHost)
+    _require_list(converter, tuple[str, ...], str)
+    return converter
+
+
+def _check_optional(value: Any, hint: Any) -> Any:
+    cls = next(cls for cls in hint.__args__ if cls in EXPECTED)
+    if value is not None and type(value) is not cls:
+        raise _WrongTypeError(value, f"{EXPECTED[cls]} or null")
+    return value
+
+
+def _require_mapping(converter: cattrs.Converter, cls: type) -> None:
+    structure: Any = cattrs.gen.make_dict_structure_fn(
+        cls, converter, _cattrs_forbid_extra_keys=True
+    )
+
+    def check(value: Any, _: type) -> Any:
+        if type(value) is not dict:
+            raise _WrongTypeError(value, "a mapping of keys")
+        return structure(value, cls)
+
+    converter.register_structure_hook(cls, check)
+
+
+def _require_list(converter: cattrs.Converter, hint: Any, item: type) -> None:
+    def check(value: Any, _: Any) -> Any:
+        if type(value) is not list:
+            raise _WrongTypeError(value, "a list")
+        return tuple(converter.structure(value, list[item]))  # type: ignore[valid-type]
+
+    converter.register_structure_hook(hint, check)
+
+
+def _structure(raw: dict[str, Any]) -> Settings:
+    role = raw.get("role")
+    if not isinstance(role, str) or role not in ROLES:
+        raise Mismatch("role", show(role), "entry or agent")
+    cls, keys = ROLES[role]
+    if "timing" in raw:
+        raise _unknown_key("timing", cls, keys)
+    if "data_folder" not in raw and cls is EntrySettings:
+        raise Mismatch("data_folder", "nothing", "a folder or null")
+    timing = {key: raw[key] for key in keys if key in raw}
+    fixed = {key: value for key, value in raw.items() if key not in timing}
+    try:
+        return _CONVERTER.structure({**fixed, "timing": timing}, cls)
+    except (ClassValidationError, IterableValidationError) as exc:
+        raise _first_mismatch(exc, "", (cls, keys)) from exc
+
+
+def _first_mismatch(
+    exc: BaseException, path: str, role: tuple[type, tuple[str, ...]]
+) -> Mismatch:
+    """Find the first wrong key in the converter's tree of errors."""
+    for note in getattr(exc, "__notes__", ()):
+        if isinstance(note, AttributeValidationNote):
+            path = _join(path, note.name)
+        elif isinstance(note, IterableValidationNote):
+            path = _join(path, str(note.index))
+    if isinstance(exc, (ClassValidationError, IterableValidationError)):
+        return _first_mismatch(exc.exceptions[0], path, role)
+    if isinstance(exc, _WrongTypeError):
+        return Mismatch(path, show(exc.value), exc.expected)
+    if isinstance(exc, ForbiddenExtraKeysError):
+        key = min(map(str, exc.extra_fields))
+        cls, keys = role if exc.cl is role[0] else (exc.cl, ())
+        return _unknown_key(_join(path, key), cls, keys)
+    return Mismatch(path, "nothing", "a value")
+
+
+def _join(path: str, key: str) -> str:
+    if path in ("", "timing"):
+        return key
+    return f"{path}.{key}"
+
+
+def _unknown_key(path: str, cls: type, keys: tuple[str, ...]) -> Mismatch:
+    known = [f.name for f in attrs.fields(cls) if f.name != "timing"]
+    return Mismatch(path, "an unknown key", f"one of {', '.join((*known, *keys))}")
+
+
+_CONVERTER = _make_converter()
--- /dev/null
+++ b/packages/daemon/crocuswell_daemon/storage.py
@@ -0,0 +1,446 @@
+"""Durable log and snapshots of an entry host, in one data folder.
+
+The file `log` holds one frame per sync (see `frames`), `snapshot` a single
+one. Both are replaced only by renaming a synced file over them.
+"""
+
+import fcntl
+import os
+from collections.abc import Iterable
+from contextlib import AbstractContextManager
+from functools import singledispatchmethod
+from pathlib import Path
+from types import TracebackType
+from typing import Protocol, Self
+
+import attrs
+
+from crocuswell_core.commands import LogEntry
+from crocuswell_core.effects import EntriesRecord, Record, SnapshotRecord, TermRecord
+from crocuswell_core.errors import ErrorKind
+from crocuswell_core.events import EntryBooted
+from crocuswell_daemon import wire
+from crocuswell_daemon.frames import (
+    MARK_BYTES,
+    StorageError,
+    corrupt,
+    failed,
+    find_frame,
+    header_length,
+    pack_frame,
+    pack_header,
+    read_frame,
+    read_header,
+)
+
+LOG_MAGIC = b"CWLOG001"
+SNAPSHOT_MAGIC = b"CWSNP001"
+LOG, SNAPSHOT, LOCK = "log", "snapshot", "lock"
+TEMPORARY = ".tmp"
+NO_TERM = TermRecord(0, None)
+
+
+class Disk(Protocol):
+    """System calls that can fail; replaced in tests of failures."""
+
+    def write(self, fd: int, data: bytes) -> int:
+        """Write some of the data and return the number of bytes."""
+
+    def fdatasync(self, fd: int) -> None:
+        """Bring a file's data and length to disk."""
+
+    def rename(self, source: Path, target: Path) -> None:
+        """Replace a file by another one."""
+
+
+class SystemDisk:
+    """The operating system's calls."""
+
+    def write(self, fd: int, data: bytes) -> int:
+        """Write some of the data and return the number of bytes."""
+        return os.write(fd, data)
+
+    def fdatasync(self, fd: int) -> None:
+        """Bring a file's data and length to disk."""
+        os.fdatasync(fd)
+
+    def rename(self, source: Path, target: Path) -> None:
+        """Replace a file by another one."""
+        os.rename(source, target)
+
+
+@attrs.frozen
+class TornTail:
+    """An incomplete last frame that was cut off at start."""
+
+    path: str
+    offset: int
+    length: int
+
+
+@attrs.define
+class _Mirror:
+    """What the files hold; the log is rewritten from it."""
+
+    term: TermRecord = NO_TERM
+    snapshot: SnapshotRecord | None = None
+    entries: list[LogEntry] = attrs.Factory(list)
+
+    @property
+    def snapshot_index(self) -> int:
+        return self.snapshot.index if self.snapshot else 0
+
+    def replace_entries(self, entries: tuple[LogEntry, ...]) -> None:
+        """Replace all entries from the first of the new ones on."""
+        if not entries:
+            return
+        position = entries[0].index - self.snapshot_index - 1
+        if not 0 <= position <= len(self.entries):
+            raise ValueError(
+                f"entry {entries[0].index} does not follow entry "
+                f"{self.snapshot_index + len(self.entries)}"
+            )
+        self.entries[position:] = entries
+
+    def install(self, snapshot: SnapshotRecord) -> None:
+        """Replace the log up to the snapshot; see `SnapshotRecord`."""
+        self.entries = _entries_after(self.entries, snapshot)
+        self.snapshot = attrs.evolve(snapshot, state=b"")
+
+
+def _entries_after(entries: list[LogEntry], snapshot: SnapshotRecord) -> list[LogEntry]:
+    for position, entry in enumerate(entries):
+        if entry.index == snapshot.index and entry.term == snapshot.term:
+            return entries[position + 1 :]
+        if entry.index == snapshot.index + 1 and position == 0:
+            return entries
+    return []
+
+
+@attrs.define
+class _Replay:
+    """Records of the log put together again."""
+
+    path: Path
+    term: TermRecord = NO_TERM
+    entries: list[LogEntry] = attrs.Factory(list)
+
+    def take(self, record: Record, offset: int) -> None:
+        """Add one record, which was read at `offset`."""
+        if isinstance(record, TermRecord):
+            self.term = record
+        elif isinstance(record, EntriesRecord) and record.entries:
+            self._replace(record.entries, offset)
+
+    def _replace(self, entries: tuple[LogEntry, ...], offset: int) -> None:
+        first = entries[0].index
+        position = first - self.entries[0].index if self.entries else 0
+        if not 0 <= position <= len(self.entries):
+            raise corrupt(
+                self.path, offset, f"entry {first} does not follow the one before"
+            )
+        self.entries[position:] = entries
+
+
+class VolatileStorage:
+    """For an entry host without a disk: it starts empty each time."""
+
+    torn: TornTail | None = None
+
+    def load(self) -> EntryBooted:
+        """Return an empty state."""
+        return EntryBooted()
+
+    def append(self, records: Iterable[Record]) -> None:
+        """Do nothing."""
+
+    def sync(self) -> None:
+        """Do nothing."""
+
+
+class Storage(AbstractContextManager["Storage"]):
+    """The data folder of one process; use as a context manager.
+
+    After a failed write or sync every further call fails as well, because
+    the kernel may have dropped the unwritten pages.
+
+    Parameters
+    ----------
+    folder : Path
+        The data folder; created if its parent exists.
+    """
+
+    def __init__(self, folder: Path, disk: Disk | None = None) -> None:
+        self._folder = folder
+        self._disk = disk or SystemDisk()
+        self._mirror = _Mirror()
+        self._pending: list[bytes] = []
+        self._log_fd = -1
+        self._lock_fd = -1
+        self._mark = b""
+        self._failure: StorageError | None = None
+        self.torn: TornTail | None = None
+
+    def __enter__(self) -> Self:
+        """Create the folder if needed and lock it."""
+        try:
+            self._folder.mkdir(exist_ok=True)
+            self._lock_fd = os.open(
+                self._folder / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600
+            )
+            fcntl.flock(self._lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as exc:
+            self._close()
+            raise StorageError(
+                ErrorKind.STORAGE_FAILED,
+                f"{self._folder}: another process uses this data folder",
+            ) from exc
+        except OSError as exc:
+            self._close()
+            raise failed(f"open {self._folder}", exc) from exc
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Close the files and release the lock."""
+        self._close()
+
+    def load(self) -> EntryBooted:
+        """Read snapshot and log, and cut off a torn tail.
+
+        Raises
+        ------
+        StorageError
+            If a file is damaged or can't be read or written.
+        """
+        try:
+            return self._load()
+        except OSError as exc:
+            raise self._fail(f"read {self._folder}", exc) from exc
+
+    def append(self, records: Iterable[Record]) -> None:
+        """Take records for the next `sync`, in order.
+
+        Raises
+        ------
+        StorageError
+            If a snapshot among the records can't be written.
+        """
+        self._check()
+        for record in records:
+            self._take(record)
+
+    def sync(self) -> None:
+        """Write the records taken so far as one frame and sync it.
+
+        Raises
+        ------
+        StorageError
+            If the disk is full or the sync fails.
+        """
+        self._check()
+        if not self._pending:
+            return
+        frame = pack_frame(self._mark, self._pending)
+        self._pending.clear()
+        try:
+            self._write(self._log_fd, frame)
+            self._disk.fdatasync(self._log_fd)
+        except OSError as exc:
+            raise self._fail(f"write {self._folder / LOG}", exc) from exc
+
+    # --- records ---------------------------------------------------------
+
+    @singledispatchmethod
+    def _take(self, record: Record) -> None:
+        raise TypeError(type(record).__name__)
+
+    @_take.register
+    def _(self, record: TermRecord) -> None:
+        self._mirror.term = record
+        self._pending.append(wire.encode(record))
+
+    @_take.register
+    def _(self, record: EntriesRecord) -> None:
+        self._mirror.replace_entries(record.entries)
+        self._pending.append(wire.encode(record))
+
+    @_take.register
+    def _(self, record: SnapshotRecord) -> None:
+        if record.index <= self._mirror.snapshot_index:
+            return
+        self.sync()
+        try:
+            self._write_file(SNAPSHOT, SNAPSHOT_MAGIC, [wire.encode(record)])
+            self._mirror.install(record)
+            self._rewrite_log()
+        except OSError as exc:
+            raise self._fail(f"write {self._folder / SNAPSHOT}", exc) from exc
+
+    # --- files -----------------------------------------------------------
+
+    def _check(self) -> None:
+        if self._failure:
+            raise self._failure
+
+    def _fail(self, action: str, exc: OSError) -> StorageError:
+        self._failure = failed(action, exc)
+        return self._failure
+
+    def _write(self, fd: int, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            view = view[self._disk.write(fd, view) :]  # type: ignore[arg-type]
+
+    def _write_file(self, name: str, magic: bytes, records: list[bytes]) -> bytes:
+        """Write a whole file under a temporary name and rename it."""
+        mark = os.urandom(MARK_BYTES)
+        data = pack_header(magic, mark)
+        if records:
+            data += pack_frame(mark, records)
+        temporary = self._folder / (name + TEMPORARY)
+        fd = os.open(
+            temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600
+        )
+        try:
+            self._write(fd, data)
+            self._disk.fdatasync(fd)
+        finally:
+            os.close(fd)
+        self._disk.rename(temporary, self._folder / name)
+        self._sync_folder()
+        return mark
+
+    def _sync_folder(self) -> None:
+        fd = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        try:
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+
+    def _rewrite_log(self) -> None:
+        """Replace the log by one that holds only what the mirror holds."""
+        mirror = self._mirror
+        records: list[bytes] = []
+        if mirror.term != NO_TERM:
+            records.append(wire.encode(mirror.term))
+        if mirror.entries:
+            records.append(wire.encode(EntriesRecord(tuple(mirror.entries))))
+        self._mark = self._write_file(LOG, LOG_MAGIC, records)
+        self._open_log()
+
+    def _open_log(self) -> None:
+        if self._log_fd >= 0:
+            os.close(self._log_fd)
+        self._log_fd = os.open(
+            self._folder / LOG, os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC
+        )
+
+    def _close(self) -> None:
+        for fd in (self._log_fd, self._lock_fd):
+            if fd >= 0:
+                os.close(fd)
+        self._log_fd = self._lock_fd = -1
+
+    # --- load ------------------------------------------------------------
+
+    def _load(self) -> EntryBooted:
+        snapshot = self._read_snapshot()
+        if snapshot:
+            self._mirror.snapshot = attrs.evolve(snapshot, state=b"")
+        path = self._folder / LOG
+        if path.exists():
+            stale = self._replay_log(path, path.read_bytes())
+            self._open_log()
+        elif snapshot:
+            raise corrupt(path, 0, "the log is missing, and with it term and vote")
+        else:
+            stale = True
+        if stale:
+            self._rewrite_log()
+        return self._booted(snapshot)
+
+    def _booted(self, snapshot: SnapshotRecord | None) -> EntryBooted:
+        term, entries = self._mirror.term, tuple(self._mirror.entries)
+        if snapshot is None:
+            return EntryBooted(term.term, term.voted_for, entries=entries)
+        try:
+            state = wire.decode_state(snapshot.state)
+        except wire.CodecError as exc:
+            raise corrupt(self._folder / SNAPSHOT, 0, str(exc)) from exc
+        return EntryBooted(
+            term=term.term,
+            voted_for=term.voted_for,
+            snapshot_index=snapshot.index,
+            snapshot_term=snapshot.term,
+            snapshot_state=state,
+            hosts=snapshot.hosts,
+            voters=snapshot.voters,
+            entries=entries,
+        )
+
+    def _read_snapshot(self) -> SnapshotRecord | None:
+        path = self._folder / SNAPSHOT
+        if not path.exists():
+            return None
+        data = path.read_bytes()
+        mark = read_header(path, data, SNAPSHOT_MAGIC)
+        start = header_length(SNAPSHOT_MAGIC)
+        records, end = read_frame(path, data, start, mark)
+        if len(records) != 1 or end != len(data):
+            raise corrupt(path, start, "the snapshot is damaged")
+        if not isinstance(records[0], SnapshotRecord):
+            raise corrupt(path, start, "the file is not a snapshot")
+        return records[0]
+
+    def _replay_log(self, path: Path, data: bytes) -> bool:
+        """Read the log into the mirror and cut off a torn tail.
+
+        Returns
+        -------
+        bool
+            Whether the log holds what the snapshot replaces, as after a
+            crash between writing the snapshot and the log.
+        """
+        self._mark = read_header(path, data, LOG_MAGIC)
+        offset = header_length(LOG_MAGIC)
+        replay = _Replay(path)
+        while offset < len(data):
+            records, end = read_frame(path, data, offset, self._mark)
+            if not records:
+                self._cut_tail(path, data, offset)
+                break
+            for record in records:
+                replay.take(record, offset)
+            offset = end
+        mirror = self._mirror
+        mirror.term = replay.term
+        mirror.entries = replay.entries
+        if mirror.snapshot:
+            mirror.entries = _entries_after(replay.entries, mirror.snapshot)
+        if mirror.entries and mirror.entries[0].index != mirror.snapshot_index + 1:
+            raise corrupt(
+                path,
+                header_length(LOG_MAGIC),
+                f"the log starts at entry {mirror.entries[0].index}, but the "
+                f"snapshot ends at {mirror.snapshot_index}",
+            )
+        return len(mirror.entries) != len(replay.entries)
+
+    def _cut_tail(self, path: Path, data: bytes, offset: int) -> None:
+        following = find_frame(data, offset + 1, self._mark)
+        if following is not None:
+            raise corrupt(
+                path, offset, f"damaged record before a valid one at {following}"
+            )
+        self.torn = TornTail(str(path), offset, len(data) - offset)
+        fd = os.open(path, os.O_WRONLY | os.O_CLOEXEC)
+        try:
+            os.ftruncate(fd, offset)
+            os.fsync(fd)
+        finally:
+            os.close(fd)
--- /dev/null
+++ b/packages/daemon/crocuswell_daemon/timer_service.py
@@ -0,0 +1,59 @@
+"""One-shot timers on the event loop."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import AbstractContextManager
+from types import TracebackType
+
+from crocuswell_core.events import Event, TimerFired
+from crocuswell_core.timers import Timer
+
+
+class TimerService(AbstractContextManager["TimerService"]):
+    """Posts `TimerFired` once for each subscription.
+
+    A timer that is already in the event queue still arrives after it was
+    cancelled or replaced, so handlers check that they are due.
+
+    Parameters
+    ----------
+    post : callable
+        Takes the event; called on the event loop.
+    loop : asyncio.AbstractEventLoop
+        Loop on which all methods are called.
+    """
+
+    def __init__(
+        self, post: Callable[[Event], None], loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self._post = post
+        self._loop = loop
+        self._handles: dict[Timer, asyncio.TimerHandle] = {}
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Cancel all timers."""
+        for handle in self._handles.values():
+            handle.cancel()
+        self._handles.clear()
+
+    def start(self, timer: Timer, delay_ms: int) -> None:
+        """Fire in `delay_ms` ms, in place of an earlier subscription."""
+        self.cancel(timer)
+        self._handles[timer] = self._loop.call_later(
+            max(0, delay_ms) / 1_000, self._fire, timer
+        )
+
+    def cancel(self, timer: Timer) -> None:
+        """End a subscription, if there is one."""
+        handle = self._handles.pop(timer, None)
+        if handle is not None:
+            handle.cancel()
+
+    def _fire(self, timer: Timer) -> None:
+        del self._handles[timer]
+        self._post(TimerFired(timer))
--- /dev/null
+++ b/packages/daemon/crocuswell_daemon/wire.py
@@ -0,0 +1,271 @@
+"""Codec: values of the core to msgpack and back.
+
+Each `attrs` object becomes an array of its class's tag and its fields in
+order, an enum its value, and a dict an array of pairs. The decoder follows
+the declared types of the fields, so that a malformed message can't reach
+the core.
+
+During a rolling upgrade, an absent trailing field takes its default and an
+unknown trailing field is ignored. New fields are therefore added at the
+end, with a default.
+"""
+
+import enum
+import math
+import types
+import typing
+from collections.abc import Callable
+from functools import cache
+from operator import attrgetter
+from typing import Any
+
+import attrs
+import msgpack
+
+from crocuswell_core.state import STATE_VERSION, ClusterState
+from crocuswell_daemon.tags import TAG_OF, TAGGED
+
+_BIG_INT = 1
+_BIG_INT_BYTES = 64
+
+Decoder = Callable[[Any], Any]
+
+
+class CodecError(Exception):
+    """The data is not a message, or the value can't be encoded."""
+
+
+def encode(message: object) -> bytes:
+    """Encode a value of one of the tagged classes.
+
+    Raises
+    ------
+    CodecError
+        If the value or a part of it is of an unknown class.
+    """
+    try:
+        return msgpack.packb(message, default=_flatten, unicode_errors="surrogatepass")
+    except (TypeError, ValueError, OverflowError, AttributeError) as exc:
+        raise CodecError(f"cannot encode {type(message).__name__}: {exc}") from exc
+
+
+def decode(data: bytes, expected: Any = None) -> Any:
+    """Decode one value.
+
+    Parameters
+    ----------
+    data : bytes
+        Output of `encode`.
+    expected : type or union of types, optional
+        Class of the value, such as `PeerMessage`; any tagged class if None.
+
+    Raises
+    ------
+    CodecError
+        If the data is malformed, incomplete or of another class.
+    """
+    try:
+        value = msgpack.unpackb(
+            data,
+            use_list=False,
+            ext_hook=_unpack_ext,
+            unicode_errors="surrogatepass",
+            max_map_len=0,
+        )
+        if expected is not None:
+            return _decoder(expected)(value)
+        return _class_decoder(_class_of(value))(value)
+    except CodecError:
+        raise
+    except (ValueError, TypeError, OverflowError, RecursionError) as exc:
+        raise CodecError(f"malformed data: {exc!r}") from exc
+
+
+def decode_state(data: bytes) -> ClusterState:
+    """Decode the `ClusterState` of a snapshot.
+
+    Raises
+    ------
+    CodecError
+        If it is malformed or written by a version that this one can't read.
+    """
+    state = decode(data, ClusterState)
+    if state.version != STATE_VERSION:
+        raise CodecError(
+            f"state has version {state.version}, this program reads {STATE_VERSION}"
+        )
+    return state
+
+
+# --- encoding ------------------------------------------------------------
+
+
+def _flatten(value: Any) -> Any:
+    """Replace an object that msgpack doesn't know by one that it does."""
+    if isinstance(value, enum.Enum):
+        return value.value
+    if isinstance(value, int):
+        return _pack_big_int(value)
+    cls: Any = type(value)
+    return _flattener(cls)(value)
+
+
+def _pack_big_int(value: int) -> msgpack.ExtType:
+    # Numbers from JSON are unbounded, and one beyond 64 bits must not stop
+    # the host that logs it.
+    size = value.bit_length() // 8 + 1
+    if size > _BIG_INT_BYTES:
+        raise OverflowError("integer is too large")
+    return msgpack.ExtType(_BIG_INT, value.to_bytes(size, "big", signed=True))
+
+
+@cache
+def _flattener(cls: type) -> Callable[[Any], tuple[Any, ...]]:
+    if cls not in TAG_OF:
+        raise TypeError(f"{cls.__name__} has no tag")
+    tag = TAG_OF[cls]
+    fields = attrs.fields(cls)
+    if not fields:
+        return lambda value: (tag,)
+    names = [field.name for field in fields]
+    if any(typing.get_origin(field.type) is dict for field in fields):
+        return lambda value: (tag, *(_pairs(getattr(value, n)) for n in names))
+    get = attrgetter(*names)
+    if len(names) == 1:
+        return lambda value: (tag, get(value))
+    return lambda value: (tag, *get(value))
+
+
+def _pairs(value: Any) -> Any:
+    if type(value) is not dict:
+        return value
+    return tuple((key, _pairs(item)) for key, item in value.items())
+
+
+# --- decoding ------------------------------------------------------------
+
+
+def _unpack_ext(code: int, data: bytes) -> int:
+    if code != _BIG_INT or not 0 < len(data) <= _BIG_INT_BYTES:
+        raise CodecError(f"unknown extension {code}")
+    return int.from_bytes(data, "big", signed=True)
+
+
+def _mismatch(value: Any, expected: str) -> CodecError:
+    return CodecError(f"found {type(value).__name__}, expected {expected}")
+
+
+def _class_of(value: Any) -> type:
+    if type(value) is not tuple or not value or type(value[0]) is not int:
+        raise _mismatch(value, "a tagged array")
+    tag = value[0]
+    cls = TAGGED[tag] if 0 <= tag < len(TAGGED) else None
+    if cls is None:
+        raise CodecError(f"unknown tag {tag}")
+    return cls
+
+
+def _exact(cls: type) -> Decoder:
+    def check(value: Any) -> Any:
+        if type(value) is not cls:
+            raise _mismatch(value, cls.__name__)
+        return value
+
+    return check
+
+
+def _decode_float(value: Any) -> float:
+    if type(value) not in (float, int) or not math.isfinite(value):
+        raise _mismatch(value, "a finite number")
+    return float(value)
+
+
+@cache
+def _decoder(hint: Any) -> Decoder:
+    """Build the decoder of a declared type."""
+    if hint is None:
+        return _exact(types.NoneType)
+    if hint is float:
+        return _decode_float
+    if hint in (int, str, bytes, bool, types.NoneType):
+        return _exact(hint)
+    origin = typing.get_origin(hint)
+    if origin in (types.UnionType, typing.Union):
+        return _union_decoder(typing.get_args(hint))
+    if origin in (tuple, list):
+        return _sequence_decoder(origin, typing.get_args(hint)[0])
+    if origin is dict:
+        return _dict_decoder(*typing.get_args(hint))
+    if isinstance(hint, type) and issubclass(hint, enum.Enum):
+        return _enum_decoder(hint)
+    return _class_decoder(hint)
+
+
+def _union_decoder(hints: tuple[Any, ...]) -> Decoder:
+    classes = {h: _decoder(h) for h in hints if h in TAG_OF}
+    plain = {h: _decoder(h) for h in hints if h not in TAG_OF}
+
+    def decode_union(value: Any) -> Any:
+        found = type(value)
+        if found is tuple:
+            found = _class_of(value)
+            if found in classes:
+                return classes[found](value)
+        elif found in plain:
+            return plain[found](value)
+        raise CodecError(f"{found.__name__} is not permitted here")
+
+    return decode_union
+
+
+def _sequence_decoder(origin: type, item: Any) -> Decoder:
+    decode_item = _decoder(item)
+
+    def decode_sequence(value: Any) -> Any:
+        if type(value) is not tuple:
+            raise _mismatch(value, "an array")
+        return origin(map(decode_item, value))
+
+    return decode_sequence
+
+
+def _dict_decoder(key: Any, item: Any) -> Decoder:
+    decode_key, decode_item = _decoder(key), _decoder(item)
+
+    def decode_dict(value: Any) -> Any:
+        if type(value) is not tuple:
+            raise _mismatch(value, "an array of pairs")
+        table = {decode_key(k): decode_item(v) for k, v in value}
+        if len(table) != len(value):
+            raise CodecError("a key occurs twice")
+        return table
+
+    return decode_dict
+
+
+def _enum_decoder(cls: type[enum.Enum]) -> Decoder:
+    members = {member.value: member for member in cls}
+
+    def decode_enum(value: Any) -> enum.Enum:
+        if type(value) is not str or value not in members:
+            raise _mismatch(value, cls.__name__)
+        return members[value]
+
+    return decode_enum
+
+
+@cache
+def _class_decoder(cls: type) -> Decoder:
+    tag = TAG_OF[cls]
+    fields = attrs.fields(cls)
+    decoders = tuple(_decoder(field.type) for field in fields)
+    required = 1 + sum(field.default is attrs.NOTHING for field in fields)
+
+    def decode_object(value: Any) -> Any:
+        if type(value) is not tuple or len(value) < required:
+            raise _mismatch(value, f"{required - 1} or more fields of {cls.__name__}")
+        if type(value[0]) is not int or value[0] != tag:
+            raise CodecError(f"expected the tag of {cls.__name__}")
+        return cls(*[dec(item) for dec, item in zip(decoders, value[1:], strict=False)])
+
+    return decode_object
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,285 @@
+"""Guards against lost fields, and malformed messages that reach the core."""
+
+import enum
+import inspect
+import types
+import typing
+
+import attrs
+import msgpack
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from crocuswell_core import commands, configuration, messages, records, resources
+from crocuswell_core.commands import AdvanceTime, Command, LogEntry, Proposal
+from crocuswell_core.effects import Record
+from crocuswell_core.messages import (
+    AgentHeartbeat,
+    AgentMessage,
+    Append,
+    EntryMessage,
+    PeerMessage,
+    TimeoutNow,
+    VoteReply,
+)
+from crocuswell_core.records import AttemptId, JobSpec, WorkerMode
+from crocuswell_core.resources import Resources
+from crocuswell_core.state import ClusterState, WorkerRoom
+from crocuswell_daemon import tags, wire
+from crocuswell_daemon.wire import CodecError
+
+REPEATABLE = settings(derandomize=True, deadline=None, database=None)
+ROOTS = (Command, Record, PeerMessage, AgentMessage, EntryMessage, ClusterState)
+
+st.register_type_strategy(float, st.floats(allow_nan=False, allow_infinity=False))
+st.register_type_strategy(str, st.text(max_size=8))
+st.register_type_strategy(bytes, st.binary(max_size=8))
+
+MESSAGES = st.one_of([st.from_type(root) for root in ROOTS])
+
+
+def reachable_classes(hint: typing.Any, seen: set[type]) -> set[type]:
+    if isinstance(hint, types.UnionType) or typing.get_origin(hint):
+        for argument in typing.get_args(hint):
+            reachable_classes(argument, seen)
+    elif attrs.has(hint) and hint not in seen:
+        seen.add(hint)
+        for field in attrs.fields(hint):
+            reachable_classes(field.type, seen)
+    return seen
+
+
+def test_every_class_that_can_travel_has_a_tag() -> None:
+    """Guards against a new message or command that can't be sent."""
+    reachable = set().union(*(reachable_classes(root, set()) for root in ROOTS))
+    missing = {cls.__name__ for cls in reachable - set(tags.TAG_OF)}
+    assert not missing
+
+
+def test_classes_of_the_shared_modules_have_tags() -> None:
+    """Guards against a class that is left out of its union."""
+    for module in (commands, configuration, records, resources):
+        for _, cls in inspect.getmembers(module, inspect.isclass):
+            if attrs.has(cls) and cls.__module__ == module.__name__:
+                assert cls in tags.TAG_OF, cls
+
+
+def test_tags_of_released_classes_do_not_move() -> None:
+    """Guards against logs that another version reads as other classes."""
+    assert tags.TAG_OF[Resources] == 0
+    assert tags.TAG_OF[LogEntry] == 37
+    assert tags.TAG_OF[messages.VoteRequest] == 44
+    assert tags.TAG_OF[messages.Goodbye] == 69
+    assert tags.TAG_OF[ClusterState] == 75
+
+
+@given(MESSAGES)
+@settings(REPEATABLE, max_examples=400)
+def test_decoding_restores_every_field(message: typing.Any) -> None:
+    """Guards against a field that is lost or changed on the way."""
+    data = wire.encode(message)
+    assert wire.decode(data) == message
+    assert wire.decode(data, type(message)) == message
+
+
+@given(st.binary(max_size=200))
+@settings(REPEATABLE, max_examples=2_000)
+def test_random_bytes_raise_only_codec_errors(data: bytes) -> None:
+    """Guards against a stream that an arbitrary sender can break."""
+    try:
+        wire.decode(data)
+    except CodecError:
+        return
+
+
+@given(MESSAGES, st.data())
+@settings(REPEATABLE, max_examples=1_500)
+def test_changed_bytes_give_a_valid_message_or_a_codec_error(
+    message: typing.Any, data: st.DataObject
+) -> None:
+    """Guards against values of the wrong type in the core."""
+    encoded = bytearray(wire.encode(message))
+    for _ in range(data.draw(st.integers(1, 3))):
+        position = data.draw(st.integers(0, len(encoded) - 1))
+        encoded[position] = data.draw(st.integers(0, 255))
+    check_decoded(bytes(encoded))
+
+
+JUNK = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**64), 2**64)
+    | st.floats()
+    | st.text(max_size=5)
+    | st.binary(max_size=5)
+    | st.sampled_from([mode.value for mode in WorkerMode])
+    | st.builds(msgpack.ExtType, st.integers(0, 127), st.binary(max_size=80)),
+    lambda inner: (
+        st.lists(inner, max_size=6)
+        | st.dictionaries(st.text(max_size=3) | st.integers(0, 9), inner, max_size=2)
+        | st.builds(
+            lambda tag, rest: [tag, *rest],
+            st.integers(0, len(tags.TAGGED)),
+            st.lists(inner, max_size=8),
+        )
+    ),
+    max_leaves=30,
+)
+
+
+@given(st.integers(0, len(tags.TAGGED)), st.lists(JUNK, max_size=9))
+@settings(REPEATABLE, max_examples=2_000)
+def test_fields_of_the_wrong_type_raise_codec_errors(
+    tag: int, fields: list[typing.Any]
+) -> None:
+    """Guards against well-formed msgpack that is not a message."""
+    try:
+        data = msgpack.packb([tag, *fields])
+    except OverflowError:
+        return
+    check_decoded(data)
+
+
+def check_decoded(data: bytes) -> None:
+    try:
+        decoded = wire.decode(data)
+    except CodecError:
+        return
+    check_types(decoded, type(decoded))
+    assert wire.decode(wire.encode(decoded)) == decoded
+
+
+def check_types(value: typing.Any, hint: typing.Any) -> None:
+    if isinstance(hint, types.UnionType):
+        hint = next(h for h in typing.get_args(hint) if fits(value, h))
+    origin, arguments = typing.get_origin(hint), typing.get_args(hint)
+    assert fits(value, hint)
+    if origin in (tuple, list):
+        for item in value:
+            check_types(item, arguments[0])
+    elif origin is dict:
+        for key, item in value.items():
+            check_types(key, arguments[0])
+            check_types(item, arguments[1])
+    elif attrs.has(type(value)):
+        for field in attrs.fields(type(value)):
+            check_types(getattr(value, field.name), field.type)
+
+
+def fits(value: typing.Any, hint: typing.Any) -> bool:
+    return type(value) is (typing.get_origin(hint) or hint or types.NoneType)
+
+
+@pytest.mark.parametrize(
+    ("message", "position", "wrong"),
+    [
+        (TimeoutNow(3), 1, True),
+        (TimeoutNow(3), 1, 3.0),
+        (TimeoutNow(3), 1, None),
+        (VoteReply(1, True, False), 2, 1),
+        (commands.CancelRequests("w"), 1, b"w"),
+        (commands.CancelRequests("w"), 2, "w"),
+        (commands.SetWorkerMode("w", WorkerMode.ACTIVE), 2, "unheard of"),
+        (Append(1, 0, 0, (), 0, 1), 4, [[0, 1, 2, 3]]),
+        (configuration.Preset("p"), 2, float("nan")),
+        (JobSpec(), 5, False),
+    ],
+)
+def test_a_field_of_a_near_type_is_refused(
+    message: object, position: int, wrong: object
+) -> None:
+    """Guards against `bool` as `int`, and the like, in the core."""
+    fields = msgpack.unpackb(wire.encode(message))
+    fields[position] = wrong
+    with pytest.raises(CodecError):
+        wire.decode(msgpack.packb(fields))
+
+
+def test_a_message_of_another_kind_is_refused() -> None:
+    """Guards against an agent that sends what only hosts may send."""
+    data = wire.encode(TimeoutNow(1))
+    assert wire.decode(data, PeerMessage) == TimeoutNow(1)
+    with pytest.raises(CodecError):
+        wire.decode(data, AgentMessage)
+
+
+def test_absent_trailing_fields_take_their_defaults() -> None:
+    """Guards against a rolling upgrade that breaks old senders."""
+    fields = msgpack.unpackb(wire.encode(AgentHeartbeat(7, 3)))
+    assert wire.decode(msgpack.packb(fields[:3])) == AgentHeartbeat(7, 3)
+    with pytest.raises(CodecError):
+        wire.decode(msgpack.packb(fields[:2]))
+
+
+def test_unknown_trailing_fields_are_ignored() -> None:
+    """Guards against a rolling upgrade that breaks old receivers."""
+    fields = msgpack.unpackb(wire.encode(AgentHeartbeat(7, 3)))
+    assert wire.decode(msgpack.packb([*fields, "new"])) == AgentHeartbeat(7, 3)
+
+
+def test_a_state_of_another_version_is_refused() -> None:
+    """Guards against reading a newer snapshot with older meaning."""
+    newer = ClusterState(version=ClusterState().version + 1)
+    with pytest.raises(CodecError, match="version"):
+        wire.decode_state(wire.encode(newer))
+
+
+def test_tables_keep_their_order_and_their_keys() -> None:
+    """Guards against hosts that differ after installing a snapshot."""
+    state = ClusterState()
+    state.queues["w"] = {"b": None, "a": None}
+    state.rooms["x"] = WorkerRoom(
+        Resources(), 8, [3, 1], {AttemptId("r", 2): 1, AttemptId("a", 1): 2}
+    )
+    decoded = wire.decode_state(wire.encode(state))
+    assert decoded == state
+    assert list(decoded.queues["w"]) == ["b", "a"]
+    assert list(decoded.rooms["x"].attempts) == list(state.rooms["x"].attempts)
+
+
+@pytest.mark.parametrize("number", [2**64, -(2**63) - 1, 10**30, 2**63 + 2**62])
+def test_numbers_beyond_64_bits_survive(number: int) -> None:
+    """Guards against a caller whose number stops every host that logs it."""
+    spec = JobSpec(deadline_ms=number)
+    assert wire.decode(wire.encode(spec)) == spec
+
+
+def test_lone_surrogates_survive() -> None:
+    """Guards against a caller whose text stops every host that logs it."""
+    command = commands.CancelRequests("\ud800")
+    assert wire.decode(wire.encode(command)) == command
+
+
+@pytest.mark.parametrize(
+    "value", [object(), {"a": 1}.keys(), JobSpec(payload=object())]
+)
+def test_values_without_a_tag_raise_codec_errors(value: object) -> None:
+    """Guards against other exceptions out of the codec."""
+    with pytest.raises(CodecError):
+        wire.encode(value)
+
+
+def test_deep_nesting_raises_a_codec_error() -> None:
+    """Guards against a message that exhausts the stack."""
+    with pytest.raises(CodecError):
+        wire.decode(b"\x91" * 100_000)
+
+
+def test_a_forged_length_does_not_allocate() -> None:
+    """Guards against a short message that claims 4 G elements."""
+    with pytest.raises(CodecError):
+        wire.decode(b"\xdd\xff\xff\xff\xff")
+
+
+def test_a_small_command_stays_small() -> None:
+    """Guards against names in messages; a node has 4 KB/s for control."""
+    entry = LogEntry(1, 1, 1, Proposal("", "", AdvanceTime()))
+    assert len(wire.encode(entry)) < 20
+
+
+def test_enums_travel_as_text() -> None:
+    """Guards against enum classes whose values the codec can't carry."""
+    for cls in (records, resources, messages):
+        for _, item in inspect.getmembers(cls, inspect.isclass):
+            if issubclass(item, enum.Enum):
+                assert all(type(member.value) is str for member in item)
