--- a/packages/core/crocuswell_core/effects.py
+++ b/packages/core/crocuswell_core/effects.py
@@ -64,6 +64,10 @@
 class SaveSnapshot:
     """Write a snapshot and drop the log up to `index`.
 
+    It takes its place in order among the `Persist` effects of its batch
+    and is on disk before any message of that batch is sent: entries that
+    follow a snapshot must not reach the disk before it.
+
     Attributes
     ----------
     state : object
@@ -105,6 +109,13 @@
     round: int
 
 
+@attrs.frozen
+class SetPeers:
+    """Keep links to these entry hosts and to no others."""
+
+    hosts: tuple[EntryHost, ...]
+
+
 @attrs.frozen
 class SendAgent:
     """Send on an agent's stream; may be lost."""
@@ -244,7 +255,30 @@
     request_id: str
 
 
-ClusterEffect = OrderWorker | RequestEnded | Count | Observe | LogChange
+@attrs.frozen
+class WorkerAnnounced:
+    """A worker's announcement was applied; its agent gets a `Welcome`."""
+
+    worker: str
+
+
+@attrs.frozen
+class ReportsRecorded:
+    """Reports of a worker up to `sequence` were applied."""
+
+    worker: str
+    sequence: int
+
+
+ClusterEffect = (
+    OrderWorker
+    | RequestEnded
+    | WorkerAnnounced
+    | ReportsRecorded
+    | Count
+    | Observe
+    | LogChange
+)
 
 
 @attrs.frozen
@@ -279,6 +313,7 @@
     | SaveSnapshot
     | SendPeer
     | SendSnapshot
+    | SetPeers
     | SendAgent
     | CloseAgentStream
     | AnswerCall
