Join the edges, the agent's parts and the runtime in both mains

Change: entry_main and agent_main build the real parts; the table of metrics holds the counters in use; SetPeers goes to the peer links; the codec knows the agenda's classes.

--- a/packages/daemon/crocuswell_daemon/agent_main.py
+++ b/packages/daemon/crocuswell_daemon/agent_main.py
@@ -5,27 +5,24 @@
 import os
 import random
 import sys
-from collections.abc import Callable
-from contextlib import AbstractAsyncContextManager, AsyncExitStack
+from contextlib import AsyncExitStack
+from functools import partial
 
 import attrs
 import msgpack
 
 from crocuswell_core.effects import Halt
 from crocuswell_core.events import AgentBooted, AgentStopRequested
+from crocuswell_core.messages import EntryMessage
 from crocuswell_core.reducer import reduce
 from crocuswell_core.state import AgentState
-from crocuswell_daemon import logs
+from crocuswell_daemon import logs, wire
+from crocuswell_daemon.backend_client import BackendClient
 from crocuswell_daemon.counters import PlainCounters
-from crocuswell_daemon.interpreter import (
-    AgentParts,
-    BackendCaller,
-    EntryStreams,
-    Interpreter,
-)
+from crocuswell_daemon.entry_stream import EntryLink
+from crocuswell_daemon.interpreter import AgentParts, Interpreter
 from crocuswell_daemon.process import (
     EXIT_FAULT,
-    Post,
     choose_seed,
     halt_at_start,
     log_start,
@@ -39,14 +36,6 @@
 SETTINGS_VARIABLE = "CROCUSWELL_AGENT_SETTINGS"
 
 
-@attrs.frozen
-class AgentFactories:
-    """Makers of the parts that talk to the network."""
-
-    entry: Callable[[AgentSettings, Post], AbstractAsyncContextManager[EntryStreams]]
-    backend: Callable[[AgentSettings, Post], AbstractAsyncContextManager[BackendCaller]]
-
-
 def pack_settings(settings: AgentSettings) -> str:
     """Return checked settings as text for `SETTINGS_VARIABLE`."""
     return base64.b64encode(msgpack.packb(attrs.asdict(settings))).decode()
@@ -58,24 +47,21 @@
     return AgentSettings(**fields)
 
 
-def run(settings: AgentSettings, factories: AgentFactories) -> int:
+def run(settings: AgentSettings) -> int:
     """Run an agent until it is stopped and return the exit status."""
     logs.configure()
     # Changes at each start, so that entry hosts tell the runs apart.
     incarnation = os.urandom(8).hex()
     log = logs.LogWriter(f"agent-{incarnation}")
     try:
-        halt = asyncio.run(_serve(settings, factories, incarnation, log))
+        halt = asyncio.run(_serve(settings, incarnation, log))
     except OSError as exc:
         halt = halt_at_start(exc)
     return log_stop(log, halt)
 
 
 async def _serve(
-    settings: AgentSettings,
-    factories: AgentFactories,
-    incarnation: str,
-    log: logs.LogWriter,
+    settings: AgentSettings, incarnation: str, log: logs.LogWriter
 ) -> Halt:
     seed = choose_seed(settings.seed)
     cfg = settings.core_config(seed, incarnation)
@@ -86,14 +72,14 @@
         runtime.post(AgentBooted())
         loop = asyncio.get_running_loop()
         timers = stack.enter_context(TimerService(runtime.post, loop))
-        enter = stack.enter_async_context
-        parts = AgentParts(
-            timers=timers,
-            counters=PlainCounters(),
-            log=log,
-            entry=await enter(factories.entry(settings, runtime.post)),
-            backend=await enter(factories.backend(settings, runtime.post)),
+        backend = stack.enter_context(
+            BackendClient(settings.backend_address, runtime.post)
         )
+        decode = partial(wire.decode, expected=EntryMessage)
+        entry = await stack.enter_async_context(
+            EntryLink(wire.encode, decode, runtime.post)
+        )
+        parts = AgentParts(timers, PlainCounters(), log, entry, backend)
         post_on_stop_signals(runtime.post, AgentStopRequested())
         log_start(log, settings.role)
         return await runtime.run(Interpreter(parts))
@@ -105,12 +91,7 @@
     if text is None:
         print("start agents with crocuswelld SETTINGS.yaml", file=sys.stderr)
         return EXIT_FAULT
-    return run(unpack_settings(text), make_factories())
-
-
-def make_factories() -> AgentFactories:
-    """Return the makers of the real parts."""
-    raise NotImplementedError("entry_stream and backend_client are not merged yet")
+    return run(unpack_settings(text))
 
 
 if __name__ == "__main__":
--- a/packages/daemon/crocuswell_daemon/counters.py
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -24,12 +24,35 @@
     buckets: tuple[float, ...] = ()
 
 
-MILLISECONDS = (
-    *(1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 2_200, 5_000, 10_000),
-    *(30_000, 60_000, 300_000, 1_800_000, 3_600_000, 14_400_000, 86_400_000),
+# The bounds contain 2.2 s, the limit for urgent work.
+SECONDS = (
+    *(0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.2, 5.0, 10.0, 30.0, 60.0),
+    *(300.0, 1_800.0, 3_600.0, 14_400.0, 86_400.0),
 )
 
-METRICS: dict[str, Metric] = {}
+METRICS: dict[str, Metric] = {
+    "agent_events_total": Metric("Events counted by agents", ("event",)),
+    "agent_messages_dropped": Metric(
+        "Messages to agents that were not sent", ("reason",)
+    ),
+    "agent_streams_refused": Metric("Agent streams beyond the limit"),
+    "agent_streams_silent_total": Metric("Agent streams closed for silence"),
+    "http_answers_late": Metric("Answers to calls that nobody waited for"),
+    "http_responses": Metric("HTTP responses", ("status",)),
+    "peer_links_lost": Metric("Lost links to entry hosts", ("peer",)),
+    "peer_messages_dropped": Metric(
+        "Messages to entry hosts that were not sent", ("peer", "reason")
+    ),
+    "reports_dropped_total": Metric("Reports without an attempt or outcome to end"),
+    "reports_stale_total": Metric("Reports of an earlier incarnation"),
+    "request_completion_seconds": Metric(
+        "Time from acceptance to outcome", ("workspace",), SECONDS
+    ),
+    "requests_accepted_total": Metric("Accepted requests", ("workspace",)),
+    "requests_ended_total": Metric("Ended requests", ("workspace", "outcome")),
+    "requests_refused_total": Metric("Refused requests", ("workspace", "kind")),
+    "retries_total": Metric("Retries of requests", ("workspace",)),
+}
 
 
 class UnknownMetricError(Exception):
--- a/packages/daemon/crocuswell_daemon/entry_main.py
+++ b/packages/daemon/crocuswell_daemon/entry_main.py
@@ -2,29 +2,23 @@
 
 import asyncio
 import random
-from collections.abc import Callable
-from contextlib import AbstractAsyncContextManager, AsyncExitStack
+from contextlib import AsyncExitStack
+from functools import partial
 from pathlib import Path
 
-import attrs
-from prometheus_client import CollectorRegistry
-
 from crocuswell_core.effects import ChangeLevel, Halt, Label, LogChange
 from crocuswell_core.events import EntryStopRequested
+from crocuswell_core.messages import AgentMessage, PeerMessage
 from crocuswell_core.reducer import reduce
 from crocuswell_core.state import EntryState
-from crocuswell_daemon import logs
+from crocuswell_daemon import logs, wire
+from crocuswell_daemon.agent_streams import AgentListener
 from crocuswell_daemon.frames import StorageError
-from crocuswell_daemon.interpreter import (
-    AgentSender,
-    CallAnswerer,
-    EntryParts,
-    Interpreter,
-    PeerSender,
-)
+from crocuswell_daemon.http_api import CallerListener
+from crocuswell_daemon.interpreter import EntryParts, Interpreter
 from crocuswell_daemon.metrics import Metrics
+from crocuswell_daemon.peers import PeerLinks
 from crocuswell_daemon.process import (
-    Post,
     choose_seed,
     halt_at_start,
     log_start,
@@ -34,27 +28,16 @@
 from crocuswell_daemon.roles import EntrySettings
 from crocuswell_daemon.runtime import Runtime
 from crocuswell_daemon.storage import Storage, TornTail, VolatileStorage
+from crocuswell_daemon.streams import split_address
 from crocuswell_daemon.timer_service import TimerService
 
 
-@attrs.frozen
-class EntryFactories:
-    """Makers of the parts that talk to the network."""
-
-    peers: Callable[[EntrySettings, Post], AbstractAsyncContextManager[PeerSender]]
-    agents: Callable[[EntrySettings, Post], AbstractAsyncContextManager[AgentSender]]
-    callers: Callable[
-        [EntrySettings, Post, CollectorRegistry],
-        AbstractAsyncContextManager[CallAnswerer],
-    ]
-
-
-def run(settings: EntrySettings, factories: EntryFactories) -> int:
+def run(settings: EntrySettings) -> int:
     """Run an entry host until it is stopped and return the exit status."""
     logs.configure()
     log = logs.LogWriter(settings.id)
     try:
-        halt = asyncio.run(_serve(settings, factories, log))
+        halt = asyncio.run(_serve(settings, log))
     except StorageError as exc:
         halt = Halt(exc.kind, str(exc))
     except OSError as exc:
@@ -62,9 +45,7 @@
     return log_stop(log, halt)
 
 
-async def _serve(
-    settings: EntrySettings, factories: EntryFactories, log: logs.LogWriter
-) -> Halt:
+async def _serve(settings: EntrySettings, log: logs.LogWriter) -> Halt:
     seed = choose_seed(settings.seed)
     # Hosts with the same seed must not draw the same election timeouts.
     rng = random.Random(f"{seed}:{settings.id}")
@@ -79,17 +60,35 @@
         runtime.post(booted)
         loop = asyncio.get_running_loop()
         timers = stack.enter_context(TimerService(runtime.post, loop))
-        enter = stack.enter_async_context
-        parts = EntryParts(
-            timers=timers,
-            counters=metrics,
-            log=log,
-            peers=await enter(factories.peers(settings, runtime.post)),
-            agents=await enter(factories.agents(settings, runtime.post)),
-            callers=await enter(
-                factories.callers(settings, runtime.post, metrics.registry)
-            ),
+        peers = await stack.enter_async_context(
+            PeerLinks(
+                settings.id,
+                *split_address(settings.listen.peers),
+                encode=wire.encode,
+                decode=partial(wire.decode, expected=PeerMessage),
+                post=runtime.post,
+                count=metrics.add,
+            )
+        )
+        agents = await stack.enter_async_context(
+            AgentListener(
+                *split_address(settings.listen.agents),
+                encode=wire.encode,
+                decode=partial(wire.decode, expected=AgentMessage),
+                post=runtime.post,
+                count=metrics.add,
+            )
+        )
+        callers = CallerListener(
+            *split_address(settings.listen.callers),
+            post=runtime.post,
+            metrics=metrics.render,
+            count=metrics.add,
         )
+        callers.__enter__()
+        # Its exit waits for threads, and the streams must go on meanwhile.
+        stack.push_async_callback(asyncio.to_thread, callers.__exit__)
+        parts = EntryParts(timers, metrics, log, peers, agents, callers)
         post_on_stop_signals(runtime.post, EntryStopRequested())
         log_start(log, settings.role)
         return await runtime.run(Interpreter(parts))
--- a/packages/daemon/crocuswell_daemon/interpreter.py
+++ b/packages/daemon/crocuswell_daemon/interpreter.py
@@ -8,7 +8,7 @@
 
 from crocuswell_core import effects as fx
 from crocuswell_core.backend import BackendCall
-from crocuswell_core.commands import CommandReply
+from crocuswell_core.commands import CommandReply, EntryHost
 from crocuswell_core.messages import AgentMessage, EntryMessage, PeerMessage
 from crocuswell_core.replies import ReadReply
 from crocuswell_core.timers import Timer
@@ -47,6 +47,9 @@
     def send(self, to: str, message: PeerMessage) -> None:
         """Send without waiting; the message may be lost."""
 
+    def set_hosts(self, hosts: tuple[EntryHost, ...]) -> None:
+        """Keep links to these hosts and to no others."""
+
 
 class AgentSender(Protocol):
     """Agents' streams on an entry host."""
@@ -165,6 +168,11 @@
     parts.peers.send(effect.to, effect.message)
 
 
+@carry_out.register
+def _(effect: fx.SetPeers, parts: EntryParts) -> None:
+    parts.peers.set_hosts(effect.hosts)
+
+
 @carry_out.register
 def _(effect: fx.SendAgent, parts: EntryParts) -> None:
     parts.agents.send(effect.stream_id, effect.message)
--- a/packages/daemon/crocuswell_daemon/logs.py
+++ b/packages/daemon/crocuswell_daemon/logs.py
@@ -31,7 +31,7 @@
         if not LOGGER.isEnabledFor(level):
             return
         ids = (Label("process", self._process), *change.ids)
-        LOGGER.log(level, "change=%s %s", change.change, render(ids))
+        LOGGER.log(level, "change=%s %s", _quote(change.change), render(ids))
 
 
 def render(labels: tuple[Label, ...]) -> str:
@@ -52,6 +52,6 @@
     handler.setFormatter(
         logging.Formatter("time=%(asctime)s level=%(levelname)s %(message)s")
     )
-    LOGGER.addHandler(handler)
+    # Libraries and parts appear from warnings up, changes of state from info.
+    logging.basicConfig(handlers=[handler], level=logging.WARNING)
     LOGGER.setLevel(logging.INFO)
-    LOGGER.propagate = False
--- a/packages/daemon/crocuswell_daemon/main.py
+++ b/packages/daemon/crocuswell_daemon/main.py
@@ -56,7 +56,7 @@
 
 @start.register
 def _(settings: EntrySettings) -> int:
-    return entry_main.run(settings, make_entry_factories())
+    return entry_main.run(settings)
 
 
 @start.register
@@ -72,10 +72,5 @@
     os.execve(sys.executable, arguments, environment)
 
 
-def make_entry_factories() -> entry_main.EntryFactories:
-    """Return the makers of the real parts."""
-    raise NotImplementedError("peers, agent_streams and http_api are not merged yet")
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/packages/daemon/crocuswell_daemon/metrics.py
+++ b/packages/daemon/crocuswell_daemon/metrics.py
@@ -1,8 +1,13 @@
 """Metrics of an entry host, for `prometheus_client`."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Histogram,
+    generate_latest,
+)
 
-from crocuswell_core.effects import Label
+from crocuswell_core.effects import Count, Label
 from crocuswell_daemon.counters import (
     METRICS,
     PREFIX,
@@ -12,6 +17,8 @@
 )
 
 UNKNOWN = "unknown_metric_total"
+# Label values such as an agent's event names come from outside.
+LABEL_SETS = 1_000
 
 
 class Metrics:
@@ -27,14 +34,23 @@
         self.registry = registry or CollectorRegistry()
         self._counters: dict[str, Counter] = {}
         self._histograms: dict[str, Histogram] = {}
+        self._label_sets: dict[str, set[tuple[Label, ...]]] = {}
         for name, metric in METRICS.items():
             self._declare(name, metric)
         self._unknown = Counter(
             PREFIX + UNKNOWN,
-            "Counts of metrics that are not in the table",
+            "Counts with a name, label or number of labels that is not known",
             registry=self.registry,
         )
 
+    def add(self, count: Count) -> None:
+        """Add to a counter; safe from any thread."""
+        self.count(count.counter, count.amount, count.labels)
+
+    def render(self) -> bytes:
+        """Return the body of `/metrics`; safe from any thread."""
+        return generate_latest(self.registry)
+
     def count(self, name: str, amount: int, labels: tuple[Label, ...]) -> None:
         """Add to a counter."""
         counter = self._counters.get(name)
@@ -68,9 +84,15 @@
         )
 
     def _is_known(self, name: str, labels: tuple[Label, ...]) -> bool:
+        known = self._label_sets.setdefault(name, set())
+        if labels in known:
+            return True
         # A missing row must not stop a host; a test finds it beforehand.
         try:
             find_metric(name, labels)
         except UnknownMetricError:
             return False
+        if len(known) >= LABEL_SETS:
+            return False
+        known.add(labels)
         return True
--- a/packages/daemon/crocuswell_daemon/roles.py
+++ b/packages/daemon/crocuswell_daemon/roles.py
@@ -89,6 +89,11 @@
     seed: int | None = None
     timing: dict[str, int] = attrs.Factory(dict)
 
+    @property
+    def backend_address(self) -> str:
+        """`host:port` of the backend server."""
+        return self.backend_server.removeprefix("http://")
+
     def core_config(self, seed: int, incarnation: str) -> AgentConfig:
         """Return the settings that the reducer needs."""
         return AgentConfig(
--- a/packages/daemon/crocuswell_daemon/settings.py
+++ b/packages/daemon/crocuswell_daemon/settings.py
@@ -166,9 +166,10 @@
     def check(value: Any, _: Any) -> Any:
         if type(value) is not list:
             raise _WrongTypeError(value, "a list")
-        return tuple(converter.structure(value, list[item]))  # type: ignore[valid-type]
+        items: Any = list[item]  # type: ignore[valid-type]
+        return tuple(converter.structure(value, items))
 
-    converter.register_structure_hook(hint, check)
+    converter.register_structure_hook_func(lambda found: found == hint, check)
 
 
 def _structure(raw: dict[str, Any]) -> Settings:
--- a/packages/daemon/crocuswell_daemon/tags.py
+++ b/packages/daemon/crocuswell_daemon/tags.py
@@ -89,6 +89,12 @@
     state.AnsweredCommand,
     state.WorkerRoom,
     state.ClusterState,
+    state.RetryDue,
+    state.DeadlineDue,
+    state.ResultDue,
+    state.RecordDue,
+    state.AnswerDue,
+    state.DueItem,
 )
 
 TAG_OF: dict[type, int] = {
