--- a/packages/core/crocuswell_core/liveness.py
+++ b/packages/core/crocuswell_core/liveness.py
@@ -85,7 +85,7 @@
     message = _collect(state)
     if election.holds_lease(state):
         refused = _note_heard(state, message)
-        effects += _confirm(state, message.sequence, refused, state.cluster.number)
+        effects += _confirm(state, message.sequence, refused)
         return effects + _watch_workers(state) + _watch_configuration(state)
     leader = state.consensus.leader
     if leader is not None and leader != state.cfg.host.id:
@@ -105,7 +105,11 @@
 
 @handle_peer.register
 def _(message: LivenessReply, state: EntryState, sender: str) -> list[Effect]:
-    return _confirm(state, message.sequence, message.refused, message.number)
+    # An extension carries this host's run lease, which must not be an older
+    # and longer one than the leader counts with.
+    if message.number > state.cluster.number:
+        return []
+    return _confirm(state, message.sequence, message.refused)
 
 
 def _collect(state: EntryState) -> Liveness:
@@ -145,7 +149,7 @@
 
 
 def _confirm(
-    state: EntryState, sequence: int, refused: tuple[str, ...], number: int
+    state: EntryState, sequence: int, refused: tuple[str, ...]
 ) -> list[Effect]:
     covered = state.liveness_sent.pop(sequence, {})
     effects: list[Effect] = []
@@ -157,7 +161,7 @@
             effects += _refuse(state, session)
             continue
         session.confirmed_sequence = max(session.confirmed_sequence, confirmed)
-        effects += send_heartbeat(state, session, number)
+        effects += send_heartbeat(state, session)
         effects += confirm_session(state, session)
     return effects
 
@@ -178,7 +182,6 @@
 def _watch_workers(state: EntryState) -> list[Effect]:
     """Suspect workers that miss heartbeats; declare the silent ones."""
     effects: list[Effect] = []
-    silent_ms = _longest_run_lease_ms(state) + state.cfg.lease_margin_ms
     for name, worker in state.cluster.workers.items():
         if worker.mode is WorkerMode.SILENT:
             continue
@@ -187,6 +190,8 @@
             heard = HeardWorker(worker.incarnation, state.now_ms)
             state.heard_workers[name] = heard
         age_ms = state.now_ms - heard.heard_ms
+        run_lease_ms = _longest_run_lease_ms(state, heard.number)
+        silent_ms = run_lease_ms + state.cfg.lease_margin_ms
         if age_ms >= silent_ms and state.declared.get(name) != worker.incarnation:
             state.declared[name] = worker.incarnation
             effects += _propose(state, DeclareSilent(name, worker.incarnation))
@@ -197,16 +202,16 @@
     return effects
 
 
-def _longest_run_lease_ms(state: EntryState) -> int:
-    """Return the longest run lease in ms that an agent may still hold."""
-    history = state.cluster.history
-    in_force = state.cluster.number_in_force
-    leases = [
+def _longest_run_lease_ms(state: EntryState, number: int) -> int:
+    """Return the longest run lease in ms of an agent that confirmed `number`.
+
+    It may have received any newer configuration since.
+    """
+    return max(
         change.configuration.limits.run_lease_ms
-        for change in history
-        if change.number >= in_force
-    ]
-    return max(leases, default=state.cluster.configuration.limits.run_lease_ms)
+        for change in state.cluster.history
+        if change.number >= min(number, state.cluster.number)
+    )
 
 
 def _watch_configuration(state: EntryState) -> list[Effect]:
--- a/tests/agent_world.py
+++ b/tests/agent_world.py
@@ -12,6 +12,7 @@
 from functools import singledispatchmethod
 
 import attrs
+
 from crocuswell_core.agent_invariants import check_agent
 from crocuswell_core.backend import (
     BackendCall,
@@ -66,7 +67,6 @@
 from crocuswell_core.resources import Resources
 from crocuswell_core.state import AgentConfig, AgentState
 from crocuswell_core.timers import Timer
-
 from standins.backend_tasks import Backend, advance, result_of, running, serve
 
 RUN_LEASE_MS = 15_000
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 import attrs
+
 from crocuswell_core.agent_invariants import check_agent
 from crocuswell_core.backend import (
     Accepted,
