--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -99,7 +99,7 @@
 
 
 def test_declared_worker_is_refused_until_it_announces_itself() -> None:
-    """Guards against a lease that is extended after its room was given away."""
+    """Guards against a lease that outlasts the reassignment of its room."""
     host = welcomed_host()
     host.state.declared["w1"] = "i1"
     host.advance(1_000, sending=(1,))
