--- a/packages/core/crocuswell_core/agent.py
+++ b/packages/core/crocuswell_core/agent.py
@@ -269,4 +269,7 @@
 
 def _stop_unwanted(state: AgentState, task: AgentTask) -> list[Effect]:
     count(state, "unwanted_stopped")
+    # The entry host may have given it up with an earlier incarnation of the
+    # backend server, so a fence does not prove that it never ran.
+    task.ran = task.ran or task.inherited
     return stop_task(state, task, None)
--- a/packages/core/crocuswell_core/agent_backend.py
+++ b/packages/core/crocuswell_core/agent_backend.py
@@ -241,7 +241,7 @@
         TaskPhase.RUNNING,
         listed.resources,
         accelerators=listed.accelerators,
-        ran=listed.state != FENCED,
+        ran=listed.state != FENCED or state.was_welcomed,
         on_backend=True,
         inherited=True,
         backend_incarnation=state.backend_incarnation,
@@ -307,7 +307,12 @@
     state: AgentState, task: AgentTask, listed: BackendTask
 ) -> list[Effect]:
     # A fence shows only that the task did not run since the backend server
-    # started; a task of an earlier incarnation may have.
+    # started. An earlier incarnation of it may have run the task, unless the
+    # task was ordered under this one; for a fence found at boot, the first
+    # `Welcome` shows whether it was.
+    if task.inherited and not state.was_welcomed:
+        task.phase = TaskPhase.STOPPING
+        return []
     if task.ran or task.backend_incarnation != state.backend_incarnation:
         lose_task(state, task)
     else:
--- a/tests/agent_world.py
+++ b/tests/agent_world.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable
 from functools import singledispatchmethod
 
@@ -110,6 +111,10 @@
     cut_off_ends: float = 0.05
 
 
+# Many reconnects and restarts: these hide what an earlier incarnation did.
+RESTLESS = Faults(
+    stream_breaks=0.4, agent_dies=0.05, backend_restarts=0.05, drain_flips=0.0
+)
 NO_FAULTS = Faults(*([0.0] * len(attrs.fields(Faults))))
 QUIET = attrs.evolve(NO_FAULTS, cut_off_ends=1.0)
 
@@ -157,6 +162,7 @@
     refused_now: set[MemberKey] = attrs.Factory(set)
     reported: list[Report] = attrs.Factory(list)
     seen_reports: int = 0
+    counters: Counter[str] = attrs.Factory(Counter)
     halted: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -232,6 +238,8 @@
     # --- the agent's process ---------------------------------------------
 
     def boot(self) -> None:
+        if self.generation:
+            self.counters.update(self.agent.counters)
         self.generation += 1
         self.halted = False
         self.timers.clear()
@@ -550,7 +558,8 @@
 
 def run_seed(seed: int, duration_ms: int = 120_000) -> World:
     """Run one seed to its end; raises if an invariant breaks."""
-    world = World(seed)
+    world = World(seed, RESTLESS if seed % 2 else Faults())
     world.live(duration_ms)
     world.settle()
+    world.counters.update(world.agent.counters)
     return world
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -107,7 +107,7 @@
     backend: str = "b1"
     info: WorkerInfo = INFO
     answers_describe: bool = True
-    confirms: bool = False
+    run_lease_ms: int = RUN_LEASE_MS
 
     def give(self, event: Event) -> list[Effect]:
         """Reduce an event and return the effects that it had."""
@@ -124,10 +124,10 @@
         for effect in effects:
             if isinstance(effect, StartTimer):
                 self.timers[effect.timer] = now_ms + effect.delay_ms
+        # Replies are events of their own, after all effects of this one.
+        for effect in effects:
             if isinstance(effect, CallBackend) and self.answers_describe:
                 self._answer(effect.call)
-            if isinstance(effect, SendEntry) and self.confirms:
-                self.confirm()
 
     def _answer(self, call: BackendCall) -> None:
         if isinstance(call, Describe):
@@ -197,6 +197,14 @@
         """Confirm the newest heartbeat, which extends both leases."""
         self.receive(EntryHeartbeat(self.state.sequence, 1, RUN_LEASE_MS))
 
+    def run_unconfirmed(self, duration_ms: int) -> list[Effect]:
+        """Let time pass with heartbeats that extend no lease."""
+        before = len(self.effects)
+        for _ in range(duration_ms // 1_000):
+            self.run(1_000)
+            self.receive(EntryHeartbeat(0, 1, self.run_lease_ms))
+        return self.effects[before:]
+
     def order(self, *orders: Order) -> list[Effect]:
         return self.receive(Orders(orders))
 
