Suspect a worker as soon as its stream ends; stop within seconds

Cause: while agents restarted one after the other, new work was still placed on them for 2.5 s each, which gave a gap of 2.55 to 3.12 s in service; an entry host under load took 6 s to stop, since new calls kept it busy. Change: Liveness lists agents whose stream ended, and the leader suspects them at once; a stopping host refuses new calls one second after /readyz turned.

--- a/packages/core/crocuswell_core/callers.py
+++ b/packages/core/crocuswell_core/callers.py
@@ -50,6 +50,10 @@
 
 UNAVAILABLE_RETRY_MS = 1_000
 
+# Time in ms for which a host that stops still takes calls after `/readyz`
+# turned, so that the balancer notices first.
+BALANCER_NOTICE_MS = 1_000
+
 
 def proposal_key(proposal: Proposal) -> str:
     """Return the key of a proposal: its command id and its content."""
@@ -79,6 +83,8 @@
 def _(event: CallReceived, state: EntryState) -> list[Effect]:
     if not in_contact(state):
         return [AnswerCall(event.call_id, _unavailable("no leader is in reach"))]
+    if state.stopping and state.now_ms - state.stopping_since_ms >= BALANCER_NOTICE_MS:
+        return [AnswerCall(event.call_id, _unavailable("the entry host is stopping"))]
     return handle_call(event.call, state, event.call_id)
 
 
--- a/packages/core/crocuswell_core/lifecycle.py
+++ b/packages/core/crocuswell_core/lifecycle.py
@@ -4,7 +4,7 @@
 """
 
 from crocuswell_core import election
-from crocuswell_core.callers import answer_waits
+from crocuswell_core.callers import BALANCER_NOTICE_MS, answer_waits
 from crocuswell_core.dispatch import handle, handle_timer, notify
 from crocuswell_core.effects import Effect, Halt, LogChange, SetReady, StartTimer
 from crocuswell_core.events import EntryStopRequested
@@ -15,10 +15,6 @@
 
 STOP_CHECK_MS = 100
 
-# Time in ms for which the listener still takes calls after `/readyz` turned,
-# so that the balancer notices before it closes.
-BALANCER_NOTICE_MS = 1_000
-
 
 @notify.register
 def _(notice: HostBooted, state: EntryState) -> list[Effect]:
--- a/packages/core/crocuswell_core/liveness.py
+++ b/packages/core/crocuswell_core/liveness.py
@@ -126,7 +126,13 @@
         )
     state.liveness_sent[state.liveness_sequence] = covered
     state.liveness_sent.pop(state.liveness_sequence - LIVENESS_WINDOW, None)
-    return Liveness(state.liveness_sequence, state.cluster.number, tuple(heard))
+    lost = tuple(
+        WorkerLiveness(session.worker, session.incarnation, session.number)
+        for session in state.lost_sessions
+        if session.worker not in state.sessions
+    )
+    state.lost_sessions = []
+    return Liveness(state.liveness_sequence, state.cluster.number, tuple(heard), lost)
 
 
 def _note_heard(state: EntryState, message: Liveness) -> tuple[str, ...]:
@@ -145,6 +151,10 @@
         state.heard_workers[heard.worker] = HeardWorker(
             heard.incarnation, state.now_ms, heard.number
         )
+    for lost in message.lost:
+        known = state.heard_workers.get(lost.worker)
+        if known is not None and known.incarnation == lost.incarnation:
+            known.lost = True
     return tuple(refused)
 
 
@@ -195,7 +205,7 @@
         if age_ms >= silent_ms and state.declared.get(name) != worker.incarnation:
             state.declared[name] = worker.incarnation
             effects += _propose(state, DeclareSilent(name, worker.incarnation))
-        suspect = age_ms >= state.cfg.agent_silence_ms
+        suspect = heard.lost or age_ms >= state.cfg.agent_silence_ms
         if suspect != (worker.mode is WorkerMode.SUSPECT):
             command = SuspectWorker(name, worker.incarnation, suspect)
             effects += _propose(state, command)
--- a/packages/core/crocuswell_core/messages.py
+++ b/packages/core/crocuswell_core/messages.py
@@ -141,11 +141,14 @@
     ----------
     number : int
         Configuration number that the entry host itself has applied.
+    lost : tuple of WorkerLiveness
+        Agents whose stream ended since.
     """
 
     sequence: int
     number: int
     workers: tuple[WorkerLiveness, ...]
+    lost: tuple[WorkerLiveness, ...] = ()
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/sessions.py
+++ b/packages/core/crocuswell_core/sessions.py
@@ -46,6 +46,9 @@
 
 @handle.register
 def _(event: AgentStreamClosed, state: EntryState) -> list[Effect]:
+    session = session_of(state, event.stream_id)
+    if session is not None:
+        state.lost_sessions.append(session)
     _forget_stream(state, event.stream_id)
     return []
 
--- a/packages/core/crocuswell_core/state.py
+++ b/packages/core/crocuswell_core/state.py
@@ -369,11 +369,14 @@
     ----------
     number : int
         Configuration number that the agent confirmed.
+    lost : bool
+        Whether its stream ended and it was not heard since.
     """
 
     incarnation: str
     heard_ms: int
     number: int = 0
+    lost: bool = False
 
 
 @attrs.define
@@ -395,6 +398,8 @@
     heard_hosts : dict
         On the leader: when each entry host was last heard and the
         configuration number it has applied.
+    lost_sessions : list of AgentSession
+        Sessions whose stream ended since the last `Liveness`.
     liveness_sent : dict
         For each unconfirmed `Liveness` the heartbeat sequences that it
         covered, by stream.
@@ -427,6 +432,7 @@
     command_calls: dict[str, list[int]] = attrs.Factory(dict)
     outcome_waits: dict[int, GetRequest] = attrs.Factory(dict)
     outcome_calls: dict[str, list[int]] = attrs.Factory(dict)
+    lost_sessions: list[AgentSession] = attrs.Factory(list)
     liveness_sequence: int = 0
     liveness_sent: dict[int, dict[int, int]] = attrs.Factory(dict)
     cluster_timer_at_ms: int | None = None
--- a/scripts/local_hosts.py
+++ b/scripts/local_hosts.py
@@ -244,17 +244,24 @@
     return failed
 
 
-def wait_until_ready(hosts: LocalHosts) -> None:
-    """Wait until all entry hosts are ready and all workers are known."""
-    pool = urllib3.PoolManager()
+def wait_until_answering(entry: EntryProcess) -> None:
+    """Wait until an entry host says that it is ready."""
     retries = urllib3.Retry(
         total=START_LIMIT_S * 4,
         backoff_factor=0.25,
         backoff_max=0.25,
         status_forcelist=[503],
     )
-    for endpoint in hosts.endpoints():
-        pool.request("GET", f"http://{endpoint}/readyz", retries=retries, timeout=5)
+    with urllib3.PoolManager() as pool:
+        url = f"http://{entry.callers}/readyz"
+        pool.request("GET", url, retries=retries, timeout=5)
+
+
+def wait_until_ready(hosts: LocalHosts) -> None:
+    """Wait until all entry hosts are ready and all workers are known."""
+    for entry in hosts.entries:
+        wait_until_answering(entry)
+    pool = urllib3.PoolManager()
     pause = urllib3.Retry(total=START_LIMIT_S * 4, backoff_factor=0.25)
     for _ in range(START_LIMIT_S * 4):
         url = f"http://{hosts.endpoints()[0]}/v1/workers"
--- a/scripts/platform_calls.py
+++ b/scripts/platform_calls.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import random
 import threading
 import uuid
 from pathlib import Path
@@ -58,9 +59,17 @@
 
 @attrs.define
 class Platform:
-    """Callers' and operators' calls, to whichever entry host answers."""
+    """Callers' and operators' calls, to whichever entry host answers.
+
+    Attributes
+    ----------
+    read_s : float
+        Time in seconds to wait for an answer before the next entry host is
+        tried.
+    """
 
     endpoints: list[str]
+    read_s: float = CALL_LIMIT_S
     pool: urllib3.PoolManager = attrs.Factory(
         lambda: urllib3.PoolManager(maxsize=32, retries=False)
     )
@@ -80,15 +89,16 @@
         data = None if body is None else json.dumps(body).encode()
         fields = {"Content-Type": "application/json"} | (headers or {})
         failure = "no entry host answered"
+        start = random.randrange(len(self.endpoints))
         for attempt in range(ROUNDS_LIMIT):
-            endpoint = self.endpoints[attempt % len(self.endpoints)]
+            endpoint = self.endpoints[(start + attempt) % len(self.endpoints)]
             try:
                 answer = self.pool.request(
                     method,
                     f"http://{endpoint}{path}",
                     body=data,
                     headers=fields,
-                    timeout=urllib3.Timeout(connect=1, read=CALL_LIMIT_S),
+                    timeout=urllib3.Timeout(connect=1, read=self.read_s),
                 )
             except urllib3.exceptions.HTTPError as exc:
                 failure = str(exc)
@@ -127,7 +137,7 @@
         body["payload"] = base64.b64encode(payload).decode()
         answer = self.call(
             "POST",
-            f"/v1/workspaces/{request['workspace']}/requests?wait_ms={WAIT_MS}",
+            f"/v1/workspaces/{request['workspace']}/requests?wait_ms={self._wait_ms()}",
             body,
             {"Idempotency-Key": request["key"]},
         )
@@ -135,7 +145,7 @@
         if answer.status >= 400:
             return Answer(view["kind"], view.get("detail", ""))
         while view["outcome"] is None:
-            path = f"/v1/requests/{view['id']}?wait_ms={WAIT_MS}"
+            path = f"/v1/requests/{view['id']}?wait_ms={self._wait_ms()}"
             view = self.call("GET", path).json()
         outcome = view["outcome"]
         if outcome["outcome"] != "completed":
@@ -145,10 +155,18 @@
             raise RuntimeError("the result is not whole")
         return Answer("completed", "", result)
 
+    def _wait_ms(self) -> int:
+        return min(WAIT_MS, int(self.read_s * 500))
+
     def leader(self) -> str:
         """Return the id of the leading entry host."""
         return str(self.call("GET", "/v1/members").json()["leader"])
 
+    def worker(self, name: str) -> dict[str, Any]:
+        """Return what the platform knows of a worker."""
+        views = self.call("GET", "/v1/workers").json()["workers"]
+        return dict(next(view for view in views if view["id"] == name))
+
     def standin_starts(self, backend: str) -> dict[str, int]:
         """Return how often a stand-in started each marked request."""
         answer = self.pool.request("GET", f"http://{backend}/control", timeout=5)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -7,6 +7,7 @@
 from crocuswell_core.effects import CloseAgentStream, Halt, SendPeer, SetReady
 from crocuswell_core.events import (
     AgentMessageReceived,
+    AgentStreamClosed,
     EntryStopRequested,
     PeerMessageReceived,
 )
@@ -79,6 +80,17 @@
     assert mode(host) is WorkerMode.ACTIVE
 
 
+def test_worker_whose_stream_ended_gets_nothing_new_at_once() -> None:
+    """Guards against placement on a worker whose agent just restarts."""
+    host = welcomed_host()
+    host.post(AgentStreamClosed(1))
+    host.advance(1_000)
+    assert mode(host) is WorkerMode.SUSPECT
+    host.hello(2)
+    host.advance(1_500, sending=(2,))
+    assert mode(host) is WorkerMode.ACTIVE
+
+
 def test_worker_is_declared_silent_only_after_its_run_lease() -> None:
     """Guards against room that is given away while tasks still run."""
     host = welcomed_host()
