--- a/packages/daemon/crocuswell_daemon/http_api.py
+++ b/packages/daemon/crocuswell_daemon/http_api.py
@@ -8,13 +8,13 @@
 import logging
 import secrets
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from concurrent.futures import Future
-from contextlib import contextmanager
 from functools import singledispatch
 from http import HTTPStatus
 from typing import Any, Self
 
+import attrs
 from result import is_err
 
 from crocuswell_core.commands import CommandReply, Refused, RequestAccepted
@@ -27,6 +27,7 @@
     Change,
     Exchange,
     Read,
+    ReadRequest,
     ReadResult,
     Submission,
     parse_exchange,
@@ -129,9 +130,7 @@
 
         An answer to a call that nobody waits for is counted and dropped.
         """
-        with self._changed:
-            fut = self._waiting.pop(call_id, None)
-            self._changed.notify_all()
+        fut = self._take(call_id)
         if fut is None:
             self._count(Count("http_answers_late"))
             return
@@ -160,31 +159,38 @@
             if self._closing:
                 return _refuse_unavailable("this host is stopping")
             self._waiting[call_id] = fut
-        self._post(CallReceived(call_id, call))
         limit_ms = wait_ms + self._call_limit_ms
         try:
+            self._post(CallReceived(call_id, call))
             return fut.result(limit_ms / 1_000)
         except TimeoutError:
             return self._abandon(call_id, fut, limit_ms)
+        finally:
+            self._take(call_id)
 
-    def _abandon(self, call_id: int, fut: "Future[Reply]", limit_ms: int) -> Reply:
+    def _take(self, call_id: int) -> "Future[Reply] | None":
         with self._changed:
-            abandoned = self._waiting.pop(call_id, None)
+            fut = self._waiting.pop(call_id, None)
             self._changed.notify_all()
-        if abandoned is None:  # the answer came in between
+        return fut
+
+    def _abandon(self, call_id: int, fut: "Future[Reply]", limit_ms: int) -> Reply:
+        if self._take(call_id) is None:  # the answer came in between
             return fut.result()
         self._post(CallAbandoned(call_id))
         return _refuse_unavailable(f"no answer within {limit_ms} ms")
 
-    @contextmanager
-    def waiting_slot(self) -> Iterator[bool]:
-        """Take one of the threads that may wait; tell whether one was free."""
-        taken = self._waits.acquire(blocking=False)
+    def ask_waiting(self, call: GetRequest) -> Reply:
+        """Ask for an outcome, or refuse if too many threads wait for one."""
+        if not call.wait_ms:
+            return self.ask(call)
+        if not self._waits.acquire(blocking=False):
+            detail = "too many calls wait for outcomes"
+            return Refused(ErrorKind.OVERLOADED, detail, RETRY_AFTER_MS)
         try:
-            yield taken
+            return self.ask(call, call.wait_ms)
         finally:
-            if taken:
-                self._waits.release()
+            self._waits.release()
 
     def _serve(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -246,21 +252,22 @@
 
 @perform.register
 def _(exchange: Read, listener: CallerListener) -> HttpResponse:
-    wait_ms = exchange.call.wait_ms if isinstance(exchange.call, GetRequest) else 0
-    if not wait_ms:
-        return to_response(listener.ask(exchange.call))
-    with listener.waiting_slot() as taken:
-        if not taken:
-            return _refuse_overloaded("too many calls wait for outcomes")
-        return to_response(listener.ask(exchange.call, wait_ms))
+    return to_response(listener.ask(exchange.call))
+
+
+@perform.register
+def _(exchange: ReadRequest, listener: CallerListener) -> HttpResponse:
+    reply = listener.ask_waiting(exchange.call)
+    return to_response(_check_identity(reply, exchange.call.request_id))
 
 
 @perform.register
 def _(exchange: ReadResult, listener: CallerListener) -> HttpResponse:
     reply = listener.ask(exchange.call)
-    if isinstance(reply, RequestView):
-        return to_response(RequestResult(reply.request))
-    return to_response(reply)
+    checked = _check_identity(reply, exchange.call.request_id)
+    if isinstance(checked, RequestView):
+        return to_response(RequestResult(checked.request))
+    return to_response(checked)
 
 
 @perform.register
@@ -268,16 +275,25 @@
     reply = listener.ask(exchange.call)
     if not isinstance(reply, RequestAccepted):
         return to_response(reply)
-    with listener.waiting_slot() as taken:
-        wait_ms = exchange.wait_ms if taken else 0
-        call = GetRequest(reply.request_id, exchange.workspace, wait_ms)
-        view = listener.ask(call, wait_ms)
+    call = GetRequest(reply.request_id, exchange.workspace, exchange.wait_ms)
+    view = listener.ask_waiting(call)
+    if isinstance(view, Refused) and view.kind is ErrorKind.OVERLOADED:
+        view = listener.ask(attrs.evolve(call, wait_ms=0))
     # The request is accepted whatever happens to the read.
-    if isinstance(view, RequestView):
-        return to_response(AcceptedRequest(view))
+    checked = _check_identity(view, reply.request_id)
+    if isinstance(checked, RequestView):
+        return to_response(AcceptedRequest(checked))
     return to_response(reply)
 
 
+def _check_identity(reply: Reply, request_id: str) -> Reply:
+    """Replace a view of another request, so that none reaches the caller."""
+    if not isinstance(reply, RequestView) or reply.request.id == request_id:
+        return reply
+    logger.error("asked for request %s, got %s", request_id, reply.request.id)
+    return Refused(ErrorKind.INTERNAL, f"request {request_id} could not be read")
+
+
 def _read_request(environ: dict[str, Any]) -> HttpRequest | Problem:
     """Read a whole request.
 
@@ -301,12 +317,22 @@
         body,
         idempotency_key=environ.get("HTTP_IDEMPOTENCY_KEY"),
         if_match=environ.get("HTTP_IF_MATCH"),
-        author=environ.get("HTTP_X_AUTHOR"),
-        note=environ.get("HTTP_X_NOTE"),
+        author=_decode(environ.get("HTTP_X_AUTHOR")),
+        note=_decode(environ.get("HTTP_X_NOTE")),
         fresh_id=secrets.token_hex(REQUEST_ID_BYTES),
     )
 
 
+def _decode(text: str | None) -> str | None:
+    """Undo WSGI's reading of a header as Latin-1 if it was UTF-8."""
+    if text is None:
+        return None
+    try:
+        return text.encode("latin-1").decode()
+    except UnicodeDecodeError:
+        return text
+
+
 def _status_label(response: HttpResponse) -> Label:
     return Label("status", str(response.status))
 
--- a/packages/daemon/crocuswell_daemon/http_calls.py
+++ b/packages/daemon/crocuswell_daemon/http_calls.py
@@ -46,7 +46,6 @@
 NAME_LIMIT = 200
 
 _NAME = re.compile(r"[^\x00-\x1f\x7f/:]+")
-_HEADER_TEXT = re.compile(r"[\x20-\x7e\xa0-\xff]+")
 _ETAG = re.compile(r'"(\d{1,15})"')
 _NUMBER = re.compile(r"\d{1,15}")
 
@@ -74,6 +73,13 @@
     call: ReadCall
 
 
+@attrs.frozen
+class ReadRequest:
+    """A read of a request, which may wait for its outcome."""
+
+    call: GetRequest
+
+
 @attrs.frozen
 class ReadResult:
     """A read that is answered with the bytes of the result."""
@@ -81,7 +87,7 @@
     call: GetRequest
 
 
-Exchange = Change | Submission | Read | ReadResult
+Exchange = Change | Submission | Read | ReadRequest | ReadResult
 Parsed = Result[Exchange, Problem]
 
 
@@ -241,7 +247,7 @@
 def _check_text(name: str, text: str | None) -> Result[str, Problem]:
     if text is None:
         return Err(invalid(f"{name}: found nothing, expected text"))
-    if len(text) > NAME_LIMIT or not _HEADER_TEXT.fullmatch(text):
+    if not 1 <= len(text) <= NAME_LIMIT or not text.isprintable():
         return Err(
             invalid(
                 f"{name}: found {text[:60]!r}, expected 1 to {NAME_LIMIT} "
@@ -267,7 +273,7 @@
 
 
 def _read_request(request: HttpRequest, query: _Query, request_id: str) -> Parsed:
-    return Ok(Read(GetRequest(request_id, wait_ms=query.wait_ms)))
+    return Ok(ReadRequest(GetRequest(request_id, wait_ms=query.wait_ms)))
 
 
 def _read_result(request: HttpRequest, query: _Query, request_id: str) -> Parsed:
--- a/packages/daemon/crocuswell_daemon/http_server.py
+++ b/packages/daemon/crocuswell_daemon/http_server.py
@@ -34,7 +34,7 @@
 IDLE_TIME_S = 60
 THREADS = 64
 # Requests that have begun to arrive and wait for a thread.
-PENDING_LIMIT = 32
+PENDING_LIMIT = 128
 # Connections without a request in progress.
 IDLE_LIMIT = 512
 BACKLOG = 128
--- a/packages/daemon/crocuswell_daemon/listener.py
+++ b/packages/daemon/crocuswell_daemon/listener.py
@@ -13,9 +13,9 @@
 
 # All agents of a lost entry host connect within a second or so.
 BACKLOG = 1_024
-# A connection on which no stream was opened holds a file descriptor; if it
-# went silent, it would do so forever.
-FIRST_STREAM_LIMIT_S = 5.0
+# A connection without a stream holds a file descriptor; if it went silent,
+# it would do so forever. It is dropped after one to two of these intervals.
+SWEEP_S = 5.0
 
 Serve = Callable[[Any], Awaitable[None]]
 
@@ -34,7 +34,11 @@
 
 
 class _BoundedServer(Server):
-    """A server that drops connections without a stream, and all at its end."""
+    """A server that drops connections without a stream, and all at its end.
+
+    `grpclib` keeps connections for as long as the other end does and does
+    not close them with the server, so this class keeps track of them.
+    """
 
     def __init__(self, method: _Method, codec: CodecBase) -> None:
         super().__init__([method], codec=codec)
@@ -43,21 +47,28 @@
     def _protocol_factory(self) -> H2Protocol:
         protocol = super()._protocol_factory()
         self._protocols.add(protocol)
-        asyncio.get_running_loop().call_later(
-            FIRST_STREAM_LIMIT_S, _drop_if_unused, weakref.ref(protocol)
-        )
         return protocol
 
+    async def sweep(self) -> None:
+        """Drop connections that stay without a stream, until cancelled."""
+        unused: weakref.WeakSet[H2Protocol] = weakref.WeakSet()
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            found = [protocol for protocol in self._protocols if _is_unused(protocol)]
+            for protocol in found:
+                if protocol in unused:
+                    _drop(protocol)
+            unused = weakref.WeakSet(found)
+
     def drop_connections(self) -> None:
         """Drop all connections without waiting for the other ends."""
         for protocol in list(self._protocols):
             _drop(protocol)
 
 
-def _drop_if_unused(reference: "weakref.ref[H2Protocol]") -> None:
-    protocol = reference()
-    if protocol is not None and not protocol.processor.streams:
-        _drop(protocol)
+def _is_unused(protocol: H2Protocol) -> bool:
+    processor = getattr(protocol, "processor", None)
+    return processor is not None and not processor.streams
 
 
 def _drop(protocol: H2Protocol) -> None:
@@ -88,6 +99,7 @@
         self._method = _Method(path, serve)
         self._codec = codec
         self._server: _BoundedServer | None = None
+        self._sweeper: asyncio.Task[None] | None = None
 
     @property
     def port(self) -> int:
@@ -99,11 +111,13 @@
         self._port = sock.getsockname()[1]
         self._server = _BoundedServer(self._method, self._codec)
         await self._server.start(sock=sock, backlog=BACKLOG)
+        self._sweeper = asyncio.create_task(self._server.sweep())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        if self._server is None:
+        if self._server is None or self._sweeper is None:
             return
+        self._sweeper.cancel()
         self._server.close()
         self._server.drop_connections()
         await self._server.wait_closed()
--- a/packages/daemon/crocuswell_daemon/peers.py
+++ b/packages/daemon/crocuswell_daemon/peers.py
@@ -155,7 +155,7 @@
         self._count = count
         self._rng = rng
         self._outbox: PeerOutbox | None = PeerOutbox(QUEUE_LIMIT)
-        self._open = False
+        self._opened_at: float | None = None
         self._closing = False
         self.task = asyncio.get_running_loop().create_task(self._run())
 
@@ -173,22 +173,25 @@
     def close(self) -> None:
         """Close the stream after what is queued, but within the grace."""
         self._closing = True
-        if self._open and self._outbox is not None:
-            self._outbox.close()
-        else:
+        if self._opened_at is None or self._outbox is None:
             self.task.cancel()
+        else:
+            self._outbox.close()
 
     async def _run(self) -> None:
         backoff_s = BACKOFF_MIN_S
         while True:
-            started = time.monotonic()
+            self._opened_at = None
             detail = await self._connect()
             if self._closing:
                 return
-            if time.monotonic() - started > STEADY_S:
-                backoff_s = BACKOFF_MIN_S
-            self._count(Count("peer_links_lost", labels=self._labels))
-            logger.info("link to %s lost: %s", self.peer.id, detail)
+            if self._opened_at is None:
+                self._count(Count("peer_connects_failed", labels=self._labels))
+            else:
+                self._count(Count("peer_links_lost", labels=self._labels))
+                logger.warning("link to %s lost: %s", self.peer.id, detail)
+                if time.monotonic() - self._opened_at > STEADY_S:
+                    backoff_s = BACKOFF_MIN_S
             await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
             backoff_s = min(2 * backoff_s, BACKOFF_MAX_S)
 
@@ -201,7 +204,7 @@
             async with open_stream(
                 self.peer.address, PEER_STREAM_PATH, self._codec
             ) as stream:
-                self._open = True
+                self._opened_at = time.monotonic()
                 logger.info("link to %s opened", self.peer.id)
                 return await _run_link(
                     stream, outbox, self._host_id, _ignore_echo, stream.end
@@ -209,7 +212,6 @@
         except Exception as exc:  # any failure of the network or the other end
             return f"{type(exc).__name__}: {exc}"
         finally:
-            self._open = False
             self._outbox = None
             dropped = outbox.clear()
             if dropped:
@@ -291,7 +293,7 @@
         """Open links to new hosts and close those to hosts that left."""
         wanted = {host.id: host for host in hosts if host.id != self._host_id}
         for host_id, link in list(self._links.items()):
-            if wanted.get(host_id) != link.peer:
+            if host_id not in wanted or wanted[host_id].address != link.peer.address:
                 self._close_link(host_id)
         for host_id, host in wanted.items():
             if host_id not in self._links:
--- a/packages/daemon/crocuswell_daemon/problems.py
+++ b/packages/daemon/crocuswell_daemon/problems.py
@@ -12,14 +12,15 @@
 TYPE_PREFIX = "urn:crocuswell:problem:"
 DEFAULT_RETRY_MS = 1_000
 
+# 401 would require a challenge, and no scheme of authentication is defined.
 STATUS: dict[ErrorKind, HTTPStatus] = {
     ErrorKind.INVALID_REQUEST: HTTPStatus.BAD_REQUEST,
-    ErrorKind.UNAUTHORISED: HTTPStatus.UNAUTHORIZED,
+    ErrorKind.UNAUTHORISED: HTTPStatus.FORBIDDEN,
     ErrorKind.NOT_FOUND: HTTPStatus.NOT_FOUND,
     ErrorKind.CONFLICT: HTTPStatus.PRECONDITION_FAILED,
     ErrorKind.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
     ErrorKind.NEVER_FITS: HTTPStatus.UNPROCESSABLE_ENTITY,
-    ErrorKind.OVER_QUOTA: HTTPStatus.FORBIDDEN,
+    ErrorKind.OVER_QUOTA: HTTPStatus.UNPROCESSABLE_ENTITY,
     ErrorKind.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
     ErrorKind.DEADLINE_PASSED: HTTPStatus.CONFLICT,
     ErrorKind.UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
--- /dev/null
+++ b/tests/stream_fake.py
@@ -0,0 +1,59 @@
+"""What the tests of streams share."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import attrs
+
+from crocuswell_core.effects import Count, Label
+from crocuswell_core.events import (
+    Event,
+)
+
+OUTER_LIMIT_S = 20.0
+MEGABYTE = 1_000_000
+
+
+@attrs.define
+class Recorder:
+    """Takes events and counts, and lets a test wait for them."""
+
+    events: list[Event] = attrs.Factory(list)
+    counts: list[Count] = attrs.Factory(list)
+    _changed: asyncio.Event = attrs.Factory(asyncio.Event)
+
+    def post(self, event: Event) -> None:
+        self.events.append(event)
+        self._changed.set()
+
+    def count(self, count: Count) -> None:
+        self.counts.append(count)
+        self._changed.set()
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        async with asyncio.timeout(OUTER_LIMIT_S):
+            while not holds():
+                self._changed.clear()
+                await self._changed.wait()
+
+    async def wait_for(self, event: Event) -> None:
+        await self.until(lambda: event in self.events)
+
+    def total(self, counter: str, reason: str = "") -> int:
+        return sum(
+            count.amount
+            for count in self.counts
+            if count.counter == counter
+            and (not reason or Label("reason", reason) in count.labels)
+        )
+
+
+def run(coroutine: Coroutine[Any, Any, None]) -> None:
+    """Run a test and fail if it takes longer than the outer limit."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(2 * OUTER_LIMIT_S):
+            await coroutine
+
+    asyncio.run(bounded())
--- /dev/null
+++ b/tests/test_http_fuzz.py
@@ -0,0 +1,164 @@
+"""Guards the parsers of HTTP requests against input that nobody thought of.
+
+Only a problem or a call that the log can hold may come out.
+"""
+
+import json
+from typing import Any
+
+import cattrs
+import msgpack
+import pytest
+from http_fake import CONFIGURATION_JSON
+from hypothesis import HealthCheck, given, settings, strategies as st
+from result import Result, is_err
+
+from crocuswell_daemon.http_bodies import (
+    parse_cancel,
+    parse_configuration,
+    parse_job,
+    parse_mode,
+    parse_preset,
+)
+from crocuswell_daemon.http_calls import parse_exchange
+from crocuswell_daemon.http_messages import HttpRequest
+from crocuswell_daemon.problems import problem_response
+
+JOB_JSON = {
+    "job_class": "stubs",
+    "shape": {
+        "members": 4,
+        "per_member": {"accelerators": 2, "processors": 3, "memory_mb": 4},
+        "adjacency": "rack",
+    },
+    "run_time_ms": 5,
+    "idempotent": False,
+    "checkpoint_ms": 6,
+    "urgent": True,
+    "deadline_ms": 7,
+    "payload": "AAA=",
+}
+DOCUMENTS = [
+    JOB_JSON,
+    CONFIGURATION_JSON,
+    {"request_ids": ["r1"]},
+    {"job_class": "stubs"},
+    {"preset": "peak"},
+    {"mode": "active"},
+]
+PARSERS = [parse_job, parse_configuration, parse_cancel, parse_preset, parse_mode]
+FUZZ = settings(
+    max_examples=400,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+
+scalars = (
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.sampled_from([2**53, 2**63, 2**64, -(2**64), 10**400])
+    | st.floats()
+    | st.text()
+    | st.sampled_from(["\ud800", "none", "rack", "AAA=", "x" * 2_000])
+)
+values = st.recursive(
+    scalars,
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+
+
+@st.composite
+def mutated(draw: st.DrawFn) -> Any:
+    """A valid document with one value replaced, added or removed."""
+    document = json.loads(json.dumps(draw(st.sampled_from(DOCUMENTS))))
+    place: Any = document
+    while True:
+        keys = list(place) if isinstance(place, dict) else list(range(len(place)))
+        if not keys:
+            return document
+        key = draw(st.sampled_from(keys))
+        inner = place[key]
+        if not isinstance(inner, dict | list) or draw(st.booleans()):
+            break
+        place = inner
+    action = draw(st.sampled_from(["replace", "remove", "add"]))
+    if action == "replace":
+        place[key] = draw(values)
+    elif action == "remove":
+        del place[key]
+    elif isinstance(place, dict):
+        place[draw(st.text(max_size=8))] = draw(values)
+    else:
+        place.append(draw(values))
+    return document
+
+
+def check(parsed: Result[Any, Any]) -> None:
+    if is_err(parsed):
+        assert problem_response(parsed.err_value).status >= 400
+        return
+    packed = msgpack.packb(cattrs.unstructure(parsed.unwrap()))
+    assert isinstance(packed, bytes)
+
+
+@pytest.mark.parametrize("parse", PARSERS, ids=lambda parse: parse.__name__)
+def test_any_bytes(parse: Any) -> None:
+    """Guards against an exception on a body that is no document."""
+
+    @FUZZ
+    @given(st.binary() | st.text().map(str.encode))
+    def run(body: bytes) -> None:
+        check(parse(body))
+
+    run()
+
+
+@pytest.mark.parametrize("parse", PARSERS, ids=lambda parse: parse.__name__)
+def test_any_document(parse: Any) -> None:
+    """Guards against a value of the wrong type or size that passes."""
+
+    @FUZZ
+    @given(values | mutated())
+    def run(document: Any) -> None:
+        check(parse(json.dumps(document).encode()))
+
+    run()
+
+
+requests = st.builds(
+    HttpRequest,
+    method=st.sampled_from(["GET", "POST", "PUT", "DELETE", "X"]),
+    path=st.sampled_from(
+        [
+            "/v1/workspaces/tisk/requests",
+            "/v1/workspaces/tisk/cancel",
+            "/v1/requests/r1",
+            "/v1/configuration",
+            "/v1/preset",
+            "/v1/workers/w1/mode",
+        ]
+    )
+    | st.text().map(lambda text: f"/v1/requests/{text}")
+    | st.text(),
+    query=st.sampled_from(["", "wait_ms=1", "limit=2", "wait_ms=9" * 99, "&" * 99])
+    | st.text(),
+    body=mutated().map(lambda document: json.dumps(document).encode()),
+    idempotency_key=st.none() | st.just("k") | st.text(),
+    if_match=st.none() | st.just('"1"') | st.text(),
+    author=st.none() | st.just("Jürgen") | st.text(),
+    note=st.none() | st.text(),
+)
+
+
+@FUZZ
+@given(requests)
+def test_any_request(request: HttpRequest) -> None:
+    """Guards against an exception on a path, a query or a header."""
+    check(parse_exchange(request))
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,325 @@
+"""Guards the streams of agents against faults of the network.
+
+Real connections over loopback, on ports chosen by the system. `pickle`
+stands in for the codec.
+"""
+
+import asyncio
+import pickle
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+from grpclib.protocol import H2Protocol
+from relay import Relay
+from stream_fake import MEGABYTE, OUTER_LIMIT_S, Recorder, run
+
+from crocuswell_core.events import (
+    AgentMessageReceived,
+    AgentStreamClosed,
+    EntryMessageReceived,
+    EntryStreamClosed,
+    EntryStreamOpened,
+    Event,
+)
+from crocuswell_core.messages import (
+    DrainNotice,
+    Goodbye,
+    ReportAck,
+)
+from crocuswell_daemon import agent_streams, listener
+from crocuswell_daemon.agent_streams import AgentListener
+from crocuswell_daemon.entry_stream import EntryLink
+
+
+@asynccontextmanager
+async def agent_pair() -> AsyncIterator[
+    tuple[AgentListener, Recorder, EntryLink, Recorder]
+]:
+    at_entry, at_agent = Recorder(), Recorder()
+    async with (
+        AgentListener(
+            "127.0.0.1",
+            0,
+            encode=pickle.dumps,
+            decode=pickle.loads,
+            post=at_entry.post,
+            count=at_entry.count,
+        ) as entry,
+        EntryLink(pickle.dumps, pickle.loads, at_agent.post) as link,
+    ):
+        yield entry, at_entry, link, at_agent
+
+
+def closed(recorder: Recorder) -> list[Event]:
+    kinds = (AgentStreamClosed, EntryStreamClosed)
+    return [event for event in recorder.events if isinstance(event, kinds)]
+
+
+def test_agent_stream() -> None:
+    """Guards against lost or reordered messages and double notices."""
+
+    async def main() -> None:
+        async with agent_pair() as (entry, at_entry, link, at_agent):
+            link.open(7, f"127.0.0.1:{entry.port}")
+            for _ in range(50):
+                link.send(7, DrainNotice(True))
+            link.send(7, DrainNotice(False))
+            await at_agent.wait_for(EntryStreamOpened(7))
+            await at_entry.wait_for(AgentMessageReceived(1, DrainNotice(False)))
+            assert len(at_entry.events) == 51
+            for sequence in range(50):
+                entry.send(1, ReportAck(sequence))
+            await at_agent.wait_for(EntryMessageReceived(7, ReportAck(49)))
+            assert at_agent.events[1:] == [
+                EntryMessageReceived(7, ReportAck(sequence)) for sequence in range(50)
+            ]
+            link.close(7)
+            await at_entry.wait_for(AgentStreamClosed(1))
+            link.close(7)
+            entry.close_stream(1)
+            entry.send(1, Goodbye())
+            link.send(7, DrainNotice(True))
+        assert closed(at_entry) == [AgentStreamClosed(1)]
+        assert len(closed(at_agent)) == 1
+
+    run(main())
+
+
+def test_goodbye_arrives_before_the_end() -> None:
+    """Guards against losing what was sent right before a close."""
+
+    async def main() -> None:
+        async with agent_pair() as (entry, at_entry, link, at_agent):
+            link.open(1, f"127.0.0.1:{entry.port}")
+            await at_agent.wait_for(EntryStreamOpened(1))
+            entry.send(1, Goodbye())
+            entry.close_stream(1)
+            assert closed(at_entry) == [AgentStreamClosed(1)]
+            await at_agent.wait_for(EntryStreamClosed(1, "closed by the entry host"))
+            assert EntryMessageReceived(1, Goodbye()) in at_agent.events
+            link.open(2, f"127.0.0.1:{entry.port}")
+            await at_agent.wait_for(EntryStreamOpened(2))
+            link.send(2, DrainNotice(True))
+            link.close(2)
+            await at_entry.wait_for(AgentMessageReceived(2, DrainNotice(True)))
+            await at_entry.wait_for(AgentStreamClosed(2))
+
+    run(main())
+
+
+def test_nothing_follows_the_notice_of_the_end() -> None:
+    """Guards against events of a stream that the core has forgotten."""
+
+    async def main() -> None:
+        async with agent_pair() as (entry, at_entry, link, at_agent):
+            link.open(1, f"127.0.0.1:{entry.port}")
+            await at_agent.wait_for(EntryStreamOpened(1))
+            for _ in range(100):
+                link.send(1, DrainNotice(True))
+                entry.send(1, Goodbye())
+            await asyncio.sleep(0)
+            entry.close_stream(1)
+            link.close(1)
+            await asyncio.sleep(0.3)
+        assert isinstance(at_entry.events[-1], AgentStreamClosed)
+        assert isinstance(at_agent.events[-1], EntryStreamClosed)
+
+    run(main())
+
+
+def test_open_to_nobody() -> None:
+    """Guards against an agent that is not told that nobody listens."""
+
+    async def main() -> None:
+        async with agent_pair() as (_entry, _, link, at_agent):
+            for stream_id, address in enumerate(("127.0.0.1:1", "nowhere", "::1:x")):
+                link.open(stream_id, address)
+            await at_agent.until(lambda: len(closed(at_agent)) == 3)
+
+    run(main())
+
+
+def test_open_to_a_silent_host() -> None:
+    """Guards against waiting for a host that accepts and never answers."""
+
+    async def main() -> None:
+        async with (
+            agent_pair() as (entry, _, link, at_agent),
+            Relay(entry.port) as relay,
+        ):
+            relay.swallow_new = True
+            link.open(1, f"127.0.0.1:{relay.port}")
+            await at_agent.until(lambda: bool(closed(at_agent)))
+            link.open(2, f"127.0.0.1:{relay.port}")
+            await asyncio.sleep(0.1)
+            link.close(2)
+            assert len(closed(at_agent)) == 2
+            assert EntryStreamOpened(1) not in at_agent.events
+
+    run(main())
+
+
+@pytest.mark.parametrize("fault", ["silent", "stuck"])
+def test_close_does_not_wait_for_the_other_end(
+    fault: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a close that a silent or stuck connection holds up."""
+    lost: list[H2Protocol] = []
+    connection_lost = H2Protocol.connection_lost
+
+    def record(protocol: H2Protocol, exc: BaseException | None) -> None:
+        lost.append(protocol)
+        connection_lost(protocol, exc)
+
+    monkeypatch.setattr(H2Protocol, "connection_lost", record)
+
+    async def main() -> None:
+        async with (
+            agent_pair() as (entry, at_entry, link, at_agent),
+            Relay(entry.port) as relay,
+        ):
+            link.open(1, f"127.0.0.1:{relay.port}")
+            link.send(1, DrainNotice(True))
+            await at_entry.wait_for(AgentMessageReceived(1, DrainNotice(True)))
+            relay.go_silent() if fault == "silent" else relay.stick()
+            for _ in range(20):
+                link.send(1, pad())
+                entry.send(1, pad())
+            await asyncio.sleep(0.1)
+            entry.close_stream(1)
+            link.close(1)
+            assert closed(at_entry) == [AgentStreamClosed(1)]
+            assert len(closed(at_agent)) == 1
+            async with asyncio.timeout(5.0):
+                while link._tasks or entry._serving or len(lost) < 2:
+                    await asyncio.sleep(0.05)
+
+    run(main())
+
+
+def pad() -> Any:
+    """Return a message that fills the buffers of a connection."""
+    return bytes(MEGABYTE)
+
+
+def test_stuck_agent_is_closed() -> None:
+    """Guards against a queue that grows without bound for a stuck agent."""
+
+    async def main() -> None:
+        async with (
+            agent_pair() as (entry, at_entry, link, at_agent),
+            Relay(entry.port) as relay,
+        ):
+            link.open(1, f"127.0.0.1:{relay.port}")
+            link.open(2, f"127.0.0.1:{entry.port}")
+            await at_agent.wait_for(EntryStreamOpened(1))
+            await at_agent.wait_for(EntryStreamOpened(2))
+            link.send(1, DrainNotice(True))
+            await at_entry.until(lambda: bool(at_entry.events))
+            stuck = at_entry.events[0].stream_id
+            relay.stick()
+            for _ in range(agent_streams.QUEUE_LIMIT + 20):
+                entry.send(stuck, pad())
+                await asyncio.sleep(0)
+            await at_entry.wait_for(AgentStreamClosed(stuck))
+            assert at_entry.total("agent_messages_dropped", "full") == 1
+            entry.send(3 - stuck, Goodbye())
+            await at_agent.wait_for(EntryMessageReceived(2, Goodbye()))
+
+    run(main())
+
+
+def test_cut_connection() -> None:
+    """Guards against an end that does not notice a reset."""
+
+    async def main() -> None:
+        async with (
+            agent_pair() as (entry, at_entry, link, at_agent),
+            Relay(entry.port) as relay,
+        ):
+            link.open(1, f"127.0.0.1:{relay.port}")
+            await at_agent.wait_for(EntryStreamOpened(1))
+            relay.cut()
+            await at_entry.wait_for(AgentStreamClosed(1))
+            await at_agent.until(lambda: len(closed(at_agent)) == 1)
+
+    run(main())
+
+
+def test_too_many_agents(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an agent that waits on a host with no room for it."""
+    monkeypatch.setattr(agent_streams, "MAX_STREAMS", 2)
+
+    async def main() -> None:
+        async with agent_pair() as (entry, at_entry, link, at_agent):
+            for stream_id in (1, 2):
+                link.open(stream_id, f"127.0.0.1:{entry.port}")
+                await at_agent.wait_for(EntryStreamOpened(stream_id))
+            link.open(3, f"127.0.0.1:{entry.port}")
+            await at_agent.until(lambda: len(closed(at_agent)) == 1)
+            assert closed(at_agent)[0].stream_id == 3
+            link.close(1)
+            await at_entry.until(lambda: len(closed(at_entry)) == 1)
+            link.open(4, f"127.0.0.1:{entry.port}")
+            await at_agent.wait_for(EntryStreamOpened(4))
+
+    run(main())
+
+
+def test_many_agents() -> None:
+    """Guards against streams that get each other's messages."""
+
+    async def main() -> None:
+        async with agent_pair() as (entry, at_entry, link, at_agent):
+            count = 200
+            for stream_id in range(count):
+                link.open(stream_id, f"127.0.0.1:{entry.port}")
+                link.send(stream_id, ReportAck(stream_id))
+            await at_entry.until(lambda: len(at_entry.events) == count)
+            for event in list(at_entry.events):
+                entry.send(event.stream_id, event.message)
+            for stream_id in range(count):
+                message = ReportAck(stream_id)
+                await at_agent.wait_for(EntryMessageReceived(stream_id, message))
+
+    run(main())
+
+
+def test_connection_without_a_stream_is_dropped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against file descriptors lost to connections that went silent."""
+    monkeypatch.setattr(listener, "SWEEP_S", 0.2)
+
+    async def main() -> None:
+        async with agent_pair() as (entry, _, link, at_agent):
+            link.open(1, f"127.0.0.1:{entry.port}")
+            await at_agent.wait_for(EntryStreamOpened(1))
+            reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+            async with asyncio.timeout(OUTER_LIMIT_S):
+                with pytest.raises(ConnectionResetError):
+                    while await reader.read(1_000):
+                        pass
+                    raise ConnectionResetError
+            writer.close()
+            assert closed(at_agent) == []
+
+    run(main())
+
+
+def test_agent_loads_little() -> None:
+    """Guards against libraries that do not fit into the agent's memory."""
+    code = (
+        "import sys, crocuswell_daemon.entry_stream\n"
+        "names = {'prometheus_client', 'cheroot', 'yaml', 'cattrs', 'typer',"
+        " 'json', 'grpclib.server', 'result'}\n"
+        "print(sorted(names & set(sys.modules)))"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert done.stdout.strip() == "[]"
