--- a/packages/core/crocuswell_core/agent_backend.py
+++ b/packages/core/crocuswell_core/agent_backend.py
@@ -109,6 +109,9 @@
         return []
     task.stop_in_flight = False
     task.checked_after = state.describe_sequence
+    if isinstance(reply, Rejected) and reply.known:
+        # It ended and was dropped, so it may have run.
+        task.ran = True
     return describe(state) if isinstance(reply, Accepted) else []
 
 
@@ -303,7 +306,12 @@
 def _follow_fenced(
     state: AgentState, task: AgentTask, listed: BackendTask
 ) -> list[Effect]:
-    end_task(state, task, TaskRefused(task.attempt, task.rank, "fenced"))
+    # A fence shows only that the task did not run since the backend server
+    # started; a task of an earlier incarnation may have.
+    if task.ran or task.backend_incarnation != state.backend_incarnation:
+        lose_task(state, task)
+    else:
+        end_task(state, task, TaskRefused(task.attempt, task.rank, "fenced"))
     return []
 
 
--- a/packages/core/crocuswell_core/agent_leases.py
+++ b/packages/core/crocuswell_core/agent_leases.py
@@ -3,7 +3,7 @@
 from crocuswell_core.state import AgentState
 
 # The backend server's own lease for the tasks ends this much before the
-# run lease, so that a slow last renewal cannot outlast it.
+# run lease, since the task needs time to die.
 BACKEND_MARGIN_MS = 500
 # Stops without a checkpoint are sent this much before the run lease ends.
 STOP_AHEAD_MS = 1_000
--- a/packages/core/crocuswell_core/agent_reports.py
+++ b/packages/core/crocuswell_core/agent_reports.py
@@ -99,25 +99,28 @@
     add_report(state, TaskRefused(attempt, rank, detail))
 
 
-def has_unsent_or_pending(state: AgentState, report: Report) -> bool:
+def is_pending(state: AgentState, report: Report) -> bool:
     """Tell whether an equal report is not yet acknowledged."""
     return report in state.reports
 
 
 def flush_reports(state: AgentState) -> list[Effect]:
-    """Send the reports that were not yet sent on this stream."""
+    """Send the reports if some were not yet sent on this stream.
+
+    Every message starts with the oldest report that is not acknowledged.
+    The entry host proposes each message on its own, and the proposals may
+    be committed in another order; a message that started later would then
+    leave a gap, and the reports in the gap would be lost.
+    """
     if not state.welcomed:
         return []
-    first = max(state.first_report, state.reports_sent + 1)
-    unsent = state.reports[first - state.first_report :]
-    effects: list[Effect] = []
-    while unsent:
-        part = unsent[: _part_length(unsent)]
-        effects.append(SendEntry(state.stream_id, SendReports(first, tuple(part))))
-        first += len(part)
-        unsent = unsent[len(part) :]
-    state.reports_sent = first - 1
-    return effects
+    part = state.reports[: _part_length(state.reports)]
+    last = state.first_report + len(part) - 1
+    if not part or last <= state.reports_sent:
+        return []
+    state.reports_sent = last
+    message = SendReports(state.first_report, tuple(part))
+    return [SendEntry(state.stream_id, message)]
 
 
 def _part_length(reports: list[Report]) -> int:
--- a/packages/core/crocuswell_core/state.py
+++ b/packages/core/crocuswell_core/state.py
@@ -595,4 +595,4 @@
     describe_again: bool = False
     described_ms: int = -1_000_000
     timer_at_ms: int | None = None
-    stop_by_ms: int = 0
+    stopping_since_ms: int = 0
--- a/packages/daemon/crocuswell_daemon/backend_client.py
+++ b/packages/daemon/crocuswell_daemon/backend_client.py
@@ -270,8 +270,8 @@
 
 @perform.register
 def _(call: Describe, client: BackendClient) -> BackendReply:
-    lease_ms = max(0, call.lease_until_ms - client.clock())
-    answer = client.request(_Request("GET", f"/v1/state?lease_ms={lease_ms}"))
+    path = f"/v1/state?lease_until_ms={call.lease_until_ms}"
+    answer = client.request(_Request("GET", path))
     if answer.status != 200:
         raise BadReplyError(f"status {answer.status}")
     return read_description(answer.body)
@@ -279,11 +279,9 @@
 
 @perform.register
 def _(call: StartOnBackend, client: BackendClient) -> BackendReply:
-    now_ms = client.clock()
-    lease_ms = call.lease_until_ms - now_ms
-    if now_ms > call.send_by_ms or lease_ms <= 0:
+    if client.clock() >= min(call.start_by_ms, call.lease_until_ms):
         raise NotSentError("the lease ended before the start was sent")
-    return _order(client, _on_task("PUT", call, "", start_body(call, lease_ms)))
+    return _order(client, _on_task("PUT", call, "", start_body(call)))
 
 
 @perform.register
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -193,8 +193,8 @@
     parts = environ["REQUEST_URI"].partition("?")[0].split("/")[1:]
     data = json.loads(body) if body else {}
     if parts == ["v1", "state"]:
-        lease_ms = int(environ["QUERY_STRING"].partition("=")[2] or 0)
-        return Describe(lease_until_ms=lease_ms), ""
+        lease_until_ms = int(environ["QUERY_STRING"].partition("=")[2] or 0)
+        return Describe(lease_until_ms=lease_until_ms), ""
     _, _, request_id, epoch, rank, *action = parts
     attempt = AttemptId(unquote(request_id), int(epoch))
     route = (environ["REQUEST_METHOD"], *action)
@@ -213,7 +213,8 @@
         base64.b64decode(data["payload"]),
         data["run_time_ms"],
         None if checkpoint is None else base64.b64decode(checkpoint),
-        lease_until_ms=data["lease_ms"],
+        data["start_by_ms"],
+        data["lease_until_ms"],
     )
 
 
--- a/standins/backend_tasks.py
+++ b/standins/backend_tasks.py
@@ -156,7 +156,7 @@
 def _(call: Describe, backend: Backend, now_ms: int) -> BackendReply:
     if call.lease_until_ms:
         for task in running(backend):
-            task.lease_end_ms = now_ms + call.lease_until_ms
+            task.lease_end_ms = max(task.lease_end_ms, call.lease_until_ms)
     return Described(
         backend.info,
         backend.incarnation,
@@ -173,7 +173,7 @@
     key = (call.attempt, call.rank)
     if key in backend.tasks:
         return Rejected("the member is known", known=True)
-    detail = _why_not(call, backend)
+    detail = _why_not(call, backend, now_ms)
     if detail:
         return Rejected(detail)
     member = f"{call.attempt}.{call.rank}"
@@ -192,7 +192,7 @@
         "running",
         now_ms,
         now_ms + max(0, run_ms - resumed_ms),
-        now_ms + call.lease_until_ms,
+        call.lease_until_ms,
         resumed_ms,
     )
     backend.most_running = max(backend.most_running, len(running(backend)))
@@ -208,6 +208,8 @@
             None, Payload(), "fenced", now_ms, now_ms, now_ms
         )
         return Accepted()
+    if task.forgotten:
+        return Rejected("the member was dropped", known=True)
     if task.state == "running":
         stop_ms = now_ms + (call.checkpoint_ms or 0)
         task.stop_ms = min(stop_ms, task.stop_ms or stop_ms)
@@ -246,7 +248,9 @@
     return Accepted()
 
 
-def _why_not(call: StartOnBackend, backend: Backend) -> str:
+def _why_not(call: StartOnBackend, backend: Backend, now_ms: int) -> str:
+    if now_ms >= min(call.start_by_ms, call.lease_until_ms):
+        return "too late"
     if backend.info.draining:
         return "draining"
     others = [task.call for task in running(backend) if task.call is not None]
