--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterator
 
 import pytest
-from http_fake import FakeLoop, serving
+
+from tests.http_fake import FakeLoop, serving
 
 
 @pytest.fixture(scope="module")
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -10,18 +10,6 @@
 
 import attrs
 import pytest
-from http_fake import (
-    CONFIGURATION_JSON,
-    DONE,
-    IF_MATCH,
-    KEY,
-    OPERATOR,
-    REQUEST,
-    REQUEST_JSON,
-    RESULT,
-    FakeLoop,
-    fetch,
-)
 
 from crocuswell_core.commands import (
     CancelRequests,
@@ -81,6 +69,18 @@
     Reply,
 )
 from crocuswell_daemon.problems import STATUS
+from tests.http_fake import (
+    CONFIGURATION_JSON,
+    DONE,
+    IF_MATCH,
+    KEY,
+    OPERATOR,
+    REQUEST,
+    REQUEST_JSON,
+    RESULT,
+    FakeLoop,
+    fetch,
+)
 
 CONFIGURATION = Configuration(workspaces=(Workspace("tisk", (Shape(2),)),))
 CHANGE = ConfigurationChange(7, "Jürgen", 5_000, CONFIGURATION, "more seats")
--- a/tests/test_http_fuzz.py
+++ b/tests/test_http_fuzz.py
@@ -9,7 +9,6 @@
 import cattrs
 import msgpack
 import pytest
-from http_fake import CONFIGURATION_JSON
 from hypothesis import HealthCheck, given, settings, strategies as st
 from result import Result, is_err
 
@@ -23,6 +22,7 @@
 from crocuswell_daemon.http_calls import parse_exchange
 from crocuswell_daemon.http_messages import HttpRequest
 from crocuswell_daemon.problems import problem_response
+from tests.http_fake import CONFIGURATION_JSON
 
 JOB_JSON = {
     "job_class": "stubs",
--- a/tests/test_http_limits.py
+++ b/tests/test_http_limits.py
@@ -9,17 +9,6 @@
 
 import attrs
 import pytest
-from http_fake import (
-    DONE,
-    JOBS,
-    KEY,
-    OUTER_LIMIT_S,
-    REQUEST,
-    REQUEST_JSON,
-    FakeLoop,
-    fetch,
-    serving,
-)
 
 from crocuswell_core.commands import (
     Refused,
@@ -40,6 +29,17 @@
     WAITING_LIMIT,
 )
 from crocuswell_daemon.http_server import BODY_LIMIT, DISCARD_LIMIT, THREADS
+from tests.http_fake import (
+    DONE,
+    JOBS,
+    KEY,
+    OUTER_LIMIT_S,
+    REQUEST,
+    REQUEST_JSON,
+    FakeLoop,
+    fetch,
+    serving,
+)
 
 
 @pytest.mark.parametrize("size", [BODY_LIMIT + 1, DISCARD_LIMIT])
--- a/tests/test_http_refusals.py
+++ b/tests/test_http_refusals.py
@@ -4,7 +4,16 @@
 
 import attrs
 import pytest
-from http_fake import CONFIGURATION_JSON, IF_MATCH, JOBS, KEY, OPERATOR, FakeLoop, fetch
+
+from tests.http_fake import (
+    CONFIGURATION_JSON,
+    IF_MATCH,
+    JOBS,
+    KEY,
+    OPERATOR,
+    FakeLoop,
+    fetch,
+)
 
 
 @attrs.frozen
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -12,8 +12,6 @@
 
 import attrs
 import pytest
-from relay import Relay
-from stream_fake import MEGABYTE, OUTER_LIMIT_S, Recorder, run
 
 from crocuswell_core.commands import EntryHost, LogEntry, NoOperation, Proposal
 from crocuswell_core.events import (
@@ -27,6 +25,8 @@
 )
 from crocuswell_daemon import peers
 from crocuswell_daemon.peers import PeerCodec, PeerFrame, PeerLinks, PeerOutbox
+from tests.relay import Relay
+from tests.stream_fake import MEGABYTE, OUTER_LIMIT_S, Recorder, run
 
 
 def host(name: str, port: int) -> EntryHost:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -14,8 +14,6 @@
 
 import pytest
 from grpclib.protocol import H2Protocol
-from relay import Relay
-from stream_fake import MEGABYTE, OUTER_LIMIT_S, Recorder, run
 
 from crocuswell_core.events import (
     AgentMessageReceived,
@@ -33,6 +31,8 @@
 from crocuswell_daemon import agent_streams, listener
 from crocuswell_daemon.agent_streams import AgentListener
 from crocuswell_daemon.entry_stream import EntryLink
+from tests.relay import Relay
+from tests.stream_fake import MEGABYTE, OUTER_LIMIT_S, Recorder, run
 
 
 @asynccontextmanager
