Report what an entry host answered in the failure scripts

Cause: one rolling restart in three saw two answers without an outcome, and the script hid what they were. Change: the script raises with status and body. Conclusion: the cause is still open.

--- a/scripts/failures.py
+++ b/scripts/failures.py
@@ -100,14 +100,14 @@
         entry.process.start()
         wait_until_answering(entry)
     for worker in scene.hosts.workers:
+        before = scene.platform.worker(worker.id)["incarnation"]
         require_clean_stop(worker.agent_process.stop(), worker.id)
         worker.agent_process.start()
-        wait_until_active(scene, worker.id)
+        wait_until_active(scene, worker.id, before)
 
 
-def wait_until_active(scene: Scene, worker: str) -> None:
+def wait_until_active(scene: Scene, worker: str, before: str) -> None:
     """Wait until a worker takes work again after a restart of its agent."""
-    before = scene.platform.worker(worker)["incarnation"]
     deadline = time.monotonic() + REJOIN_LIMIT_S
     while time.monotonic() < deadline:
         view = scene.platform.worker(worker)
--- a/scripts/platform_calls.py
+++ b/scripts/platform_calls.py
@@ -146,7 +146,7 @@
             return Answer(view["kind"], view.get("detail", ""))
         while view["outcome"] is None:
             path = f"/v1/requests/{view['id']}?wait_ms={self._wait_ms()}"
-            view = self.call("GET", path).json()
+            view = self._require(self.call("GET", path))
         outcome = view["outcome"]
         if outcome["outcome"] != "completed":
             return Answer(outcome["outcome"], outcome["detail"])
@@ -155,6 +155,11 @@
             raise RuntimeError("the result is not whole")
         return Answer("completed", "", result)
 
+    def _require(self, answer: urllib3.BaseHTTPResponse) -> dict[str, Any]:
+        if answer.status >= 400:
+            raise RuntimeError(f"{answer.status}: {answer.data.decode()}")
+        return dict(answer.json())
+
     def _wait_ms(self) -> int:
         return min(WAIT_MS, int(self.read_s * 500))
 
@@ -165,7 +170,7 @@
     def worker(self, name: str) -> dict[str, Any]:
         """Return what the platform knows of a worker."""
         views = self.call("GET", "/v1/workers").json()["workers"]
-        return dict(next(view for view in views if view["id"] == name))
+        return dict(next(view for view in views if view["worker"] == name))
 
     def standin_starts(self, backend: str) -> dict[str, int]:
         """Return how often a stand-in started each marked request."""
