--- a/packages/core/crocuswell_core/attempts.py
+++ b/packages/core/crocuswell_core/attempts.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from crocuswell_core.agenda import add_due
 from crocuswell_core.commands import (
     Report,
     TaskFailed,
@@ -19,6 +20,16 @@
     TaskStopped,
 )
 from crocuswell_core.effects import ClusterEffect, Count, OrderWorker
+from crocuswell_core.forecast import expected_run_ms
+from crocuswell_core.index import (
+    RECLAIM_STOP_MS,
+    add_attempt,
+    dequeue,
+    drop_hold,
+    mark_leaving,
+    refresh_worker,
+    remove_attempt,
+)
 from crocuswell_core.messages import Order, ReserveTask, StartTask, StopTask
 from crocuswell_core.outcomes import finish_attempt, resolve_unknown
 from crocuswell_core.records import (
@@ -26,6 +37,7 @@
     Attempt,
     AttemptId,
     AttemptPhase,
+    JobSpec,
     Member,
     MemberPhase,
     Request,
@@ -33,7 +45,12 @@
     StopReason,
 )
 from crocuswell_core.rooms import set_member_phase, take_room
-from crocuswell_core.state import ClusterState
+from crocuswell_core.state import ClusterState, ReservationDue
+
+# Time in ms for all agents of a gang to confirm. An agent confirms within two
+# message delays; the rest of the 2,200 ms from claim to start is for a second
+# placement elsewhere.
+CONFIRM_LIMIT_MS = 800
 
 FAILURE_REASONS = {
     MemberPhase.REFUSED: StopReason.MEMBER_REFUSED,
@@ -44,7 +61,10 @@
 
 
 def place_request(
-    cluster: ClusterState, request: Request, workers: tuple[str, ...]
+    cluster: ClusterState,
+    request: Request,
+    workers: tuple[str, ...],
+    guarantee: str | None = None,
 ) -> list[ClusterEffect]:
     """Take room for all members of a request in one step.
 
@@ -56,6 +76,8 @@
         A queued request.
     workers : tuple of str
         Worker of each rank; the caller has checked that all fit.
+    guarantee : str or None
+        Key of the planned shape that is claimed.
 
     Returns
     -------
@@ -77,8 +99,14 @@
         phase=AttemptPhase.RUNNING if single else AttemptPhase.RESERVING,
         placed_at_ms=cluster.now_ms,
         started_at_ms=cluster.now_ms if single else None,
+        guarantee=guarantee,
+        expected_end_ms=cluster.now_ms + expected_run_ms(cluster, request),
     )
     cluster.attempts[attempt_id] = attempt
+    dequeue(cluster, request)
+    drop_hold(cluster, request.id)
+    cluster.reservations.pop(request.id, None)
+    add_attempt(cluster, attempt)
     cluster.requests[request.id] = attrs.evolve(
         request,
         phase=RequestPhase.ACTIVE,
@@ -86,6 +114,9 @@
         started_at_ms=_first_start_ms(request, attempt),
     )
     cluster.queues[request.workspace].pop(request.id, None)
+    if not single:
+        due = ReservationDue(attempt_id)
+        add_due(cluster, cluster.now_ms + CONFIRM_LIMIT_MS, due)
     return [OrderWorker(m.worker, wanted_order(cluster, attempt, m)) for m in members]
 
 
@@ -102,6 +133,7 @@
         attempt, phase=AttemptPhase.STOPPING, stop_reason=reason, detail=detail
     )
     cluster.attempts[attempt.id] = attempt
+    mark_leaving(cluster, attempt)
     effects: list[ClusterEffect] = [
         OrderWorker(m.worker, wanted_order(cluster, attempt, m))
         for m in attempt.members
@@ -119,6 +151,8 @@
         )
     if attempt.phase is AttemptPhase.STOPPING:
         checkpoint_ms = None if _discards_work(attempt) else spec.checkpoint_ms
+        if attempt.stop_reason is StopReason.PREEMPTED and not _in_time(spec):
+            checkpoint_ms = None
         return StopTask(attempt.id, member.rank, checkpoint_ms)
     return StartTask(
         attempt=attempt.id,
@@ -133,6 +167,23 @@
     )
 
 
+def release_unconfirmed(cluster: ClusterState, attempt: Attempt) -> list[ClusterEffect]:
+    """End a gang's reservation that was not confirmed in time.
+
+    No start was committed, so nothing ran, and an agent that is heard again
+    gets the stop order before any other; its room is free at once.
+    """
+    effects = stop_attempt(cluster, attempt, StopReason.NOT_CONFIRMED)
+    for member in attempt.members:
+        if member.phase is MemberPhase.ORDERED:
+            cluster.unresponsive.setdefault(member.worker, cluster.now_ms)
+            refresh_worker(cluster, member.worker)
+    for member in attempt.members:
+        current = cluster.attempts[attempt.id]
+        effects += _end(cluster, current, member.rank, MemberPhase.STOPPED)
+    return effects
+
+
 def lose_member(
     cluster: ClusterState, attempt: Attempt, rank: int
 ) -> list[ClusterEffect]:
@@ -226,6 +277,7 @@
     phases = [m.phase for m in attempt.members]
     if all(phase in ENDED_MEMBER_PHASES for phase in phases):
         del cluster.attempts[attempt.id]
+        remove_attempt(cluster, attempt)
         return finish_attempt(cluster, attempt)
     if attempt.phase is AttemptPhase.RESERVING and all(
         phase is MemberPhase.RESERVED for phase in phases
@@ -255,6 +307,10 @@
     return attempt.started_at_ms
 
 
+def _in_time(spec: JobSpec) -> bool:
+    return spec.checkpoint_ms is not None and spec.checkpoint_ms <= RECLAIM_STOP_MS
+
+
 def _discards_work(attempt: Attempt) -> bool:
     return attempt.started_at_ms is None or attempt.stop_reason in {
         StopReason.CANCELLED,
--- a/packages/core/crocuswell_core/changes.py
+++ b/packages/core/crocuswell_core/changes.py
@@ -61,6 +61,7 @@
     )
     del cluster.history[:-HISTORY_LENGTH]
     cluster.needs_scheduling = True
+    cluster.plan_outdated = True
     ids = (
         Label("number", str(number)),
         Label("author", author),
--- a/packages/core/crocuswell_core/committed.py
+++ b/packages/core/crocuswell_core/committed.py
@@ -13,6 +13,8 @@
     Observe,
 )
 from crocuswell_core.errors import PROMISES, ErrorKind
+from crocuswell_core.index import index_of
+from crocuswell_core.invariants import check_sample
 from crocuswell_core.notices import CommandApplied, EntriesApplied
 from crocuswell_core.outcomes import RECORD_RETENTION_MS
 from crocuswell_core.scheduling import schedule
@@ -45,6 +47,8 @@
         The reply and the effects, equal on every entry host.
     """
     cluster.now_ms = max(cluster.now_ms, entry.at_ms)
+    # Built before any table changes, so that no change is counted twice.
+    index_of(cluster)
     proposal = entry.proposal
     first = cluster.answered.get(proposal.command_id)
     if first is not None:
@@ -59,7 +63,9 @@
         )
         due = AnswerDue(proposal.command_id)
         add_due(cluster, cluster.now_ms + RECORD_RETENTION_MS, due)
-    return Applied(applied.reply, (*applied.effects, *schedule(cluster)))
+    effects = (*applied.effects, *schedule(cluster))
+    check_sample(cluster, entry.index)
+    return Applied(applied.reply, effects)
 
 
 def apply_committed(state: EntryState) -> list[Effect]:
--- a/packages/core/crocuswell_core/fleet.py
+++ b/packages/core/crocuswell_core/fleet.py
@@ -23,6 +23,7 @@
     WorkerAnnounced,
 )
 from crocuswell_core.errors import ErrorKind
+from crocuswell_core.index import refresh_worker
 from crocuswell_core.records import (
     Attempt,
     AttemptPhase,
@@ -30,8 +31,9 @@
     StopReason,
     Worker,
     WorkerMode,
+    takes_work,
 )
-from crocuswell_core.rooms import members_on, new_room, set_member_phase, takes_work
+from crocuswell_core.rooms import members_on, new_room, set_member_phase
 from crocuswell_core.state import ClusterState
 
 OPERATOR_MODES = frozenset(
@@ -58,6 +60,8 @@
         operator_mode=known.operator_mode if known else WorkerMode.ACTIVE,
     )
     cluster.rooms.setdefault(name, new_room(command.info))
+    cluster.unresponsive.pop(name, None)
+    refresh_worker(cluster, name)
     cluster.needs_scheduling = True
     effects += _leave_worker(cluster, name)
     ids = (Label("worker", name), Label("incarnation", command.incarnation))
@@ -88,6 +92,9 @@
     if worker is None or worker.mode is not before:
         return Applied(Done())
     cluster.workers[command.worker] = attrs.evolve(worker, mode=after)
+    if not command.suspect:
+        cluster.unresponsive.pop(command.worker, None)
+    refresh_worker(cluster, command.worker)
     cluster.needs_scheduling = True
     change = "worker suspect" if command.suspect else "worker heard again"
     return Applied(Done(), (LogChange(change, (Label("worker", command.worker),)),))
@@ -103,6 +110,7 @@
             Refused(ErrorKind.INVALID_REQUEST, "mode: active, draining or quarantined")
         )
     cluster.workers[command.worker] = attrs.evolve(worker, operator_mode=command.mode)
+    refresh_worker(cluster, command.worker)
     cluster.needs_scheduling = True
     ids = (
         Label("worker", command.worker),
@@ -135,7 +143,8 @@
 
 
 def _attempts_on(cluster: ClusterState, name: str) -> list[Attempt]:
-    return [cluster.attempts[i] for i in list(cluster.rooms[name].attempts)]
+    room = cluster.rooms.get(name)
+    return [cluster.attempts[i] for i in list(room.attempts)] if room else []
 
 
 def _adopt_members(cluster: ClusterState, name: str, incarnation: str) -> None:
@@ -163,8 +172,9 @@
 
 def _lose_worker(cluster: ClusterState, name: str) -> list[ClusterEffect]:
     """End all members on a worker whose tasks are gone, and its room."""
-    attempts = _attempts_on(cluster, name) if name in cluster.rooms else []
+    attempts = _attempts_on(cluster, name)
     cluster.rooms.pop(name, None)
+    refresh_worker(cluster, name)
     effects: list[ClusterEffect] = []
     for lost in attempts:
         effects += _lose_members(cluster, lost, name)
--- /dev/null
+++ b/packages/core/crocuswell_core/index.py
@@ -0,0 +1,396 @@
+"""Keeps the derived sums of `spaces` in step with the tables."""
+
+from bisect import bisect_left, insort
+
+import attrs
+
+from crocuswell_core.records import (
+    ENDED_MEMBER_PHASES,
+    Attempt,
+    AttemptPhase,
+    JobSpec,
+    Member,
+    Request,
+    RequestPhase,
+    Worker,
+    takes_work,
+)
+from crocuswell_core.resources import Adjacency, Resources, Shape
+from crocuswell_core.spaces import (
+    Lane,
+    Need,
+    Quantity,
+    SchedulingIndex,
+    Usage,
+    WorkerSpace,
+)
+from crocuswell_core.state import ClusterState, Hold, PlannedShape
+
+# Time in ms in which a borrower must be able to leave. The target from claim
+# to start is 2,200 ms; the rest covers orders, reports and the start itself.
+RECLAIM_STOP_MS = 1_500
+
+# Length of the log of opened workers at which it starts over.
+OPENED_LIMIT = 4_096
+
+
+def is_movable(spec: JobSpec) -> bool:
+    """Tell whether a borrower can leave within `RECLAIM_STOP_MS`."""
+    if spec.idempotent:
+        return True
+    return spec.checkpoint_ms is not None and spec.checkpoint_ms <= RECLAIM_STOP_MS
+
+
+def need_of(spec: JobSpec) -> Need:
+    """Return the need of a job."""
+    return Need(spec.shape, is_movable(spec))
+
+
+def index_of(cluster: ClusterState) -> SchedulingIndex:
+    """Return the derived sums, built from the tables if missing."""
+    if cluster.index is None:
+        cluster.index = SchedulingIndex()
+        _build(cluster)
+    return cluster.index
+
+
+def is_usable(cluster: ClusterState, name: str) -> bool:
+    """Tell whether new work may be placed on a worker."""
+    return (
+        name in cluster.rooms
+        and takes_work(cluster.workers[name])
+        and name not in cluster.unresponsive
+    )
+
+
+def refresh_worker(cluster: ClusterState, name: str) -> None:
+    """Recompute the sums of a worker that came, left or changed its mode."""
+    if cluster.index is None:
+        return
+    index = cluster.index
+    old = index.spaces.pop(name, None)
+    if old is not None:
+        _drop_space(index, name, old)
+    worker = cluster.workers.get(name)
+    if worker is not None and name in cluster.rooms:
+        _add_space(cluster, index, name, worker)
+    clear_blocked(index)
+    index.ever_fits.clear()
+    cluster.plan_outdated = True
+
+
+def add_attempt(cluster: ClusterState, attempt: Attempt) -> None:
+    """Count a newly placed attempt."""
+    index = index_of(cluster)
+    request = cluster.requests[attempt.id.request_id]
+    index.usage.setdefault(attempt.workspace, Usage()).active[attempt.id] = None
+    if attempt.guarantee is not None:
+        index.claims.setdefault(attempt.guarantee, {})[attempt.id] = None
+        index.claim_workspaces[attempt.workspace] = None
+    for member in attempt.members:
+        _count_member(index, attempt, member, request.spec, 1)
+
+
+def remove_member(cluster: ClusterState, attempt: Attempt, member: Member) -> None:
+    """Count the end of one member; `attempt` is as it was before."""
+    index = index_of(cluster)
+    request = cluster.requests[attempt.id.request_id]
+    _count_member(index, attempt, member, request.spec, -1)
+    if member.worker in index.spaces:
+        _note_opened(index, member.worker)
+    index.claim_workspaces[attempt.workspace] = None
+
+
+def remove_attempt(cluster: ClusterState, attempt: Attempt) -> None:
+    """Forget an attempt whose members have all ended."""
+    index = index_of(cluster)
+    index.usage[attempt.workspace].active.pop(attempt.id, None)
+    if attempt.guarantee is not None:
+        index.claims.get(attempt.guarantee, {}).pop(attempt.id, None)
+
+
+def mark_leaving(cluster: ClusterState, attempt: Attempt) -> None:
+    """Count an attempt that was just ordered to stop."""
+    index = index_of(cluster)
+    index.claim_workspaces[attempt.workspace] = None
+    amount = cluster.requests[attempt.id.request_id].spec.shape.per_member
+    for member in attempt.members:
+        space = index.spaces.get(member.worker)
+        if space is not None and member.phase not in ENDED_MEMBER_PHASES:
+            space.leaving.add(amount)
+
+
+def enqueue(cluster: ClusterState, request: Request) -> None:
+    """Add a queued request that may start now to its lane."""
+    index = index_of(cluster)
+    spec = request.spec
+    need = need_of(spec)
+    key = (need, spec.job_class, spec.urgent)
+    lanes = index.lanes.setdefault(request.workspace, {})
+    lane = lanes.get(key)
+    if lane is None:
+        lane = lanes[key] = Lane(need, spec.job_class, spec.urgent)
+    insort(lane.order, (request.accepted_at_ms, request.id))
+    index.claim_workspaces[request.workspace] = None
+
+
+def dequeue(cluster: ClusterState, request: Request) -> None:
+    """Take a request out of its lane if it is there."""
+    spec = request.spec
+    lanes = index_of(cluster).lanes.get(request.workspace, {})
+    key = (need_of(spec), spec.job_class, spec.urgent)
+    lane = lanes.get(key)
+    if lane is None:
+        return
+    item = (request.accepted_at_ms, request.id)
+    position = bisect_left(lane.order, item)
+    if position < len(lane.order) and lane.order[position] == item:
+        del lane.order[position]
+    if not lane.order:
+        del lanes[key]
+
+
+def clear_blocked(index: SchedulingIndex) -> None:
+    """Forget which needs found no room."""
+    index.blocked.clear()
+    index.opened.clear()
+
+
+def total_of(info: Resources, slots: int) -> Quantity:
+    """Return a quantity of these resources and slots."""
+    return Quantity(info.accelerators, info.processors, info.memory_mb, slots)
+
+
+def unit_names(worker: Worker) -> dict[Adjacency, str]:
+    """Return the unit of each adjacency that holds a worker."""
+    info = worker.info
+    return {
+        Adjacency.NONE: "",
+        Adjacency.WORKER: info.worker,
+        Adjacency.RACK: f"{info.failure_domain}/{info.rack}",
+        Adjacency.FAILURE_DOMAIN: info.failure_domain,
+    }
+
+
+def _build(cluster: ClusterState) -> None:
+    index = index_of(cluster)
+    for name in cluster.rooms:
+        _add_space(cluster, index, name, cluster.workers[name], fresh=True)
+    for attempt in cluster.attempts.values():
+        usage = index.usage.setdefault(attempt.workspace, Usage())
+        usage.active[attempt.id] = None
+        if attempt.guarantee is not None:
+            index.claims.setdefault(attempt.guarantee, {})[attempt.id] = None
+        spec = cluster.requests[attempt.id.request_id].spec
+        for member in attempt.members:
+            if member.phase not in ENDED_MEMBER_PHASES:
+                _count_member(index, attempt, member, spec, 1)
+                if attempt.phase is AttemptPhase.STOPPING:
+                    _count_leaving(index, member, spec)
+    for workspace, queue in cluster.queues.items():
+        index.claim_workspaces[workspace] = None
+        for request_id in queue:
+            request = cluster.requests[request_id]
+            if _may_start(cluster, request):
+                enqueue(cluster, request)
+
+
+def _may_start(cluster: ClusterState, request: Request) -> bool:
+    return (
+        request.phase is RequestPhase.QUEUED
+        and not request.not_before_ms
+        and request.id not in cluster.holds
+    )
+
+
+def _count_leaving(index: SchedulingIndex, member: Member, spec: JobSpec) -> None:
+    space = index.spaces.get(member.worker)
+    if space is not None:
+        space.leaving.add(spec.shape.per_member)
+
+
+def _add_space(
+    cluster: ClusterState,
+    index: SchedulingIndex,
+    name: str,
+    worker: Worker,
+    fresh: bool = False,
+) -> None:
+    """Add a worker; its members are counted too unless all are to follow."""
+    capacity = total_of(worker.info.capacity, worker.info.slots)
+    space = WorkerSpace(
+        unit=unit_names(worker),
+        usable=is_usable(cluster, name),
+        capacity=capacity,
+        free=capacity.less(),
+    )
+    index.spaces[name] = space
+    for adjacency, unit in space.unit.items():
+        insort(index.units[adjacency].setdefault(unit, []), name)
+    for planned in cluster.plan.values():
+        count = planned.workers.count(name)
+        if count:
+            space.planned.add(planned.shape.per_member, count)
+    for hold in cluster.holds.values():
+        count = hold.workers.count(name)
+        if count:
+            space.held.add(hold.amount, count)
+    if not fresh:
+        _count_members_on(cluster, space, name)
+    if space.usable:
+        index.capacity.merge(capacity)
+        index.free.merge(space.free)
+        _enter_bucket(index, name, space)
+
+
+def _count_members_on(cluster: ClusterState, space: WorkerSpace, name: str) -> None:
+    for attempt_id in cluster.rooms[name].attempts:
+        attempt = cluster.attempts[attempt_id]
+        spec = cluster.requests[attempt_id.request_id].spec
+        for member in attempt.members:
+            if member.worker == name and member.phase not in ENDED_MEMBER_PHASES:
+                space.free.add(spec.shape.per_member, -1)
+                if attempt.guarantee is None and not is_movable(spec):
+                    space.fixed.add(spec.shape.per_member)
+                if attempt.phase is AttemptPhase.STOPPING:
+                    space.leaving.add(spec.shape.per_member)
+
+
+def _drop_space(index: SchedulingIndex, name: str, space: WorkerSpace) -> None:
+    if space.usable:
+        index.capacity.merge(space.capacity, -1)
+        index.free.merge(space.free, -1)
+        _leave_bucket(index, name, space)
+    for adjacency, unit in space.unit.items():
+        names = index.units[adjacency][unit]
+        del names[bisect_left(names, name)]
+        if not names:
+            del index.units[adjacency][unit]
+
+
+def _count_member(
+    index: SchedulingIndex, attempt: Attempt, member: Member, spec: JobSpec, sign: int
+) -> None:
+    """Count a member in (`sign` 1) or out (-1)."""
+    amount = spec.shape.per_member
+    usage = index.usage.setdefault(attempt.workspace, Usage())
+    usage.total.add(amount, sign)
+    if attempt.guarantee is None:
+        usage.borrowed.add(amount, sign)
+    space = index.spaces.get(member.worker)
+    if space is None:
+        return
+    if space.usable:
+        _leave_bucket(index, member.worker, space)
+        index.free.add(amount, -sign)
+    space.free.add(amount, -sign)
+    if space.usable:
+        _enter_bucket(index, member.worker, space)
+    if attempt.guarantee is None and not is_movable(spec):
+        space.fixed.add(amount, sign)
+    if sign < 0 and attempt.phase is AttemptPhase.STOPPING:
+        space.leaving.add(amount, -1)
+
+
+def _enter_bucket(index: SchedulingIndex, name: str, space: WorkerSpace) -> None:
+    if space.free.slots > 0:
+        key = (space.free.accelerators, space.free.slots)
+        insort(index.buckets.setdefault(key, []), name)
+
+
+def _leave_bucket(index: SchedulingIndex, name: str, space: WorkerSpace) -> None:
+    if space.free.slots > 0:
+        key = (space.free.accelerators, space.free.slots)
+        names = index.buckets[key]
+        del names[bisect_left(names, name)]
+        if not names:
+            del index.buckets[key]
+
+
+def _note_opened(index: SchedulingIndex, name: str) -> None:
+    index.opened.append(name)
+    if len(index.opened) > OPENED_LIMIT:
+        clear_blocked(index)
+
+
+def add_hold(cluster: ClusterState, request: Request, hold: Hold) -> None:
+    """Keep room for a claim and take it out of its lane."""
+    index = index_of(cluster)
+    dequeue(cluster, request)
+    cluster.holds[request.id] = hold
+    for name in hold.workers:
+        index.spaces[name].held.add(hold.amount)
+
+
+def drop_hold(cluster: ClusterState, request_id: str) -> None:
+    """Give up the room kept for a claim, if any."""
+    hold = cluster.holds.pop(request_id, None)
+    if hold is None:
+        return
+    index = index_of(cluster)
+    for name in hold.workers:
+        if name in index.spaces:
+            index.spaces[name].held.add(hold.amount, -1)
+            _note_opened(index, name)
+
+
+def set_planned(cluster: ClusterState, key: str, planned: PlannedShape) -> None:
+    """Assign workers to a guaranteed shape in place of earlier ones."""
+    drop_planned(cluster, key)
+    cluster.plan[key] = planned
+    index = index_of(cluster)
+    for name in planned.workers:
+        index.spaces[name].planned.add(planned.shape.per_member)
+    index.claim_workspaces[planned.workspace] = None
+    index.plan_keys.clear()
+
+
+def drop_planned(cluster: ClusterState, key: str) -> None:
+    """Take a shape out of the plan; its claims become borrowers."""
+    planned = cluster.plan.pop(key, None)
+    if planned is None:
+        return
+    index = index_of(cluster)
+    for name in planned.workers:
+        if name in index.spaces:
+            index.spaces[name].planned.add(planned.shape.per_member, -1)
+            _note_opened(index, name)
+    for attempt_id in list(index.claims.pop(key, ())):
+        _make_borrower(cluster, index, cluster.attempts[attempt_id])
+    for request_id, hold in list(cluster.holds.items()):
+        if hold.guarantee == key:
+            drop_hold(cluster, request_id)
+            enqueue(cluster, cluster.requests[request_id])
+    index.plan_keys.clear()
+
+
+def plan_keys(cluster: ClusterState, workspace: str) -> list[str]:
+    """Return the planned shapes of a workspace, smallest first."""
+    index = index_of(cluster)
+    if not index.plan_keys:
+        for key, planned in cluster.plan.items():
+            if planned.workers:
+                index.plan_keys.setdefault(planned.workspace, []).append(key)
+        for keys in index.plan_keys.values():
+            keys.sort(key=lambda key: (_size(cluster.plan[key].shape), key))
+    return index.plan_keys.get(workspace, [])
+
+
+def _size(shape: Shape) -> tuple[int, int, int]:
+    total = shape.total
+    return total.accelerators, total.processors, total.memory_mb
+
+
+def _make_borrower(
+    cluster: ClusterState, index: SchedulingIndex, attempt: Attempt
+) -> None:
+    spec = cluster.requests[attempt.id.request_id].spec
+    cluster.attempts[attempt.id] = attrs.evolve(attempt, guarantee=None)
+    amount = spec.shape.per_member
+    for member in attempt.members:
+        if member.phase in ENDED_MEMBER_PHASES:
+            continue
+        index.usage[attempt.workspace].borrowed.add(amount)
+        space = index.spaces.get(member.worker)
+        if space is not None and not is_movable(spec):
+            space.fixed.add(amount)
--- /dev/null
+++ b/packages/core/crocuswell_core/invariants.py
@@ -0,0 +1,291 @@
+"""Checks of the replicated tables that run inside the program.
+
+`check_all` looks at every row and is for tests. `check_sample` looks at a few
+rows after each applied entry and stays on in production.
+"""
+
+from collections.abc import Mapping
+from itertools import islice
+from typing import TypeVar
+
+import attrs
+
+from crocuswell_core.index import index_of, is_movable, is_usable, total_of
+from crocuswell_core.records import (
+    ENDED_MEMBER_PHASES,
+    Attempt,
+    AttemptId,
+    AttemptPhase,
+    MemberPhase,
+    Request,
+    RequestPhase,
+    WorkerMode,
+)
+from crocuswell_core.resources import SLOTS_PER_WORKER, Adjacency, Resources
+from crocuswell_core.spaces import Quantity
+from crocuswell_core.state import ClusterState
+
+Key = TypeVar("Key")
+
+# Rows of each table that are checked after one entry.
+SAMPLE_ROWS = 2
+
+
+@attrs.frozen
+class InvariantViolation(Exception):  # noqa: N818 (named in the design)
+    """A table contradicts what must always hold.
+
+    Attributes
+    ----------
+    invariant : str
+        Name of the check.
+    row : str
+        Key of the row that was looked at.
+    found : str
+        What was found.
+    """
+
+    invariant: str
+    row: str
+    found: str
+
+    def __str__(self) -> str:
+        return f"{self.invariant}: {self.row}: {self.found}"
+
+
+def check_all(cluster: ClusterState) -> None:
+    """Check every row of every table.
+
+    Raises
+    ------
+    InvariantViolation
+        If a check fails.
+    """
+    for name in cluster.rooms:
+        check_worker(cluster, name)
+    for attempt in cluster.attempts.values():
+        check_attempt(cluster, attempt)
+    for request in cluster.requests.values():
+        check_request(cluster, request)
+    for key in cluster.plan:
+        check_planned(cluster, key)
+    check_queues(cluster)
+    check_quotas(cluster)
+    check_quarantine(cluster)
+    check_index(cluster)
+
+
+def check_sample(cluster: ClusterState, sequence: int) -> None:
+    """Check a few rows of each table, others for each `sequence`.
+
+    Raises
+    ------
+    InvariantViolation
+        If a check fails.
+    """
+    for name in _sample(cluster.rooms, sequence):
+        check_worker(cluster, name)
+    for attempt_id in _sample(cluster.attempts, sequence):
+        check_attempt(cluster, cluster.attempts[attempt_id])
+    for request_id in _sample(cluster.requests, sequence):
+        check_request(cluster, cluster.requests[request_id])
+    for key in _sample(cluster.plan, sequence)[:1]:
+        check_planned(cluster, key)
+
+
+def check_worker(cluster: ClusterState, name: str) -> None:
+    """Check the accounting of one worker's room and what is planned on it."""
+    room = cluster.rooms[name]
+    info = cluster.workers[name].info
+    used, fixed = Quantity(), Quantity()
+    indices = list(room.accelerators)
+    for attempt_id, count in room.attempts.items():
+        attempt = cluster.attempts.get(attempt_id)
+        if attempt is None:
+            raise InvariantViolation("room", name, f"ended attempt {attempt_id}")
+        spec = cluster.requests[attempt_id.request_id].spec
+        members = [
+            m
+            for m in attempt.members
+            if m.worker == name and m.phase not in ENDED_MEMBER_PHASES
+        ]
+        if len(members) != count:
+            raise InvariantViolation("room", name, f"{attempt_id}: {count} members")
+        used.add(spec.shape.per_member, count)
+        if attempt.guarantee is None and not is_movable(spec):
+            fixed.add(spec.shape.per_member, count)
+        indices += [index for m in members for index in m.accelerators]
+    free = total_of(info.capacity, info.slots).less(used)
+    if free.is_negative() or free != total_of(room.free, room.free_slots):
+        raise InvariantViolation("room", name, f"free {room.free}, members {used}")
+    if sorted(indices) != list(range(info.capacity.accelerators)):
+        raise InvariantViolation("accelerators", name, f"indices {sorted(indices)}")
+    if not 0 <= room.free_slots <= SLOTS_PER_WORKER:
+        raise InvariantViolation("slots", name, f"{room.free_slots} free")
+    _check_planned_room(cluster, name, fixed)
+
+
+def check_attempt(cluster: ClusterState, attempt: Attempt) -> None:
+    """Check the phase of one attempt against its members and its request."""
+    row = str(attempt.id)
+    request = cluster.requests.get(attempt.id.request_id)
+    if request is None or request.phase is not RequestPhase.ACTIVE:
+        raise InvariantViolation("attempt", row, "its request is not active")
+    if request.attempts_made != attempt.id.epoch:
+        raise InvariantViolation("attempt", row, f"epoch {request.attempts_made}")
+    if len(attempt.members) != request.spec.shape.members:
+        raise InvariantViolation("gang", row, f"{len(attempt.members)} members")
+    if attempt.phase is AttemptPhase.RUNNING and len(attempt.members) > 1:
+        waiting = [m.rank for m in attempt.members if m.phase is MemberPhase.ORDERED]
+        if waiting or attempt.started_at_ms is None:
+            raise InvariantViolation("gang", row, f"started without ranks {waiting}")
+    if attempt.phase is AttemptPhase.RESERVING and attempt.started_at_ms is not None:
+        raise InvariantViolation("gang", row, "started while reserving")
+    units = {
+        index_of(cluster).spaces[m.worker].unit[request.spec.shape.adjacency]
+        for m in attempt.members
+        if m.worker in index_of(cluster).spaces
+    }
+    if len(units) > 1:
+        raise InvariantViolation("adjacency", row, f"{len(units)} units")
+
+
+def check_request(cluster: ClusterState, request: Request) -> None:
+    """Check that a request is in exactly one phase and ran as allowed."""
+    queued = request.id in cluster.queues.get(request.workspace, ())
+    attempt = AttemptId(request.id, request.attempts_made)
+    found = (queued, attempt in cluster.attempts, request.outcome is not None)
+    expected = (
+        request.phase is RequestPhase.QUEUED,
+        request.phase is RequestPhase.ACTIVE,
+        request.phase is RequestPhase.DONE,
+    )
+    if found != expected:
+        raise InvariantViolation("phase", request.id, f"{request.phase}: {found}")
+    again = request.may_have_run and request.phase is not RequestPhase.DONE
+    if again and not request.spec.idempotent and request.checkpoint is None:
+        raise InvariantViolation("at most once", request.id, "it may run twice")
+
+
+def check_planned(cluster: ClusterState, key: str) -> None:
+    """Check that a planned shape can be claimed besides its own claims."""
+    planned = cluster.plan[key]
+    if cluster.plan_outdated or not planned.workers:
+        return
+    if len(planned.workers) != planned.shape.members:
+        raise InvariantViolation("plan", key, f"{len(planned.workers)} members")
+    spaces = index_of(cluster).spaces
+    unusable = [n for n in planned.workers if not is_usable(cluster, n)]
+    if unusable:
+        raise InvariantViolation("plan", key, f"planned on {unusable}")
+    units = {spaces[n].unit[planned.shape.adjacency] for n in planned.workers}
+    if len(units) > 1 and planned.shape.adjacency is not Adjacency.NONE:
+        raise InvariantViolation("plan", key, f"{len(units)} units")
+    rests = {n: Quantity() for n in planned.workers}
+    for name in planned.workers:
+        rests[name].add(planned.shape.per_member)
+    for attempt_id in index_of(cluster).claims.get(key, ()):
+        attempt = cluster.attempts[attempt_id]
+        if attempt.phase is not AttemptPhase.STOPPING:
+            _take_claim(rests, attempt, _amount(cluster, attempt_id))
+    for hold in cluster.holds.values():
+        if hold.guarantee == key:
+            for name in hold.workers:
+                rests[name].add(hold.amount, -1)
+    for name, rest in rests.items():
+        if rest.is_negative():
+            raise InvariantViolation("claims", key, f"{name}: {rest}")
+
+
+def check_queues(cluster: ClusterState) -> None:
+    """Check that queues, holds and reservations hold queued requests only."""
+    queued = [i for queue in cluster.queues.values() for i in queue]
+    for request_id in [*queued, *cluster.holds, *cluster.reservations]:
+        request = cluster.requests.get(request_id)
+        if request is None or request.phase is not RequestPhase.QUEUED:
+            raise InvariantViolation("queue", request_id, "not queued")
+    if len(dict.fromkeys(queued)) != len(queued):
+        raise InvariantViolation("queue", "all", "a request stands twice")
+
+
+def check_quotas(cluster: ClusterState) -> None:
+    """Check quotas of workspaces whose work all started under them."""
+    since_ms = cluster.history[-1].at_ms
+    for workspace in cluster.configuration.workspaces:
+        usage = index_of(cluster).usage.get(workspace.name)
+        if workspace.quota is None or usage is None:
+            continue
+        if any(cluster.attempts[i].placed_at_ms <= since_ms for i in usage.active):
+            continue
+        rest = total_of(workspace.quota, usage.total.slots).less(usage.total)
+        if rest.is_negative():
+            raise InvariantViolation("quota", workspace.name, f"holds {usage.total}")
+
+
+def check_quarantine(cluster: ClusterState) -> None:
+    """Check that at most the configured share of workers is quarantined."""
+    out = [h for h in cluster.health.values() if h.quarantined_at_ms is not None]
+    newest_ms = max((h.quarantined_at_ms or 0 for h in out), default=0)
+    share = cluster.configuration.limits.quarantine_share
+    if newest_ms <= cluster.history[-1].at_ms:
+        return
+    if len(out) > share * len(cluster.workers):
+        raise InvariantViolation("quarantine", "all", f"{len(out)} workers out")
+
+
+def check_index(cluster: ClusterState) -> None:
+    """Check that the derived sums equal sums built from the tables."""
+    kept = index_of(cluster)
+    cluster.index = None
+    built = index_of(cluster)
+    cluster.index = kept
+    for part in ("spaces", "buckets", "units", "capacity", "free", "lanes"):
+        old, new = getattr(kept, part), getattr(built, part)
+        if isinstance(old, dict):
+            old = {key: value for key, value in old.items() if value}
+            new = {key: value for key, value in new.items() if value}
+        if old != new:
+            raise InvariantViolation("index", part, f"kept {old}, built {new}")
+    for workspace, usage in kept.usage.items():
+        if usage.total.slots and usage != built.usage.get(workspace):
+            raise InvariantViolation("index", workspace, f"usage {usage}")
+
+
+def _check_planned_room(cluster: ClusterState, name: str, fixed: Quantity) -> None:
+    worker = cluster.workers[name]
+    if cluster.plan_outdated or worker.mode is not WorkerMode.ACTIVE:
+        return
+    planned = Quantity()
+    for shape in cluster.plan.values():
+        count = shape.workers.count(name)
+        if count:
+            planned.add(shape.shape.per_member, count)
+    if not planned.slots:
+        return
+    rest = total_of(worker.info.capacity, worker.info.slots).less(planned, fixed)
+    if rest.is_negative():
+        raise InvariantViolation(
+            "guarantees", name, f"planned {planned}, cannot be moved {fixed}"
+        )
+
+
+def _take_claim(
+    rests: dict[str, Quantity], attempt: Attempt, amount: Resources
+) -> None:
+    for member in attempt.members:
+        if member.phase in ENDED_MEMBER_PHASES:
+            continue
+        if member.worker not in rests:
+            raise InvariantViolation("claims", str(attempt.id), "off its planned room")
+        rests[member.worker].add(amount, -1)
+
+
+def _amount(cluster: ClusterState, attempt_id: AttemptId) -> Resources:
+    return cluster.requests[attempt_id.request_id].spec.shape.per_member
+
+
+def _sample(table: Mapping[Key, object], sequence: int) -> list[Key]:
+    if not table:
+        return []
+    start = sequence * SAMPLE_ROWS % len(table)
+    return list(islice(table, start, start + SAMPLE_ROWS))
--- a/packages/core/crocuswell_core/outcomes.py
+++ b/packages/core/crocuswell_core/outcomes.py
@@ -22,6 +22,8 @@
     RequestEnded,
 )
 from crocuswell_core.errors import ErrorKind
+from crocuswell_core.forecast import observe_run
+from crocuswell_core.index import dequeue, drop_hold, enqueue
 from crocuswell_core.records import (
     Attempt,
     MemberPhase,
@@ -40,7 +42,9 @@
 
 # Stops that are not the job's doing: the request goes back to its queue at
 # once and the attempt does not count against its retry budget.
-REQUEUE_REASONS = frozenset({StopReason.PREEMPTED, StopReason.DRAINED})
+REQUEUE_REASONS = frozenset(
+    {StopReason.PREEMPTED, StopReason.DRAINED, StopReason.NOT_CONFIRMED}
+)
 
 
 def finish_attempt(cluster: ClusterState, attempt: Attempt) -> list[ClusterEffect]:
@@ -48,6 +52,7 @@
     request = cluster.requests[attempt.id.request_id]
     phases = {m.phase for m in attempt.members}
     if phases == {MemberPhase.FINISHED}:
+        observe_run(cluster, request, attempt)
         return _complete(cluster, request, attempt)
     ran = _may_have_run(attempt)
     if ran:
@@ -86,6 +91,9 @@
     outcome = attrs.evolve(outcome, at_ms=cluster.now_ms)
     _forget_retry(cluster, request)
     cluster.queues.get(request.workspace, {}).pop(request.id, None)
+    dequeue(cluster, request)
+    drop_hold(cluster, request.id)
+    cluster.reservations.pop(request.id, None)
     cluster.requests[request.id] = attrs.evolve(
         request, phase=RequestPhase.DONE, outcome=outcome, not_before_ms=0
     )
@@ -228,11 +236,14 @@
     cluster: ClusterState, request: Request, delay_ms: int
 ) -> list[ClusterEffect]:
     not_before_ms = cluster.now_ms + delay_ms if delay_ms else 0
-    cluster.requests[request.id] = attrs.evolve(
+    request = attrs.evolve(
         request, phase=RequestPhase.QUEUED, not_before_ms=not_before_ms
     )
+    cluster.requests[request.id] = request
     cluster.queues.setdefault(request.workspace, {})[request.id] = None
     cluster.needs_scheduling = True
+    if not delay_ms:
+        enqueue(cluster, request)
     if delay_ms:
         add_due(cluster, not_before_ms, RetryDue(request.id))
     return []
--- a/packages/core/crocuswell_core/placement.py
+++ b/packages/core/crocuswell_core/placement.py
@@ -1,85 +1,169 @@
 """Finding workers for the members of a shape."""
 
-from collections.abc import Callable, Iterable
-from functools import partial
+from collections.abc import Iterable
 
-from crocuswell_core.resources import SLOTS_PER_WORKER, Adjacency, Resources, Shape
-from crocuswell_core.rooms import takes_work
+import attrs
+
+from crocuswell_core.index import index_of, total_of, unit_names
+from crocuswell_core.resources import Adjacency, Shape
+from crocuswell_core.spaces import Need, SchedulingIndex, WorkerSpace
 from crocuswell_core.state import ClusterState
 
-RoomOf = Callable[[str], tuple[Resources, int]]
+# Most workers that are scored for one member; in a large fleet the tightest
+# fits come first, so that more candidates change little.
+CANDIDATE_LIMIT = 24
 
+# Most shapes for which it is remembered whether the fleet can hold them.
+KNOWN_SHAPES_LIMIT = 1_024
 
-def can_ever_fit(cluster: ClusterState, shape: Shape) -> bool:
-    """Tell whether the fleet could hold the shape if it were idle."""
-    return find_workers(cluster, shape, partial(_whole_room, cluster)) is not None
 
+@attrs.frozen
+class Offer:
+    """Workers of one unit on which members of a shape fit now.
 
-def first_fit(cluster: ClusterState, shape: Shape) -> tuple[str, ...] | None:
-    """Return the first workers with free room for all members, or None."""
-    return find_workers(cluster, shape, partial(_free_room, cluster))
-
-
-def find_workers(
-    cluster: ClusterState, shape: Shape, room_of: RoomOf
-) -> tuple[str, ...] | None:
-    """Return a worker for each rank of the shape, or None."""
-    for group in adjacency_groups(cluster, shape.adjacency):
-        workers = _fill(group, shape, room_of)
-        if workers is not None:
-            return workers
-    return None
+    Attributes
+    ----------
+    fits : dict
+        Number of members that fit on each worker.
+    """
 
+    unit: str
+    fits: dict[str, int]
 
-def adjacency_groups(
-    cluster: ClusterState, adjacency: Adjacency
-) -> Iterable[tuple[str, ...]]:
-    """Return the sets of workers within which the members must be placed."""
-    if adjacency is Adjacency.NONE:
-        return [tuple(cluster.workers)]
-    groups: dict[str, list[str]] = {}
-    for name, worker in cluster.workers.items():
-        unit = {
-            Adjacency.WORKER: name,
-            Adjacency.RACK: f"{worker.info.failure_domain}/{worker.info.rack}",
-            Adjacency.FAILURE_DOMAIN: worker.info.failure_domain,
-        }[adjacency]
-        groups.setdefault(unit, []).append(name)
-    return [tuple(group) for group in groups.values()]
-
-
-def members_that_fit(amount: Resources, free: Resources, slots: int) -> int:
-    """Return how many members of `amount` fit in the free room."""
-    count = slots
-    if amount.accelerators:
-        count = min(count, free.accelerators // amount.accelerators)
-    if amount.processors:
-        count = min(count, free.processors // amount.processors)
-    if amount.memory_mb:
-        count = min(count, free.memory_mb // amount.memory_mb)
-    return max(count, 0)
-
-
-def _fill(
-    group: Iterable[str], shape: Shape, room_of: RoomOf
-) -> tuple[str, ...] | None:
-    workers: list[str] = []
-    for name in group:
-        free, slots = room_of(name)
-        count = members_that_fit(shape.per_member, free, slots)
-        workers += [name] * min(count, shape.members - len(workers))
-        if len(workers) == shape.members:
-            return tuple(workers)
-    return None
+    @property
+    def members(self) -> int:
+        """Number of members that fit in the unit."""
+        return sum(self.fits.values())
 
 
-def _free_room(cluster: ClusterState, name: str) -> tuple[Resources, int]:
-    if not takes_work(cluster.workers[name]):
-        return Resources(), 0
-    room = cluster.rooms[name]
-    return room.free, room.free_slots
+def can_ever_fit(cluster: ClusterState, shape: Shape) -> bool:
+    """Tell whether the known fleet could hold the shape if it were idle."""
+    index = index_of(cluster)
+    if shape not in index.ever_fits:
+        if len(index.ever_fits) >= KNOWN_SHAPES_LIMIT:
+            index.ever_fits.clear()
+        index.ever_fits[shape] = _fits_idle_fleet(cluster, shape)
+    return index.ever_fits[shape]
+
+
+def can_ever_borrow(cluster: ClusterState, need: Need) -> bool:
+    """Tell whether a borrower could start if nothing else ran."""
+    if need.movable:
+        return can_ever_fit(cluster, need.shape)
+    index = index_of(cluster)
+    amount = need.shape.per_member
+    for names in index.units[need.shape.adjacency].values():
+        rests = (index.spaces[n].capacity.less(index.spaces[n].planned) for n in names)
+        if sum(rest.members(amount) for rest in rests) >= need.shape.members:
+            return True
+    return False
+
+
+def _fits_idle_fleet(cluster: ClusterState, shape: Shape) -> bool:
+    counts: dict[str, int] = {}
+    for worker in cluster.workers.values():
+        unit = unit_names(worker)[shape.adjacency]
+        capacity = total_of(worker.info.capacity, worker.info.slots)
+        counts[unit] = counts.get(unit, 0) + capacity.members(shape.per_member)
+        if counts[unit] >= shape.members:
+            return True
+    return False
+
+
+def find_offers(cluster: ClusterState, need: Need) -> list[Offer]:
+    """Return the units that can hold a borrower with this need now.
+
+    A need that found no room is not searched for again until room opened
+    on a worker that matters to it.
+    """
+    index = index_of(cluster)
+    position = index.blocked.get(need)
+    opened = index.opened[position:] if position is not None else []
+    if position is not None and not opened:
+        return []
+    if need.shape.members == 1:
+        names = _by_tightness(index, opened) if opened else _tightest(index, need)
+        offers = _single_offers(index, need, names)
+    else:
+        offers = _gang_offers(index, need, opened)
+    if not offers:
+        index.blocked[need] = len(index.opened)
+    return offers
+
+
+def first_fit(cluster: ClusterState, shape: Shape) -> tuple[str, ...] | None:
+    """Return the first workers by name with free room, or None."""
+    index = index_of(cluster)
+    units = index.units[shape.adjacency]
+    for unit in sorted(units):
+        names = units[unit]
+        workers: list[str] = []
+        for name in names:
+            space = index.spaces[name]
+            count = space.free.members(shape.per_member) if space.usable else 0
+            workers += [name] * min(count, shape.members - len(workers))
+            if len(workers) == shape.members:
+                return tuple(workers)
+    return None
 
 
-def _whole_room(cluster: ClusterState, name: str) -> tuple[Resources, int]:
-    info = cluster.workers[name].info
-    return info.capacity, min(info.slots, SLOTS_PER_WORKER)
+def _by_tightness(index: SchedulingIndex, names: list[str]) -> Iterable[str]:
+    """Order workers as `_tightest` does."""
+    keys = sorted(
+        (space.free.accelerators, space.free.slots, name)
+        for name in dict.fromkeys(names)
+        if (space := index.spaces.get(name)) is not None
+    )
+    return [name for _, _, name in keys]
+
+
+def _tightest(index: SchedulingIndex, need: Need) -> Iterable[str]:
+    least = need.shape.per_member.accelerators
+    for key in sorted(index.buckets):
+        if key[0] >= least:
+            yield from index.buckets[key]
+
+
+def _single_offers(
+    index: SchedulingIndex, need: Need, names: Iterable[str]
+) -> list[Offer]:
+    offers: list[Offer] = []
+    for name in names:
+        space = index.spaces.get(name)
+        if space is None:
+            continue
+        if space.borrowable(need.shape.per_member, need.movable):
+            offers.append(Offer(name, {name: 1}))
+            if len(offers) == CANDIDATE_LIMIT:
+                break
+    return offers
+
+
+def _gang_offers(index: SchedulingIndex, need: Need, opened: list[str]) -> list[Offer]:
+    shape = need.shape
+    if index.free.members(shape.per_member) < shape.members:
+        return []
+    units = index.units[shape.adjacency]
+    if opened and shape.adjacency is not Adjacency.NONE:
+        touched = {
+            index.spaces[name].unit[shape.adjacency]: None
+            for name in opened
+            if name in index.spaces
+        }
+        units = {unit: units[unit] for unit in sorted(touched)}
+    offers: list[Offer] = []
+    for unit in sorted(units):
+        fits = {
+            name: count
+            for name in units[unit]
+            if (count := _fits(index.spaces[name], need))
+        }
+        if sum(fits.values()) >= shape.members:
+            offers.append(Offer(unit, fits))
+            if len(offers) == CANDIDATE_LIMIT:
+                break
+    return offers
+
+
+def _fits(space: WorkerSpace, need: Need) -> int:
+    return space.borrowable(need.shape.per_member, need.movable)
--- a/packages/core/crocuswell_core/records.py
+++ b/packages/core/crocuswell_core/records.py
@@ -72,6 +72,7 @@
     MEMBER_REFUSED = "member_refused"
     DRAINED = "drained"
     DEADLINE_PASSED = "deadline_passed"
+    NOT_CONFIRMED = "not_confirmed"
 
 
 class WorkerMode(enum.Enum):
@@ -221,6 +222,10 @@
         Result of rank 0 once it finished.
     checkpoint : bytes or None
         Token of rank 0's checkpoint taken while stopping.
+    guarantee : str or None
+        Key of the planned shape whose room it uses; None for a borrower.
+    expected_end_ms : int
+        Cluster time in ms at which it was expected to end when placed.
     """
 
     id: AttemptId
@@ -234,6 +239,8 @@
     result: bytes | None = None
     digest: str = ""
     checkpoint: bytes | None = None
+    guarantee: str | None = None
+    expected_end_ms: int = 0
 
 
 @attrs.frozen
@@ -267,3 +274,12 @@
     backend_incarnation: str
     mode: WorkerMode = WorkerMode.ACTIVE
     operator_mode: WorkerMode = WorkerMode.ACTIVE
+
+
+def takes_work(worker: Worker) -> bool:
+    """Tell whether new work may be placed on the worker."""
+    return (
+        worker.mode is WorkerMode.ACTIVE
+        and worker.operator_mode is WorkerMode.ACTIVE
+        and not worker.info.draining
+    )
--- a/packages/core/crocuswell_core/requests.py
+++ b/packages/core/crocuswell_core/requests.py
@@ -1,11 +1,16 @@
 """Commands for requests: submission, cancellation, what falls due."""
 
+from collections.abc import Iterable
 from functools import singledispatch
 
 import attrs
 
 from crocuswell_core.agenda import add_due, pop_due
-from crocuswell_core.attempts import record_report, stop_attempt
+from crocuswell_core.attempts import (
+    record_report,
+    release_unconfirmed,
+    stop_attempt,
+)
 from crocuswell_core.commands import (
     AdvanceTime,
     CancelRequests,
@@ -28,10 +33,12 @@
     ReportsRecorded,
 )
 from crocuswell_core.errors import ErrorKind
+from crocuswell_core.index import enqueue, index_of, refresh_worker
 from crocuswell_core.outcomes import end_request
 from crocuswell_core.placement import can_ever_fit
 from crocuswell_core.records import (
     AttemptId,
+    AttemptPhase,
     JobSpec,
     Outcome,
     OutcomeRecord,
@@ -39,19 +46,21 @@
     RequestPhase,
     StopReason,
 )
-from crocuswell_core.resources import Resources
+from crocuswell_core.resources import LARGEST_GANG, Resources
+from crocuswell_core.scoring import note_shape
+from crocuswell_core.spaces import Usage
 from crocuswell_core.state import (
     AnswerDue,
     ClusterState,
     DeadlineDue,
     Due,
     RecordDue,
+    ReservationDue,
     ResultDue,
     RetryDue,
 )
 
 OVERLOAD_RETRY_MS = 2_000
-LARGEST_GANG = 1_024
 
 
 @apply_command.register
@@ -87,6 +96,8 @@
     )
     cluster.requests[request.id] = request
     cluster.queues.setdefault(request.workspace, {})[request.id] = None
+    enqueue(cluster, request)
+    note_shape(cluster, command.spec.shape)
     cluster.needs_scheduling = True
     if command.spec.deadline_ms is not None:
         due = DeadlineDue(request.id)
@@ -112,6 +123,9 @@
     worker = cluster.workers.get(command.worker)
     if worker is None or worker.incarnation != command.incarnation:
         return Applied(Done(), (Count("reports_stale_total"),))
+    if cluster.unresponsive.pop(command.worker, None) is not None:
+        refresh_worker(cluster, command.worker)
+        cluster.needs_scheduling = True
     last = cluster.report_sequences.get(command.worker, 0)
     first = command.last_sequence - len(command.reports) + 1
     effects: list[ClusterEffect] = []
@@ -183,11 +197,12 @@
 
 
 def _select_requests(command: CancelRequests, cluster: ClusterState) -> list[Request]:
-    candidates = (
-        [cluster.requests[i] for i in command.request_ids if i in cluster.requests]
-        if command.request_ids
-        else list(cluster.requests.values())
-    )
+    ids: Iterable[str] = command.request_ids
+    if not ids:
+        usage = index_of(cluster).usage.get(command.workspace, Usage())
+        active = (attempt_id.request_id for attempt_id in usage.active)
+        ids = [*cluster.queues.get(command.workspace, ()), *active]
+    candidates = [cluster.requests[i] for i in ids if i in cluster.requests]
     return [
         request
         for request in candidates
@@ -208,7 +223,9 @@
     if request is None or not 0 < request.not_before_ms <= cluster.now_ms:
         return []
     cluster.retries[request.workspace] -= 1
-    cluster.requests[request.id] = attrs.evolve(request, not_before_ms=0)
+    request = attrs.evolve(request, not_before_ms=0)
+    cluster.requests[request.id] = request
+    enqueue(cluster, request)
     cluster.needs_scheduling = True
     return []
 
@@ -253,6 +270,17 @@
     return []
 
 
+@_act_on_due.register
+def _(due: ReservationDue, cluster: ClusterState) -> list[ClusterEffect]:
+    attempt = cluster.attempts.get(due.attempt)
+    if attempt is None or attempt.phase is not AttemptPhase.RESERVING:
+        return []
+    return [
+        Count("reservations_unconfirmed_total"),
+        *release_unconfirmed(cluster, attempt),
+    ]
+
+
 @_act_on_due.register
 def _(due: AnswerDue, cluster: ClusterState) -> list[ClusterEffect]:
     cluster.answered.pop(due.command_id, None)
--- a/packages/core/crocuswell_core/resources.py
+++ b/packages/core/crocuswell_core/resources.py
@@ -7,6 +7,7 @@
 
 SLOTS_PER_WORKER = 8
 CONNECTIONS_PER_WORKER = 64
+LARGEST_GANG = 1_024
 
 
 class Adjacency(enum.Enum):
@@ -18,7 +19,7 @@
     FAILURE_DOMAIN = "failure_domain"
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class Resources:
     """An amount of what a worker offers.
 
@@ -72,7 +73,7 @@
 NOTHING = Resources()
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class Shape:
     """What a job needs or a workspace is guaranteed.
 
--- a/packages/core/crocuswell_core/rooms.py
+++ b/packages/core/crocuswell_core/rooms.py
@@ -4,15 +4,14 @@
 
 import attrs
 
+from crocuswell_core.index import remove_member
 from crocuswell_core.records import (
     ENDED_MEMBER_PHASES,
     Attempt,
     AttemptId,
     Member,
     MemberPhase,
-    Worker,
     WorkerInfo,
-    WorkerMode,
 )
 from crocuswell_core.resources import Resources
 from crocuswell_core.state import ClusterState, WorkerRoom
@@ -27,15 +26,6 @@
     )
 
 
-def takes_work(worker: Worker) -> bool:
-    """Tell whether new work may be placed on the worker."""
-    return (
-        worker.mode is WorkerMode.ACTIVE
-        and worker.operator_mode is WorkerMode.ACTIVE
-        and not worker.info.draining
-    )
-
-
 def take_room(
     cluster: ClusterState,
     attempt_id: AttemptId,
@@ -55,6 +45,7 @@
 
 def release_room(cluster: ClusterState, attempt: Attempt, member: Member) -> None:
     """Give back the room of a member that has ended."""
+    cluster.needs_scheduling = True
     room = cluster.rooms.get(member.worker)
     if room is None or attempt.id not in room.attempts:
         return
@@ -67,7 +58,6 @@
     room.attempts[attempt.id] -= 1
     if not room.attempts[attempt.id]:
         del room.attempts[attempt.id]
-    cluster.needs_scheduling = True
 
 
 def set_member_phase(
@@ -83,6 +73,7 @@
     cluster.attempts[attempt.id] = attempt
     if phase in ENDED_MEMBER_PHASES:
         release_room(cluster, attempt, member)
+        remove_member(cluster, attempt, member)
     return attempt
 
 
--- /dev/null
+++ b/packages/core/crocuswell_core/scoring.py
@@ -0,0 +1,132 @@
+"""Choice among workers by what a placement leaves behind."""
+
+from crocuswell_core.index import index_of
+from crocuswell_core.placement import Offer
+from crocuswell_core.records import Request
+from crocuswell_core.resources import Adjacency, Resources, Shape
+from crocuswell_core.spaces import SchedulingIndex
+from crocuswell_core.state import ClusterState
+
+# Most recent shapes of several accelerators that placement takes into account.
+SHAPE_LIMIT = 8
+
+# Share of a lost member in the cost of a lost whole shape: it tells apart
+# placements that break no whole shape yet.
+MEMBER_SHARE = 0.25
+
+# Weight of the accelerators left over on the chosen workers, which decides
+# between placements that are otherwise equal.
+LEFTOVER_WEIGHT = 0.01
+
+# Weight of the time by which a job outlasts the work beside it, relative to
+# its own run time: workers whose jobs end together become free as a whole.
+OUTLAST_WEIGHT = 0.2
+
+
+def note_shape(cluster: ClusterState, shape: Shape) -> None:
+    """Remember a shape of several accelerators that was asked for."""
+    if shape.total.accelerators < 2:
+        return
+    cluster.shapes.pop(shape, None)
+    cluster.shapes[shape] = cluster.now_ms
+    if len(cluster.shapes) > SHAPE_LIMIT:
+        del cluster.shapes[next(iter(cluster.shapes))]
+
+
+def choose_best_fit(
+    cluster: ClusterState, request: Request, offers: list[Offer]
+) -> tuple[str, ...]:
+    """Return the workers with the fewest accelerators left over."""
+    index = index_of(cluster)
+    candidates = [_pack(index, offer, request.spec.shape.members) for offer in offers]
+    amount = request.spec.shape.per_member
+    return min(
+        candidates, key=lambda workers: (_leftover(index, workers, amount), workers)
+    )
+
+
+def choose_by_shapes(
+    cluster: ClusterState, request: Request, offers: list[Offer], end_ms: int
+) -> tuple[str, ...]:
+    """Return the workers that leave most room for the recent shapes."""
+    index = index_of(cluster)
+    members = request.spec.shape.members
+    amount = request.spec.shape.per_member
+    candidates = dict.fromkeys(_pack(index, offer, members) for offer in offers)
+    if len(candidates) == 1:
+        return next(iter(candidates))
+    weight = cluster.configuration.preset().fragmentation_weight
+    shapes = [shape for shape in cluster.shapes if shape != request.spec.shape]
+
+    def cost(workers: tuple[str, ...]) -> tuple[float, tuple[str, ...]]:
+        loss = sum(_loss(index, workers, amount, shape) for shape in shapes)
+        leftover = _leftover(index, workers, amount)
+        outlast = _outlast(cluster, workers, end_ms)
+        total = weight * loss + LEFTOVER_WEIGHT * leftover + OUTLAST_WEIGHT * outlast
+        return total, workers
+
+    return min(candidates, key=cost)
+
+
+def _pack(index: SchedulingIndex, offer: Offer, members: int) -> tuple[str, ...]:
+    """Fill the tightest workers first."""
+    order = sorted(
+        offer.fits,
+        key=lambda name: (index.spaces[name].free.accelerators, offer.fits[name], name),
+    )
+    workers: list[str] = []
+    for name in order:
+        workers += [name] * min(offer.fits[name], members - len(workers))
+        if len(workers) == members:
+            break
+    return tuple(workers)
+
+
+def _leftover(
+    index: SchedulingIndex, workers: tuple[str, ...], amount: Resources
+) -> int:
+    names = dict.fromkeys(workers)
+    free = sum(index.spaces[name].free.accelerators for name in names)
+    return free - amount.accelerators * len(workers)
+
+
+def _loss(
+    index: SchedulingIndex, workers: tuple[str, ...], amount: Resources, shape: Shape
+) -> float:
+    """Return the accelerators that can no longer hold `shape`."""
+    if not amount.accelerators:
+        return 0.0
+    per_member = shape.per_member
+    lost_by_unit: dict[str, int] = {}
+    for name in dict.fromkeys(workers):
+        space = index.spaces[name]
+        after = space.free.less()
+        after.add(amount, -workers.count(name))
+        lost = space.free.members(per_member) - after.members(per_member)
+        unit = space.unit[shape.adjacency]
+        lost_by_unit[unit] = lost_by_unit.get(unit, 0) + lost
+    members = 0.0
+    for unit, lost in lost_by_unit.items():
+        members += MEMBER_SHARE * lost
+        if lost and shape.adjacency is not Adjacency.NONE:
+            room = sum(
+                index.spaces[name].free.members(per_member)
+                for name in index.units[shape.adjacency][unit]
+            )
+            whole = room // shape.members - (room - lost) // shape.members
+            members += whole * shape.members
+    return members * per_member.accelerators
+
+
+def _outlast(cluster: ClusterState, workers: tuple[str, ...], end_ms: int) -> float:
+    """Return by how much of its run time a job outlasts its neighbours."""
+    run_ms = max(1, end_ms - cluster.now_ms)
+    total = 0.0
+    names = dict.fromkeys(workers)
+    for name in names:
+        latest = max(
+            (cluster.attempts[i].expected_end_ms for i in cluster.rooms[name].attempts),
+            default=cluster.now_ms,
+        )
+        total += max(0, end_ms - max(latest, cluster.now_ms)) / run_ms
+    return total / len(names)
--- a/packages/core/crocuswell_core/state.py
+++ b/packages/core/crocuswell_core/state.py
@@ -9,8 +9,10 @@
 from crocuswell_core.commands import CommandReply, EntryHost, LogEntry, Proposal, Report
 from crocuswell_core.configuration import Configuration, ConfigurationChange
 from crocuswell_core.messages import GetRequest, ReadCall, StartTask
+from crocuswell_core.policies import Policy, StandingPolicy
 from crocuswell_core.records import Attempt, AttemptId, Request, Worker, WorkerInfo
-from crocuswell_core.resources import Resources
+from crocuswell_core.resources import Resources, Shape
+from crocuswell_core.spaces import SchedulingIndex
 
 STATE_VERSION = 1
 
@@ -80,7 +82,29 @@
     command_id: str
 
 
-Due = RetryDue | DeadlineDue | ResultDue | RecordDue | AnswerDue
+@attrs.frozen
+class ReservationDue:
+    """The time in which a gang's agents must confirm ends."""
+
+    attempt: AttemptId
+
+
+@attrs.frozen
+class ProbeDue:
+    """A quarantined worker may be probed."""
+
+    worker: str
+
+
+Due = (
+    RetryDue
+    | DeadlineDue
+    | ResultDue
+    | RecordDue
+    | AnswerDue
+    | ReservationDue
+    | ProbeDue
+)
 
 
 @attrs.frozen(order=True)
@@ -92,6 +116,90 @@
     due: Due = attrs.field(order=False)
 
 
+@attrs.frozen
+class PlannedShape:
+    """A guaranteed shape with the workers that the plan assigns to it.
+
+    Attributes
+    ----------
+    workers : tuple of str
+        Worker of each member; empty if the fleet has no room for it.
+    """
+
+    workspace: str
+    shape: Shape
+    workers: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Hold:
+    """Room kept for a claim while borrowers leave it.
+
+    Attributes
+    ----------
+    guarantee : str
+        Key of the planned shape.
+    amount : Resources
+        Resources of each member.
+    """
+
+    guarantee: str
+    amount: Resources
+    workers: tuple[str, ...]
+    since_ms: int
+
+
+@attrs.frozen
+class Reservation:
+    """A later start that backfilled work must not delay.
+
+    Attributes
+    ----------
+    start_ms : int
+        Cluster time in ms at which the room is expected to be free.
+    """
+
+    amount: Resources
+    workers: tuple[str, ...]
+    start_ms: int
+
+
+@attrs.frozen
+class RunTimeRecord:
+    """Observed over declared run time of one class of work.
+
+    Attributes
+    ----------
+    ratio : float
+        Moving average of the ratio.
+    count : int
+        Number of observations.
+    """
+
+    ratio: float
+    count: int
+
+
+@attrs.frozen
+class WorkerHealth:
+    """Recent ends of work on one worker.
+
+    Attributes
+    ----------
+    failures, successes : float
+        Decayed counts; a job counts once per worker.
+    probe : AttemptId or None
+        Attempt that probes it while it is in quarantine.
+    """
+
+    failures: float = 0.0
+    successes: float = 0.0
+    quarantined_at_ms: int | None = None
+    probe_at_ms: int = 0
+    probes_passed: int = 0
+    probe: AttemptId | None = None
+
+
 @attrs.define
 class ClusterState:
     """Result of applying the log; equal on every entry host.
@@ -113,6 +221,28 @@
         retry after a failure.
     needs_scheduling : bool
         Whether something changed that may let a request start.
+    plan : dict
+        The standing plan: for each guaranteed shape, by
+        `workspace/position`, where it can be claimed.
+    plan_outdated : bool
+        Whether the fleet or the configuration changed since planning.
+    holds : dict
+        For each queued claim the room that is being vacated for it.
+    reservations : dict
+        For each blocked request its reserved start, oldest first.
+    run_times : dict
+        Observed run times by `workspace/class`.
+    shapes : dict
+        Shapes of more than one accelerator that were asked for lately,
+        the newest last, with the cluster time in ms.
+    health : dict
+        Ends of work by worker.
+    unresponsive : dict
+        Workers whose agents did not confirm in time, with the time.
+    policy : StandingPolicy
+        How starts are chosen.
+    index : SchedulingIndex or None
+        Derived sums; not part of a snapshot.
     """
 
     version: int = STATE_VERSION
@@ -132,6 +262,18 @@
     agenda_sequence: int = 0
     retries: dict[str, int] = attrs.Factory(dict)
     needs_scheduling: bool = False
+    plan: dict[str, PlannedShape] = attrs.Factory(dict)
+    plan_outdated: bool = True
+    holds: dict[str, Hold] = attrs.Factory(dict)
+    reservations: dict[str, Reservation] = attrs.Factory(dict)
+    run_times: dict[str, RunTimeRecord] = attrs.Factory(dict)
+    shapes: dict[Shape, int] = attrs.Factory(dict)
+    health: dict[str, WorkerHealth] = attrs.Factory(dict)
+    unresponsive: dict[str, int] = attrs.Factory(dict)
+    policy: Policy = attrs.Factory(StandingPolicy)
+    index: SchedulingIndex | None = attrs.field(
+        default=None, init=False, eq=False, repr=False
+    )
 
     @property
     def configuration(self) -> Configuration:
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -5,6 +5,7 @@
 from crocuswell_core.commands import (
     CancelRequests,
     DeclareSilent,
+    ModeSet,
     Refused,
     RequestAccepted,
     SetWorkerMode,
@@ -276,3 +277,11 @@
     assert (outcome.outcome, outcome.result) == (Outcome.COMPLETED, None)
     cluster.advance(24 * 3_600_000)
     assert "q" not in cluster.state.requests
+
+
+def test_an_operator_can_drain_a_worker_that_is_silent() -> None:
+    """Guards against a reducer fault: a silent worker has no room to leave."""
+    cluster = small_cluster()
+    cluster.apply(DeclareSilent("w1", "i1"))
+    reply = cluster.apply(SetWorkerMode("w1", WorkerMode.DRAINING))
+    assert reply == ModeSet("w1", WorkerMode.DRAINING)
--- /dev/null
+++ b/tests/test_scheduling_random.py
@@ -0,0 +1,175 @@
+"""Seeded random commands against fake workers, all invariants after each."""
+
+import random
+
+import pytest
+
+from bench.fake_workers import Apply, Fail, SetFaulty, World
+from crocuswell_core.commands import (
+    CancelRequests,
+    ChangeConfiguration,
+    SetWorkerMode,
+    SubmitRequest,
+    SwitchPreset,
+)
+from crocuswell_core.configuration import Configuration, Preset, Workspace
+from crocuswell_core.invariants import check_all
+from crocuswell_core.records import (
+    JobSpec,
+    Outcome,
+    RequestPhase,
+    WorkerInfo,
+    WorkerMode,
+)
+from crocuswell_core.resources import Adjacency, Resources, Shape
+from crocuswell_core.state import ClusterState
+
+CAPACITY = Resources(8, 32, 65_536)
+PRESETS = (
+    Preset("ordinary"),
+    Preset("peak", reserve_share=0.2),
+    Preset("closed", borrowing=False),
+    Preset("maintenance", placement=False),
+)
+HOUR_MS = 3_600_000
+
+
+def random_shape(rng: random.Random) -> Shape:
+    return rng.choice(
+        [
+            Shape(1, Resources(1, 2, 1_024)),
+            Shape(1, Resources(0, 8, 30_000)),
+            Shape(1, Resources(4, 4, 8_192), Adjacency.WORKER),
+            Shape(4, Resources(2, 2, 1_024), Adjacency.RACK),
+            Shape(5, Resources(1, 1, 256)),
+            Shape(2, Resources(8, 8, 8_192), Adjacency.RACK),
+        ]
+    )
+
+
+def random_configuration(rng: random.Random) -> Configuration:
+    workspaces = tuple(
+        Workspace(
+            name,
+            guarantees=tuple(random_shape(rng) for _ in range(rng.randint(0, 2))),
+            weight=rng.randint(1, 3),
+            queue_limit=20,
+        )
+        for name in ("a", "b", "c")
+    )
+    return Configuration(workspaces, PRESETS, rng.choice(PRESETS).name)
+
+
+def random_spec(rng: random.Random) -> JobSpec:
+    return JobSpec(
+        job_class=rng.choice(["long", "short"]),
+        shape=random_shape(rng),
+        run_time_ms=rng.choice([500, 20_000, 200_000]),
+        idempotent=rng.random() < 0.6,
+        checkpoint_ms=rng.choice([None, 300, 1_500, 8_000]),
+        urgent=rng.random() < 0.1,
+        deadline_ms=rng.choice([None, None, 30_000]),
+    )
+
+
+def add_arrivals(world: World, rng: random.Random, count: int) -> None:
+    for number in range(count):
+        request_id = f"q{number}"
+        spec = random_spec(rng)
+        world.run_ms[request_id] = max(1, round(spec.run_time_ms * rng.uniform(0.2, 4)))
+        command = SubmitRequest(request_id, rng.choice("abc"), spec)
+        world.at(rng.randrange(600_000), Apply(command))
+
+
+def add_disturbances(world: World, rng: random.Random) -> None:
+    names = list(world.workers)
+    modes = [WorkerMode.ACTIVE, WorkerMode.ACTIVE, WorkerMode.DRAINING]
+    for _ in range(12):
+        worker = rng.choice(names)
+        down_ms = rng.choice([1_000, 9_000, 60_000])
+        world.at(rng.randrange(600_000), Fail(worker, down_ms))
+        mode = SetWorkerMode(rng.choice(names), rng.choice(modes))
+        world.at(rng.randrange(600_000), Apply(mode))
+        cancel = CancelRequests(rng.choice("abc"), job_class=rng.choice(["", "long"]))
+        if rng.random() < 0.4:
+            world.at(rng.randrange(600_000), Apply(cancel))
+    faulty_ms = rng.randrange(300_000)
+    world.at(faulty_ms, SetFaulty(names[0], True))
+    world.at(faulty_ms + 200_000, SetFaulty(names[0], False))
+
+
+def change_now_and_then(world: World, rng: random.Random) -> None:
+    number = world.cluster.number
+    if rng.random() < 0.01:
+        changed = random_configuration(rng)
+        world.apply(ChangeConfiguration(number, changed, "test"))
+    elif rng.random() < 0.01:
+        world.apply(SwitchPreset(number, rng.choice(PRESETS).name, "test"))
+
+
+def build_world(rng: random.Random) -> World:
+    world = World(ClusterState())
+    world.apply(ChangeConfiguration(0, random_configuration(rng), "test"))
+    for number in range(7):
+        info = WorkerInfo(f"w{number}", f"r{number // 3}", "fd", CAPACITY)
+        world.announce(info)
+    return world
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_invariants_hold_after_every_event(seed: int) -> None:
+    """Guards against wrong room accounting, broken guarantees and doubles."""
+    rng = random.Random(seed)
+    world = build_world(rng)
+    add_arrivals(world, rng, 150)
+    add_disturbances(world, rng)
+    while world.events and world.now_ms < 600_000:
+        world.step()
+        change_now_and_then(world, rng)
+        check_all(world.cluster)
+    finish(world)
+    for request in world.cluster.requests.values():
+        check_end(world, request.id)
+
+
+def finish(world: World) -> None:
+    """Let everything run that can, on an ordinary day."""
+    ordinary = Configuration(tuple(Workspace(n) for n in "abc"))
+    world.apply(ChangeConfiguration(world.cluster.number, ordinary, "test"))
+    for name in world.workers:
+        world.apply(SetWorkerMode(name, WorkerMode.ACTIVE))
+    end_ms = world.now_ms + HOUR_MS
+    while world.events and world.now_ms < end_ms:
+        world.step()
+        check_all(world.cluster)
+
+
+def check_end(world: World, request_id: str) -> None:
+    request = world.cluster.requests[request_id]
+    assert request.phase is RequestPhase.DONE, request
+    assert request.outcome is not None
+    starts = world.starts.get(request_id, 0)
+    if request.outcome.outcome is Outcome.NOT_RUN:
+        assert not starts, "reported as not run, but it was started"
+    if not request.spec.idempotent:
+        assert starts <= 1, "a non-idempotent request ran twice"
+
+
+@pytest.mark.parametrize("seed", range(100, 106))
+def test_a_rebuilt_index_leads_to_the_same_decisions(seed: int) -> None:
+    """Guards against hosts that differ after installing a snapshot."""
+    worlds = []
+    for _ in range(2):
+        rng = random.Random(seed)
+        world = build_world(rng)
+        add_arrivals(world, rng, 120)
+        add_disturbances(world, rng)
+        worlds.append(world)
+    kept, rebuilt = worlds
+    while kept.events and kept.now_ms < 300_000:
+        kept.step()
+        rebuilt.cluster.index = None
+        rebuilt.step()
+        assert kept.cluster.attempts == rebuilt.cluster.attempts
+    assert kept.cluster.requests == rebuilt.cluster.requests
+    assert kept.cluster.plan == rebuilt.cluster.plan
