--- a/packages/daemon/crocuswell_daemon/agent_main.py
+++ b/packages/daemon/crocuswell_daemon/agent_main.py
@@ -1,4 +1,4 @@
-"""Builds and runs an agent; started by `main` in a lean interpreter."""
+"""Builds and runs an agent; started by `lean`."""
 
 import asyncio
 import base64
@@ -92,7 +92,3 @@
         print("start agents with crocuswelld SETTINGS.yaml", file=sys.stderr)
         return EXIT_FAULT
     return run(unpack_settings(text))
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/packages/daemon/crocuswell_daemon/main.py
+++ b/packages/daemon/crocuswell_daemon/main.py
@@ -22,7 +22,7 @@
     "MALLOC_TRIM_THRESHOLD_": "65536",
     "MALLOC_MMAP_THRESHOLD_": "65536",
 }
-LEAN_ARGUMENTS = ("-OO", "-m", "crocuswell_daemon.agent_main")
+LEAN_ARGUMENTS = ("-OO", "-m", "crocuswell_daemon.lean")
 
 
 def main(argv: Sequence[str] | None = None) -> int:
--- a/packages/daemon/crocuswell_daemon/setting_rules.py
+++ b/packages/daemon/crocuswell_daemon/setting_rules.py
@@ -13,6 +13,7 @@
 HIGHEST_PORT = 65_535
 LONGEST_MS = 3_600_000
 MOST_ENTRIES = 1_000_000
+HIGHEST_SEED = 2**63 - 1
 
 # Each shorter time must end before the longer one, or leases overlap.
 ENTRY_ORDER = (
@@ -51,6 +52,7 @@
 @check_rules.register
 def _(settings: EntrySettings) -> None:
     _check_loopback_only(settings.insecure_loopback)
+    _check_seed(settings.seed)
     _check_name("id", settings.id)
     _check_name("failure_domain", settings.failure_domain)
     addresses = attrs.asdict(settings.listen)
@@ -66,6 +68,7 @@
 @check_rules.register
 def _(settings: AgentSettings) -> None:
     _check_loopback_only(settings.insecure_loopback)
+    _check_seed(settings.seed)
     _check_url("backend_server", settings.backend_server)
     if not settings.entries:
         raise Mismatch("entries", "an empty list", "one address or more")
@@ -82,6 +85,11 @@
         )
 
 
+def _check_seed(seed: int | None) -> None:
+    if seed is not None and not 0 <= seed <= HIGHEST_SEED:
+        raise Mismatch("seed", str(seed), f"0 to {HIGHEST_SEED}")
+
+
 def _check_name(key: str, name: str) -> None:
     if not name or not name.isprintable() or " " in name:
         raise Mismatch(key, repr(name), "a name without blanks")
--- a/packages/daemon/crocuswell_daemon/settings.py
+++ b/packages/daemon/crocuswell_daemon/settings.py
@@ -99,7 +99,7 @@
         mark = getattr(exc, "problem_mark", None)
         place = f"line {mark.line + 1}" if mark else "file"
         problem = getattr(exc, "problem", None) or "characters that YAML forbids"
-        raise Mismatch(place, problem, "YAML") from exc
+        raise Mismatch(place, problem.removeprefix("found "), "YAML") from exc
     except (RecursionError, ValueError) as exc:
         raise Mismatch("file", "a value that can't be read", "YAML") from exc
     if not isinstance(raw, dict):
@@ -135,10 +135,11 @@
         converter.register_structure_hook(cls, _check_simple)
     for hint in (str | None, int | None):
         converter.register_structure_hook(hint, _check_optional)
-    for record in (EntryHost, Listen, EntrySettings, AgentSettings):
-        _require_mapping(converter, record)
+    # A class's hook takes over the hooks of its fields when it is made.
     _require_list(converter, tuple[EntryHost, ...], EntryHost)
     _require_list(converter, tuple[str, ...], str)
+    for record in (EntryHost, Listen, EntrySettings, AgentSettings):
+        _require_mapping(converter, record)
     return converter
 
 
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,123 @@
+"""Guards against metrics that are lost, misnamed or unbounded."""
+
+import ast
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from prometheus_client.parser import text_string_to_metric_families
+
+from crocuswell_core.effects import Count, Label
+from crocuswell_daemon.counters import (
+    METRICS,
+    PREFIX,
+    PlainCounters,
+    UnknownMetricError,
+    find_metric,
+)
+from crocuswell_daemon.metrics import LABEL_SETS, Metrics
+
+PACKAGES = Path(__file__).parent.parent / "packages"
+
+
+def emitted() -> Iterator[tuple[str, str]]:
+    """Return kind and name of each metric that the packages emit."""
+    for path in sorted(PACKAGES.rglob("*.py")):
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Name):
+                continue
+            if node.func.id in ("Count", "Observe"):
+                assert isinstance(node.args[0], ast.Constant), (path, node.lineno)
+                yield node.func.id, node.args[0].value
+
+
+def test_every_emitted_metric_is_in_the_table() -> None:
+    """Guards against a counter that no `/metrics` shows."""
+    for kind, name in set(emitted()):
+        assert name in METRICS
+        assert bool(METRICS[name].buckets) == (kind == "Observe"), name
+
+
+def test_the_table_has_no_unused_rows() -> None:
+    """Guards against a dashboard on a metric that nothing counts."""
+    assert {name for _, name in emitted()} == set(METRICS)
+
+
+def test_histograms_have_a_unit_in_their_name() -> None:
+    """Guards against values whose unit nobody knows."""
+    for name, metric in METRICS.items():
+        if metric.buckets:
+            assert name.endswith(("_seconds", "_bytes")), name
+
+
+@pytest.mark.parametrize(
+    ("name", "labels"),
+    [
+        ("unheard_of_total", ()),
+        ("retries_total", ()),
+        ("retries_total", (Label("request", "r"),)),
+        ("retries_total", (Label("workspace", "w"), Label("kind", "k"))),
+    ],
+)
+def test_unknown_metrics_and_labels_are_errors(
+    name: str, labels: tuple[Label, ...]
+) -> None:
+    """Guards against labels that the table doesn't bound."""
+    with pytest.raises(UnknownMetricError):
+        find_metric(name, labels)
+
+
+def values(metrics: Metrics) -> dict[tuple[str, str], float]:
+    families = text_string_to_metric_families(metrics.render().decode())
+    return {
+        (sample.name, ",".join(sorted(sample.labels.values()))): sample.value
+        for family in families
+        for sample in family.samples
+        if not sample.name.endswith("_created")
+    }
+
+
+def test_counters_and_histograms_appear_with_their_labels() -> None:
+    """Guards against values under the wrong name or label."""
+    metrics = Metrics()
+    workspace = Label("workspace", "w")
+    metrics.add(Count("retries_total", 2, (workspace,)))
+    metrics.count("retries_total", 3, (workspace,))
+    metrics.count("http_answers_late", 1, ())
+    metrics.observe("request_completion_seconds", 2.1, (workspace,))
+    found = values(metrics)
+    assert found[PREFIX + "retries_total", "w"] == 5
+    assert found[PREFIX + "http_answers_late_total", ""] == 1
+    assert found[PREFIX + "request_completion_seconds_sum", "w"] == 2.1
+    assert found[PREFIX + "request_completion_seconds_bucket", "2.2,w"] == 1
+    assert found[PREFIX + "request_completion_seconds_bucket", "1.0,w"] == 0
+
+
+def test_an_unknown_metric_is_counted_and_stops_nothing() -> None:
+    """Guards against a host that halts for a missing row."""
+    metrics = Metrics()
+    metrics.count("unheard_of_total", 1, ())
+    metrics.observe("unheard_of_seconds", 1.0, ())
+    metrics.observe("retries_total", 1.0, (Label("workspace", "w"),))
+    metrics.count("retries_total", 1, (Label("kind", "k"),))
+    assert values(metrics)[PREFIX + "unknown_metric_total", ""] == 4
+
+
+def test_label_values_are_bounded() -> None:
+    """Guards against a sender of ever new label values that fills memory."""
+    metrics = Metrics()
+    for number in range(LABEL_SETS + 10):
+        metrics.count("agent_events_total", 1, (Label("event", f"e{number}"),))
+    found = values(metrics)
+    names = [key for key in found if key[0] == PREFIX + "agent_events_total"]
+    assert len(names) == LABEL_SETS
+    assert found[PREFIX + "unknown_metric_total", ""] == 10
+
+
+def test_plain_counters_add_up() -> None:
+    """Guards against an agent that counts only the last amount."""
+    counters = PlainCounters()
+    counters.count("a", 2, (Label("x", "y"),))
+    counters.count("a", 3, ())
+    counters.observe("b", 0.5, ())
+    assert counters.values == {"a": 5, "b": 1}
