--- a/packages/core/crocuswell_core/agent_stream.py
+++ b/packages/core/crocuswell_core/agent_stream.py
@@ -21,6 +21,9 @@
 COUNTERS_PER_HEARTBEAT = 4
 # A stream that lived shorter counts as a failure for the back-off.
 STEADY_STREAM_MS = 5_000
+# An announcement is committed and confirmed within about 1 s; a stream whose
+# `Welcome` got lost would otherwise stay open without any orders.
+WELCOME_LIMIT_MS = 5_000
 BACKOFF_DOUBLINGS_LIMIT = 10
 
 
@@ -85,6 +88,16 @@
     )
 
 
+def misses_welcome(state: AgentState) -> bool:
+    """Tell whether the entry host confirms heartbeats but sends no orders."""
+    return (
+        state.connected
+        and not state.welcomed
+        and state.lease_from_ms >= state.opened_ms
+        and state.now_ms - state.opened_ms >= WELCOME_LIMIT_MS
+    )
+
+
 def lose_stream(state: AgentState, detail: str) -> list[Effect]:
     """Give a stream up and plan the next one."""
     lived_ms = state.now_ms - state.opened_ms
--- a/packages/core/crocuswell_core/backend.py
+++ b/packages/core/crocuswell_core/backend.py
@@ -15,8 +15,8 @@
     sequence : int
         Number of this call, to tell whether it was made after another.
     lease_until_ms : int
-        End of the tasks' leases on the agent's monotonic clock; 0 leaves
-        them as they are.
+        End of the tasks' leases on the worker's monotonic clock, which
+        the agent and the backend server share; 0 leaves them as they are.
     """
 
     sequence: int = 0
@@ -29,11 +29,10 @@
 
     Attributes
     ----------
-    send_by_ms : int
-        Time on the agent's monotonic clock after which the call is not
-        sent any more.
+    start_by_ms : int
+        Time on the worker's monotonic clock after which it is refused.
     lease_until_ms : int
-        End of the task's lease on the agent's monotonic clock.
+        End of the task's lease on the worker's monotonic clock.
     """
 
     attempt: AttemptId
@@ -44,7 +43,7 @@
     payload: bytes
     run_time_ms: int
     checkpoint: bytes | None
-    send_by_ms: int = 0
+    start_by_ms: int = 0
     lease_until_ms: int = 0
 
 
--- /dev/null
+++ b/tests/agent_world.py
@@ -0,0 +1,556 @@
+"""An agent's reducer against a fake entry host and an unreliable network.
+
+The backend server is the stand-in's own logic, called without HTTP. All is
+driven by one seeded generator and simulated time, so a seed gives the same
+run every time.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+import attrs
+
+from crocuswell_core.agent_invariants import check_agent
+from crocuswell_core.backend import (
+    BackendCall,
+    BackendReply,
+    StartOnBackend,
+    Unreachable,
+)
+from crocuswell_core.commands import (
+    Report,
+    TaskFinished,
+    TaskRefused,
+    TaskReserved,
+)
+from crocuswell_core.effects import (
+    CallBackend,
+    CloseEntryStream,
+    Effect,
+    Halt,
+    OpenEntryStream,
+    SendEntry,
+    StartTimer,
+)
+from crocuswell_core.events import (
+    AgentBooted,
+    AgentStopRequested,
+    BackendReplied,
+    ClockAdvanced,
+    EntryMessageReceived,
+    EntryStreamClosed,
+    EntryStreamOpened,
+    Event,
+    TimerFired,
+)
+from crocuswell_core.messages import (
+    AgentHeartbeat,
+    AgentMessage,
+    EntryHeartbeat,
+    EntryMessage,
+    Goodbye,
+    Hello,
+    Order,
+    Orders,
+    ReportAck,
+    ReserveTask,
+    SendReports,
+    StartTask,
+    StopTask,
+    Welcome,
+)
+from crocuswell_core.records import AttemptId, WorkerInfo
+from crocuswell_core.reducer import reduce
+from crocuswell_core.resources import Resources
+from crocuswell_core.state import AgentConfig, AgentState
+from crocuswell_core.timers import Timer
+from standins.backend_tasks import Backend, advance, result_of, running, serve
+
+RUN_LEASE_MS = 15_000
+CLIENT_TIMEOUT_MS = 2_000
+MemberKey = tuple[AttemptId, int]
+
+
+class WorldError(Exception):
+    """An invariant of the world is broken."""
+
+
+def require(holds: bool, rule: str) -> None:
+    if not holds:
+        raise WorldError(rule)
+
+
+@attrs.frozen
+class Faults:
+    """Chances of faults, per message or call unless stated otherwise."""
+
+    connect_fails: float = 0.02
+    call_lost: float = 0.03
+    call_slow: float = 0.05
+    reply_lost: float = 0.03
+    reply_doubled: float = 0.02
+    message_lost: float = 0.01
+    message_doubled: float = 0.05
+    message_slow: float = 0.1
+    open_fails: float = 0.2
+    open_hangs: float = 0.1
+    stale_order: float = 0.15
+    # Per second.
+    stream_breaks: float = 0.02
+    stream_mutes: float = 0.02
+    agent_dies: float = 0.01
+    agent_stops: float = 0.01
+    backend_restarts: float = 0.005
+    drain_flips: float = 0.02
+    goodbye: float = 0.01
+    cut_off_starts: float = 0.02
+    cut_off_ends: float = 0.05
+
+
+NO_FAULTS = Faults(*([0.0] * len(attrs.fields(Faults))))
+QUIET = attrs.evolve(NO_FAULTS, cut_off_ends=1.0)
+
+
+@attrs.define
+class WantedMember:
+    """A member as the entry host's cluster state holds it."""
+
+    start: StartTask
+    reserving: bool
+    wanted: Order
+
+
+@attrs.define
+class World:
+    """The agent, its backend server and one entry host."""
+
+    seed: int
+    faults: Faults = Faults()
+    rng: random.Random = attrs.field(init=False)
+    now_ms: int = 1_000_000
+    events: list[tuple[int, int, Callable[[], None]]] = attrs.Factory(list)
+    order: itertools.count = attrs.Factory(itertools.count)
+    timers: dict[Timer, int] = attrs.Factory(dict)
+    backend: Backend = attrs.field(init=False)
+    agent: AgentState = attrs.field(init=False)
+    generation: int = 0
+    # The entry host.
+    stream: int | None = None
+    muted: bool = False
+    cut_off: bool = False
+    greeted: bool = False
+    welcomed: bool = False
+    incarnation: str = ""
+    backend_incarnation: str = ""
+    recorded: int = 0
+    members: dict[MemberKey, WantedMember] = attrs.Factory(dict)
+    attempts: dict[str, int] = attrs.Factory(dict)
+    old_orders: list[Order] = attrs.Factory(list)
+    sent_ms: dict[int, int] = attrs.Factory(dict)
+    lease_end_ms: int = 0
+    # What is checked. A refusal counts once it is recorded; until then the
+    # next incarnation may start the member, and the refusal is dropped.
+    refused: set[MemberKey] = attrs.Factory(set)
+    refused_now: set[MemberKey] = attrs.Factory(set)
+    reported: list[Report] = attrs.Factory(list)
+    seen_reports: int = 0
+    halted: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        info = WorkerInfo("w1", "r1", "fd-a", Resources(8, 32, 64_000))
+        self.backend = Backend(info)
+        self.backend.incarnation = "b0"
+        self.boot()
+
+    # --- time ------------------------------------------------------------
+
+    def at(self, delay_ms: int, action: Callable[[], None]) -> None:
+        entry = (self.now_ms + delay_ms, next(self.order), action)
+        heapq.heappush(self.events, entry)
+
+    def for_agent(self, delay_ms: int, event: Event) -> None:
+        """Give an event to the present incarnation of the agent."""
+        generation = self.generation
+
+        def deliver() -> None:
+            if generation == self.generation and not self.halted:
+                self.reduce(event)
+
+        self.at(delay_ms, deliver)
+
+    def run(self, duration_ms: int) -> None:
+        end_ms = self.now_ms + duration_ms
+        while True:
+            timer = min(self.timers, key=self.timers.__getitem__, default=None)
+            timer_ms = self.timers[timer] if timer is not None else end_ms
+            event_ms = self.events[0][0] if self.events else end_ms
+            next_ms = min(timer_ms, event_ms)
+            if next_ms >= end_ms:
+                self.now_ms = end_ms
+                return
+            self.now_ms = max(self.now_ms, next_ms)
+            if timer is not None and timer_ms <= event_ms:
+                del self.timers[timer]
+                self.reduce(TimerFired(timer))
+            else:
+                heapq.heappop(self.events)[2]()
+            self.check()
+
+    def reduce(self, event: Event) -> None:
+        reduce(self.agent, ClockAdvanced(self.now_ms, self.now_ms))
+        _, effects = reduce(self.agent, event)
+        check_agent(self.agent)
+        self.note_reports()
+        for effect in effects:
+            self.carry_out(effect)
+
+    # --- invariants ------------------------------------------------------
+
+    def check(self) -> None:
+        advance(self.backend, self.now_ms)
+        for member, count in self.backend.starts.items():
+            require(count == 1, f"{member} was started {count} times")
+        if self.now_ms >= self.lease_end_ms:
+            require(not running(self.backend), "a task runs without a lease")
+        require(len(running(self.backend)) <= 8, "more tasks than slots")
+
+    def note_reports(self) -> None:
+        last = self.agent.first_report + len(self.agent.reports) - 1
+        for sequence in range(self.seen_reports + 1, last + 1):
+            report = self.agent.reports[sequence - self.agent.first_report]
+            self.seen_reports = sequence
+            if isinstance(report, TaskRefused):
+                self.refused_now.add((report.attempt, report.rank))
+        for attempt, rank in self.refused | self.refused_now:
+            started = self.backend.starts.get(f"{attempt}.{rank}", 0)
+            require(not started, f"{attempt}.{rank} was refused and ran")
+
+    # --- the agent's process ---------------------------------------------
+
+    def boot(self) -> None:
+        self.generation += 1
+        self.halted = False
+        self.timers.clear()
+        self.close_stream()
+        self.seen_reports = 0
+        self.refused_now.clear()
+        cfg = AgentConfig(("a:1", "b:1", "c:1"), f"i{self.generation}")
+        self.agent = AgentState(cfg, random.Random(self.rng.random()))
+        self.reduce(AgentBooted())
+
+    def chance(self, probability: float) -> bool:
+        return self.rng.random() < probability
+
+    def delay_ms(self, slow: float) -> int:
+        if self.chance(slow):
+            return self.rng.randint(0, 6_000)
+        return self.rng.randint(0, 5)
+
+    @singledispatchmethod
+    def carry_out(self, effect: Effect) -> None:
+        """Ignore effects that leave the process unchanged."""
+
+    @carry_out.register
+    def _(self, effect: StartTimer) -> None:
+        self.timers[effect.timer] = self.now_ms + effect.delay_ms
+
+    @carry_out.register
+    def _(self, effect: CallBackend) -> None:
+        self.call_backend(effect.call)
+
+    @carry_out.register
+    def _(self, effect: Halt) -> None:
+        self.halted = True
+        self.timers.clear()
+        self.close_stream()
+        self.at(self.rng.randint(100, 3_000), self.boot_if_halted)
+
+    @carry_out.register
+    def _(self, effect: OpenEntryStream) -> None:
+        self.close_stream()
+        if self.chance(self.faults.open_hangs):
+            return
+        if self.chance(self.faults.open_fails):
+            event = EntryStreamClosed(effect.stream_id, "refused")
+            self.for_agent(self.rng.randint(0, 500), event)
+            return
+        self.stream = effect.stream_id
+        self.for_agent(1, EntryStreamOpened(effect.stream_id))
+
+    @carry_out.register
+    def _(self, effect: CloseEntryStream) -> None:
+        if effect.stream_id == self.stream:
+            self.close_stream()
+
+    @carry_out.register
+    def _(self, effect: SendEntry) -> None:
+        if isinstance(effect.message, Hello | AgentHeartbeat):
+            self.sent_ms[effect.message.sequence] = self.now_ms
+        stream = (self.generation, effect.stream_id)
+        message = effect.message
+        delay_ms = self.delay_ms(self.faults.message_slow)
+        if not self.chance(self.faults.message_lost):
+            self.at(delay_ms, lambda: self.arrive(stream, message))
+        if self.chance(self.faults.message_doubled):
+            self.at(2 * delay_ms, lambda: self.arrive(stream, message))
+
+    def boot_if_halted(self) -> None:
+        if self.halted:
+            self.boot()
+
+    # --- calls to the backend server -------------------------------------
+
+    def call_backend(self, call: BackendCall) -> None:
+        if self.chance(self.faults.connect_fails) or (
+            isinstance(call, StartOnBackend) and self.now_ms >= call.start_by_ms
+        ):
+            refused = Unreachable("refused", sent=False)
+            self.for_agent(self.rng.randint(0, 500), BackendReplied(call, refused))
+            return
+        there_ms = self.delay_ms(self.faults.call_slow)
+        back_ms = self.delay_ms(self.faults.call_slow)
+        generation = self.generation
+        incarnation = self.backend.incarnation
+        lost = self.chance(self.faults.call_lost)
+        reply_lost = self.chance(self.faults.reply_lost)
+        if lost or reply_lost or there_ms + back_ms >= CLIENT_TIMEOUT_MS:
+            timed_out = BackendReplied(call, Unreachable("timeout", sent=True))
+            self.for_agent(CLIENT_TIMEOUT_MS, timed_out)
+
+        def arrive() -> None:
+            # A connection does not outlive the process it leads to.
+            if lost or incarnation != self.backend.incarnation:
+                return
+            reply = serve(call, self.backend, self.now_ms)
+            if reply_lost or there_ms + back_ms >= CLIENT_TIMEOUT_MS:
+                return
+            if generation == self.generation:
+                self.answer(call, reply, back_ms)
+
+        self.at(there_ms, arrive)
+        if not lost and not reply_lost:
+            gone = BackendReplied(call, Unreachable("reset", sent=True))
+            self.at(
+                there_ms,
+                lambda: (
+                    self.for_agent(0, gone)
+                    if incarnation != self.backend.incarnation
+                    and generation == self.generation
+                    and there_ms + back_ms < CLIENT_TIMEOUT_MS
+                    else None
+                ),
+            )
+
+    def answer(self, call: BackendCall, reply: BackendReply, delay_ms: int) -> None:
+        self.for_agent(delay_ms, BackendReplied(call, reply))
+        if self.chance(self.faults.reply_doubled):
+            self.for_agent(delay_ms + 20, BackendReplied(call, reply))
+
+    # --- the entry host --------------------------------------------------
+
+    def close_stream(self) -> None:
+        self.stream = None
+        self.muted = self.greeted = self.welcomed = False
+
+    def break_stream(self) -> None:
+        if self.stream is not None:
+            self.for_agent(0, EntryStreamClosed(self.stream, "reset"))
+        self.close_stream()
+
+    def send(self, message: EntryMessage) -> None:
+        if self.stream is None or self.muted:
+            return
+        if self.chance(self.faults.message_lost):
+            return
+        event = EntryMessageReceived(self.stream, message)
+        delay_ms = self.delay_ms(self.faults.message_slow)
+        self.for_agent(delay_ms, event)
+        if self.chance(self.faults.message_doubled):
+            self.for_agent(2 * delay_ms, event)
+
+    def arrive(self, stream: tuple[int, int], message: AgentMessage) -> None:
+        if stream == (self.generation, self.stream) and not self.muted:
+            self.receive(message)
+
+    @singledispatchmethod
+    def receive(self, message: AgentMessage) -> None:
+        """Ignore what the fake entry host has no use for."""
+
+    @receive.register
+    def _(self, message: Hello) -> None:
+        if self.backend_incarnation != message.backend_incarnation:
+            # The tasks are gone, see `fleet`.
+            for key in list(self.members):
+                del self.members[key]
+        if self.incarnation != message.incarnation:
+            self.recorded = 0
+            # An entry host welcomes an incarnation once it has applied its
+            # announcement, and sends no order from before that.
+            self.old_orders.clear()
+        self.greeted = True
+        self.incarnation = message.incarnation
+        self.backend_incarnation = message.backend_incarnation
+
+    @receive.register
+    def _(self, message: AgentHeartbeat) -> None:
+        if not self.greeted:
+            self.break_stream()
+            return
+        if self.cut_off:
+            self.send(EntryHeartbeat(0, 1, RUN_LEASE_MS))
+            return
+        lease_end_ms = self.sent_ms[message.sequence] + RUN_LEASE_MS
+        self.lease_end_ms = max(self.lease_end_ms, lease_end_ms)
+        self.send(EntryHeartbeat(message.sequence, 1, RUN_LEASE_MS))
+        if not self.welcomed:
+            self.welcomed = True
+            orders = tuple(member.wanted for member in self.members.values())
+            self.send(Welcome(orders, 1, RUN_LEASE_MS, self.recorded))
+
+    @receive.register
+    def _(self, message: SendReports) -> None:
+        if self.cut_off or not self.greeted:
+            return
+        require(message.first_sequence <= self.recorded + 1, "a gap in the reports")
+        numbered = enumerate(message.reports, start=message.first_sequence)
+        for sequence, report in numbered:
+            if sequence > self.recorded:
+                self.recorded = sequence
+                self.record(report)
+        self.send(ReportAck(self.recorded))
+
+    def record(self, report: Report) -> None:
+        key = (report.attempt, report.rank)
+        member = self.members.get(key)
+        if isinstance(report, TaskReserved):
+            if member is not None and member.reserving:
+                member.reserving = False
+                self.want(member, member.start)
+            return
+        self.reported.append(report)
+        if isinstance(report, TaskRefused):
+            self.refused.add(key)
+        if isinstance(report, TaskFinished) and member is not None:
+            self.check_result(member.start, report)
+        self.members.pop(key, None)
+
+    def check_result(self, start: StartTask, report: TaskFinished) -> None:
+        task = self.backend.tasks.get((report.attempt, report.rank))
+        if task is not None and task.call is not None:
+            expected = result_of(task.call, task.payload)
+            require(report.result == expected, "another task's result")
+
+    def want(self, member: WantedMember, order: Order) -> None:
+        member.wanted = order
+        self.old_orders.append(order)
+        if self.welcomed:
+            self.send(Orders((order,)))
+
+    # --- what operators and callers do -----------------------------------
+
+    def live(self, duration_ms: int, work: bool = True) -> None:
+        """Run with random work and faults, decided anew each 100 ms."""
+        for _ in range(duration_ms // 100):
+            if work:
+                self.place()
+                self.stop_some()
+            self.break_something()
+            self.run(100)
+
+    def place(self) -> None:
+        if not self.chance(0.1) or len(self.members) >= 10:
+            return
+        request_id = f"q{self.rng.randint(1, 40)}"
+        if any(attempt.request_id == request_id for attempt, _ in self.members):
+            return
+        epoch = self.attempts[request_id] = self.attempts.get(request_id, 0) + 1
+        attempt = AttemptId(request_id, epoch)
+        run_ms = self.rng.choice([0, 100, 1_000, 5_000, 40_000])
+        payload = b'{"run_ms":%d,"fail":%s,"echo":"%s"}' % (
+            run_ms,
+            self.rng.choice([b"true", b"false", b"false"]),
+            request_id.encode(),
+        )
+        taken = {member.start.accelerators[0] for member in self.members.values()}
+        free = [index for index in range(8) if index not in taken]
+        for rank in range(self.rng.choice([1, 1, 1, 2, 3])):
+            # Mostly as the scheduler places, now and then in conflict.
+            index = free.pop() if free and self.chance(0.9) else 0
+            start = StartTask(
+                attempt,
+                rank,
+                1,
+                Resources(1, self.rng.randint(1, 5), 1_000),
+                (index,),
+                payload,
+                self.chance(0.5),
+                1_000,
+                checkpoint_ms=self.rng.choice([None, 500, 3_000]),
+            )
+            reserve = ReserveTask(attempt, rank, start.resources, start.accelerators)
+            is_gang = self.chance(0.5)
+            member = WantedMember(start, is_gang, start)
+            self.members[attempt, rank] = member
+            self.want(member, reserve if is_gang else start)
+
+    def stop_some(self) -> None:
+        if self.members and self.chance(0.03):
+            member = self.rng.choice(list(self.members.values()))
+            member.reserving = False
+            checkpoint_ms = self.rng.choice([None, 500])
+            attempt, rank = member.start.attempt, member.start.rank
+            self.want(member, StopTask(attempt, rank, checkpoint_ms))
+        if self.old_orders and self.chance(self.faults.stale_order / 10):
+            self.send(Orders((self.rng.choice(self.old_orders),)))
+
+    def break_something(self) -> None:
+        each = {name: chance / 10 for name, chance in attrs.asdict(self.faults).items()}
+        if self.chance(each["stream_breaks"]):
+            self.break_stream()
+        if self.chance(each["stream_mutes"]):
+            self.muted = True
+        if self.chance(each["goodbye"]):
+            self.send(Goodbye())
+        if self.chance(each["cut_off_starts"]):
+            self.cut_off = True
+        if self.chance(each["cut_off_ends"]):
+            self.cut_off = False
+        if self.chance(each["agent_dies"]):
+            self.boot()
+        if self.chance(each["agent_stops"]):
+            self.for_agent(0, AgentStopRequested())
+        if self.chance(each["backend_restarts"]):
+            self.backend.incarnation += "'"
+            self.backend.tasks = {}
+        if self.chance(each["drain_flips"]):
+            draining = not self.backend.info.draining
+            self.backend.info = attrs.evolve(self.backend.info, draining=draining)
+
+    def settle(self) -> None:
+        """End all faults and work, and require that nothing is left over."""
+        self.faults = QUIET
+        self.cut_off = self.muted = False
+        # Messages lost on the old stream are not sent on it again.
+        self.break_stream()
+        self.backend.info = attrs.evolve(self.backend.info, draining=False)
+        for member in self.members.values():
+            member.reserving = False
+            self.want(member, StopTask(member.start.attempt, member.start.rank, None))
+        self.live(60_000, work=False)
+        listed = [task for task in self.backend.tasks.values() if not task.forgotten]
+        require(not self.members, f"members without an end: {self.members}")
+        require(not self.agent.tasks, f"tasks are left: {self.agent.tasks}")
+        require(not self.agent.reports, "reports are left")
+        require(not listed, f"the backend server lists {listed}")
+
+
+def run_seed(seed: int, duration_ms: int = 120_000) -> World:
+    """Run one seed to its end; raises if an invariant breaks."""
+    world = World(seed)
+    world.live(duration_ms)
+    world.settle()
+    return world
