--- /dev/null
+++ b/packages/core/crocuswell_core/lifecycle.py
@@ -0,0 +1,59 @@
+"""Start and planned stop of an entry host.
+
+A planned stop cuts off no call in flight and hands leadership over first.
+"""
+
+from crocuswell_core import election
+from crocuswell_core.callers import BALANCER_NOTICE_MS, answer_waits
+from crocuswell_core.dispatch import handle, handle_timer, notify
+from crocuswell_core.effects import Effect, Halt, LogChange, SetReady, StartTimer
+from crocuswell_core.events import EntryStopRequested
+from crocuswell_core.notices import HostBooted
+from crocuswell_core.sessions import close_sessions
+from crocuswell_core.state import EntryState, Role
+from crocuswell_core.timers import LivenessTimer, RetryTimer, SessionTimer, StopTimer
+
+STOP_CHECK_MS = 100
+
+
+@notify.register
+def _(notice: HostBooted, state: EntryState) -> list[Effect]:
+    return [
+        StartTimer(RetryTimer(), state.cfg.retry_ms),
+        StartTimer(LivenessTimer(), state.cfg.liveness_ms),
+        StartTimer(SessionTimer(), state.cfg.agent_heartbeat_ms),
+    ]
+
+
+@handle.register
+def _(event: EntryStopRequested, state: EntryState) -> list[Effect]:
+    if state.stopping:
+        return []
+    state.stopping = True
+    state.stopping_since_ms = state.now_ms
+    return [
+        LogChange("stopping"),
+        SetReady(False),
+        *answer_waits(state),
+        *election.transfer_leadership(state),
+        *close_sessions(state),
+        StartTimer(StopTimer(), STOP_CHECK_MS),
+    ]
+
+
+@handle_timer.register
+def _(timer: StopTimer, state: EntryState) -> list[Effect]:
+    elapsed_ms = state.now_ms - state.stopping_since_ms
+    busy = (
+        bool(state.calls)
+        or bool(state.proposals)
+        or state.consensus.role is Role.LEADER
+    )
+    if elapsed_ms >= state.cfg.stop_limit_ms:
+        return [Halt()]
+    if not busy and elapsed_ms >= BALANCER_NOTICE_MS:
+        return [Halt()]
+    effects = [*answer_waits(state), StartTimer(timer, STOP_CHECK_MS)]
+    if state.consensus.role is Role.LEADER:
+        effects += election.transfer_leadership(state)
+    return effects
