Add the bench of an agent's memory; poll twice a second when idle

Cause: the limit of 32 MB with 8 tasks and 64 connections had no run that shows it. An announcement permits starts for 1.5 s, and an idle agent polled once a second, so that a reply later than 0.5 s refused work for no reason.

--- /dev/null
+++ b/bench/agent_memory.py
@@ -0,0 +1,326 @@
+"""Resident memory and control traffic of an agent under full load.
+
+Starts the real agent process with 8 running tasks and 64 open connections
+to the stand-in of the backend server, and an entry host's listener in this
+process that confirms heartbeats. Prints the agent's largest resident memory,
+the bytes on its stream, and its processor time.
+"""
+
+import argparse
+import asyncio
+import os
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from contextlib import AsyncExitStack, contextmanager
+from functools import partial, singledispatch
+from pathlib import Path
+
+import attrs
+import yaml
+
+from crocuswell_core.effects import Count
+from crocuswell_core.events import AgentMessageReceived, AgentStreamClosed, Event
+from crocuswell_core.messages import (
+    AgentHeartbeat,
+    AgentMessage,
+    EntryHeartbeat,
+    EntryMessage,
+    Hello,
+    ReportAck,
+    SendReports,
+    StartTask,
+    Welcome,
+)
+from crocuswell_core.records import AttemptId
+from crocuswell_core.resources import CONNECTIONS_PER_WORKER, Resources
+from crocuswell_daemon.agent_streams import AgentListener
+from crocuswell_daemon.wire import decode, encode
+
+ROOT = Path(__file__).resolve().parent.parent
+MEMORY_LIMIT_BYTES = 32_000_000
+STREAM_LIMIT_BYTES = 4_000
+PROCESSOR_LIMIT = 0.023
+SLOTS = 8
+RUN_LEASE_MS = 15_000
+WARM_UP_S = 40
+MEASURE_S = 60
+
+# The agent's pool takes the connection used last, so that a few are enough.
+# This makes it take the one used longest ago, until all 64 are open; nothing
+# else of the agent changes. It imports no library, since the agent chooses
+# what it loads and in which order.
+HOLD_CONNECTIONS = """
+import queue
+queue.LifoQueue = queue.Queue
+"""
+
+
+@attrs.define
+class Traffic:
+    """Bytes that passed on the agent's stream, with all framing."""
+
+    sent: int = 0
+    received: int = 0
+
+
+# --- the entry host ------------------------------------------------------
+
+
+@singledispatch
+def answer(message: AgentMessage) -> list[EntryMessage]:
+    """Answer as an entry host whose leader confirms each heartbeat."""
+    return []
+
+
+@answer.register
+def _(message: Hello) -> list[EntryMessage]:
+    orders = tuple(
+        StartTask(
+            attempt=AttemptId(f"request-{number:024}", 1),
+            rank=0,
+            members=1,
+            resources=Resources(1, 4, 1_024),
+            accelerators=(number,),
+            payload=b'{"run_ms": 3600000}',
+            idempotent=True,
+            run_time_ms=3_600_000,
+        )
+        for number in range(SLOTS)
+    )
+    confirmed = message.sequence
+    return [Welcome(orders, 1, RUN_LEASE_MS, acknowledged=0, confirmed=confirmed)]
+
+
+@answer.register
+def _(message: AgentHeartbeat) -> list[EntryMessage]:
+    return [EntryHeartbeat(message.sequence, 1, RUN_LEASE_MS)]
+
+
+@answer.register
+def _(message: SendReports) -> list[EntryMessage]:
+    return [ReportAck(message.first_sequence + len(message.reports) - 1)]
+
+
+async def serve_agent(stack: AsyncExitStack) -> AgentListener:
+    """Run the entry host's side of the agent's stream."""
+    events: asyncio.Queue[Event] = asyncio.Queue()
+    listener = await stack.enter_async_context(
+        AgentListener(
+            "127.0.0.1",
+            0,
+            encode=encode,
+            decode=partial(decode, expected=AgentMessage),
+            post=events.put_nowait,
+            count=_ignore,
+        )
+    )
+
+    async def loop() -> None:
+        while True:
+            event = await events.get()
+            if isinstance(event, AgentMessageReceived):
+                for reply in answer(event.message):
+                    listener.send(event.stream_id, reply)
+            elif isinstance(event, AgentStreamClosed):
+                print("the agent's stream closed", file=sys.stderr)
+
+    task = asyncio.get_running_loop().create_task(loop())
+    stack.callback(task.cancel)
+    return listener
+
+
+def _ignore(count: Count) -> None:
+    """Drop the listener's counters."""
+
+
+async def relay(stack: AsyncExitStack, port: int, traffic: Traffic) -> int:
+    """Count the bytes of each direction on the way to `port`."""
+
+    async def connect(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        far_reader, far_writer = await asyncio.open_connection("127.0.0.1", port)
+        await asyncio.gather(
+            _pump(reader, far_writer, traffic, "sent"),
+            _pump(far_reader, writer, traffic, "received"),
+        )
+
+    server = await asyncio.start_server(connect, "127.0.0.1", 0)
+    stack.callback(server.close)
+    return int(server.sockets[0].getsockname()[1])
+
+
+async def _pump(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    traffic: Traffic,
+    direction: str,
+) -> None:
+    while data := await reader.read(65_536):
+        setattr(traffic, direction, getattr(traffic, direction) + len(data))
+        writer.write(data)
+        await writer.drain()
+    writer.close()
+
+
+# --- processes -----------------------------------------------------------
+
+
+@contextmanager
+def process(
+    command: list[str], environment: dict[str, str]
+) -> Iterator["subprocess.Popen[str]"]:
+    """Run a process that is ended at the end, by its own handle."""
+    with subprocess.Popen(
+        command, stdout=subprocess.PIPE, cwd=ROOT, env=environment, text=True
+    ) as started:
+        try:
+            yield started
+        finally:
+            started.terminate()
+
+
+def agent_environment(folder: Path, hook: Path, cached: bool) -> dict[str, str]:
+    """Return an environment with or without cached bytecode.
+
+    Without the cache, as in a folder that the agent cannot write to, Python
+    compiles each module at the start, and not all memory that this takes is
+    given back.
+    """
+    environment = {**os.environ, "PYTHONPATH": str(hook)}
+    if not cached:
+        environment["PYTHONDONTWRITEBYTECODE"] = "1"
+        return environment
+    environment["PYTHONPYCACHEPREFIX"] = str(folder / "bytecode")
+    environment.pop("PYTHONDONTWRITEBYTECODE", None)
+    command = [sys.executable, "-OO", "-c", "import crocuswell_daemon.agent_main"]
+    subprocess.run(command, env=environment, cwd=ROOT, check=True)
+    return environment
+
+
+def read_resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process in bytes."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * 1_024
+    raise RuntimeError(f"process {pid} has no resident memory")
+
+
+def read_processor_s(pid: int) -> float:
+    """Return the processor time of a process in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def count_connections(pid: int, port: int) -> int:
+    """Return how many connections a process holds to a port."""
+    held = set()
+    for link in Path(f"/proc/{pid}/fd").iterdir():
+        try:
+            held.add(os.readlink(link))
+        except FileNotFoundError:
+            continue
+    found = 0
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        fields = line.split()
+        is_there = int(fields[2].rpartition(":")[2], 16) == port
+        if is_there and fields[3] == "01" and f"socket:[{fields[9]}]" in held:
+            found += 1
+    return found
+
+
+# --- measurement ---------------------------------------------------------
+
+
+async def measure(folder: Path, cached: bool) -> bool:
+    """Measure one agent and print the figures; tell whether all are met."""
+    traffic = Traffic()
+    hook = folder / "hook"
+    hook.mkdir()
+    (hook / "sitecustomize.py").write_text(HOLD_CONNECTIONS)
+    async with AsyncExitStack() as stack:
+        listener = await serve_agent(stack)
+        entry_port = await relay(stack, listener.port, traffic)
+        standin = [sys.executable, "standins/backend_server.py", "--worker", "w1"]
+        backend = stack.enter_context(process(standin, dict(os.environ)))
+        address = await asyncio.to_thread(_first_line, backend)
+        settings = folder / "agent.yaml"
+        settings.write_text(
+            yaml.safe_dump(
+                {
+                    "role": "agent",
+                    "backend_server": f"http://{address}",
+                    "entries": [f"127.0.0.1:{entry_port}"],
+                    "insecure_loopback": True,
+                }
+            )
+        )
+        binary = str(Path(sys.executable).parent / "crocuswelld")
+        environment = agent_environment(folder, hook, cached)
+        command = [binary, str(settings)]
+        agent = stack.enter_context(process(command, environment))
+        await asyncio.sleep(WARM_UP_S)
+        return await _sample(agent.pid, address, traffic)
+
+
+def _first_line(started: "subprocess.Popen[str]") -> str:
+    if started.stdout is None:
+        raise RuntimeError("the stand-in has no output")
+    return started.stdout.readline().strip()
+
+
+async def _sample(pid: int, address: str, traffic: Traffic) -> bool:
+    port = int(address.rpartition(":")[2])
+    sent, received = traffic.sent, traffic.received
+    processor_s = read_processor_s(pid)
+    memory = 0
+    for _ in range(MEASURE_S):
+        memory = max(memory, read_resident_bytes(pid))
+        await asyncio.sleep(1)
+    connections = count_connections(pid, port)
+    share = (read_processor_s(pid) - processor_s) / MEASURE_S
+    print(f"open connections: {connections} (wanted {CONNECTIONS_PER_WORKER})")
+    return all(
+        [
+            connections == CONNECTIONS_PER_WORKER,
+            report("resident memory, bytes", memory, MEMORY_LIMIT_BYTES),
+            report(
+                "stream, bytes sent a second",
+                (traffic.sent - sent) / MEASURE_S,
+                STREAM_LIMIT_BYTES,
+            ),
+            report(
+                "stream, bytes received a second",
+                (traffic.received - received) / MEASURE_S,
+                STREAM_LIMIT_BYTES,
+            ),
+            report("processor time, share of a core", share, PROCESSOR_LIMIT),
+        ]
+    )
+
+
+def report(name: str, value: float, limit: float) -> bool:
+    """Print a figure beside its limit and tell whether it is met."""
+    is_met = value <= limit
+    verdict = "met" if is_met else "missed"
+    print(f"{name}: {value:,.8g} of {limit:,.8g}, {verdict}")
+    return is_met
+
+
+def main() -> int:
+    """Run the measurement and return the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--without-bytecode",
+        action="store_true",
+        help="start the agent without cached bytecode",
+    )
+    cached = not parser.parse_args().without_bytecode
+    with tempfile.TemporaryDirectory(prefix="crocuswell-bench-") as folder:
+        return 0 if asyncio.run(measure(Path(folder), cached)) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/core/crocuswell_core/agent.py
+++ b/packages/core/crocuswell_core/agent.py
@@ -49,6 +49,9 @@
 from crocuswell_core.state import AgentState, AgentTask, TaskPhase
 from crocuswell_core.timers import AgentTimer, PollTimer
 
+# Well below the age at which an announcement no longer permits a start.
+IDLE_POLL_MS = 500
+
 # --- events --------------------------------------------------------------
 
 
@@ -154,7 +157,7 @@
 
 @handle_timer.register
 def _(timer: PollTimer, state: AgentState) -> list[Effect]:
-    delay_ms = state.cfg.poll_ms if state.tasks else state.cfg.heartbeat_ms
+    delay_ms = state.cfg.poll_ms if state.tasks else IDLE_POLL_MS
     return _settle(state, [*describe(state), StartTimer(PollTimer(), delay_ms)])
 
 
