--- /dev/null
+++ b/bench/group_commit.py
@@ -0,0 +1,136 @@
+"""Measure records per second and syncs per record of the log.
+
+Compares one sync for each record with group commit by the event loop. Give
+the folder for the log, so that the disk in question is measured.
+"""
+
+import argparse
+import asyncio
+import tempfile
+import time
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from crocuswell_core import effects as fx
+from crocuswell_core.commands import (
+    LogEntry,
+    Proposal,
+    SubmitRequest,
+)
+from crocuswell_core.events import CallAbandoned, Event
+from crocuswell_core.records import JobSpec
+from crocuswell_daemon.runtime import Runtime
+from crocuswell_daemon.storage import Storage, SystemDisk
+
+
+@attrs.define
+class CountingDisk(SystemDisk):
+    """Counts syncs of the log."""
+
+    syncs: int = 0
+
+    def fdatasync(self, fd: int) -> None:
+        """Count and sync."""
+        self.syncs += 1
+        super().fdatasync(fd)
+
+
+@attrs.frozen
+class Result:
+    """Outcome of one run."""
+
+    records_per_second: float
+    syncs_per_record: float
+
+
+class LastRecord:
+    """Halts after the last record's effects."""
+
+    def __init__(self, last: int) -> None:
+        self._last = last
+
+    def carry_out(self, effects: Iterable[fx.Effect]) -> fx.Halt | None:
+        """Look for the last record's answer."""
+        for effect in effects:
+            if effect == fx.CloseAgentStream(self._last):
+                return fx.Halt()
+        return None
+
+
+def make_record(index: int) -> fx.EntriesRecord:
+    command = SubmitRequest(f"request-{index}", "w", JobSpec(payload=bytes(200)))
+    entry = LogEntry(1, index, index, Proposal(f"command-{index}", "0" * 64, command))
+    return fx.EntriesRecord((entry,))
+
+
+def reduce(state: Any, event: Event) -> tuple[Any, list[fx.Effect]]:
+    if not isinstance(event, CallAbandoned):
+        return state, []
+    index = event.call_id
+    return state, [fx.Persist(make_record(index)), fx.CloseAgentStream(index)]
+
+
+async def run_loop(storage: Storage, count: int, in_flight: int) -> None:
+    """Persist records through the event loop with bounded concurrency."""
+    with Runtime(reduce, object(), storage) as runtime:
+        posted = 0
+
+        class Refill(LastRecord):
+            def carry_out(self, effects: Iterable[fx.Effect]) -> fx.Halt | None:
+                nonlocal posted
+                batch = list(effects)
+                for effect in batch:
+                    if isinstance(effect, fx.CloseAgentStream) and posted < count:
+                        posted += 1
+                        runtime.post(CallAbandoned(posted))
+                return super().carry_out(batch)
+
+        while posted < min(in_flight, count):
+            posted += 1
+            runtime.post(CallAbandoned(posted))
+        await runtime.run(Refill(count))
+
+
+def measure(folder: Path, count: int, in_flight: int) -> Result:
+    """Run once; `in_flight` 0 means one sync each without the event loop."""
+    disk = CountingDisk()
+    with (
+        tempfile.TemporaryDirectory(dir=folder) as name,
+        Storage(Path(name) / "data", disk) as storage,
+    ):
+        storage.load()
+        disk.syncs = 0
+        started = time.perf_counter()
+        if in_flight:
+            asyncio.run(run_loop(storage, count, in_flight))
+        else:
+            for index in range(1, count + 1):
+                storage.append([make_record(index)])
+                storage.sync()
+        seconds = time.perf_counter() - started
+    return Result(count / seconds, disk.syncs / count)
+
+
+def main() -> None:
+    """Print a table; the ratios count, the absolute rates vary."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("folder", type=Path)
+    parser.add_argument("--records", type=int, default=4_000)
+    args = parser.parse_args()
+    base = measure(args.folder, args.records, 0)
+    print("calls in flight | records/s | ratio | syncs/record")
+    print(f"one sync each   | {base.records_per_second:9.0f} |  1.00 | 1.000")
+    for in_flight in (1, 4, 16, 64, 256):
+        result = measure(args.folder, args.records, in_flight)
+        ratio = result.records_per_second / base.records_per_second
+        print(
+            f"{in_flight:15} | {result.records_per_second:9.0f} | {ratio:5.2f} | "
+            f"{result.syncs_per_record:.3f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/daemon/crocuswell_daemon/counters.py
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -39,6 +39,7 @@
     "agent_streams_silent_total": Metric("Agent streams closed for silence"),
     "http_answers_late": Metric("Answers to calls that nobody waited for"),
     "http_responses": Metric("HTTP responses", ("status",)),
+    "peer_connects_failed": Metric("Failed attempts to open a link", ("peer",)),
     "peer_links_lost": Metric("Lost links to entry hosts", ("peer",)),
     "peer_messages_dropped": Metric(
         "Messages to entry hosts that were not sent", ("peer", "reason")
--- a/packages/daemon/crocuswell_daemon/wire.py
+++ b/packages/daemon/crocuswell_daemon/wire.py
@@ -102,40 +102,50 @@
 
 def _flatten(value: Any) -> Any:
     """Replace an object that msgpack doesn't know by one that it does."""
-    if isinstance(value, enum.Enum):
-        return value.value
-    if isinstance(value, int):
-        return _pack_big_int(value)
-    cls: Any = type(value)
-    return _flattener(cls)(value)
+    return _FLATTENERS[type(value)](value)
 
 
-def _pack_big_int(value: int) -> msgpack.ExtType:
-    # Numbers from JSON are unbounded, and one beyond 64 bits must not stop
-    # the host that logs it.
-    size = value.bit_length() // 8 + 1
-    if size > _BIG_INT_BYTES:
-        raise OverflowError("integer is too large")
-    return msgpack.ExtType(_BIG_INT, value.to_bytes(size, "big", signed=True))
+class _Flatteners(dict[type, Callable[[Any], Any]]):
+    """Functions by class, made when first needed."""
 
+    def __missing__(self, cls: type) -> Callable[[Any], Any]:
+        flattener = self[cls] = _make_flattener(cls)
+        return flattener
 
-@cache
-def _flattener(cls: type) -> Callable[[Any], tuple[Any, ...]]:
+
+_FLATTENERS = _Flatteners()
+
+
+def _make_flattener(cls: Any) -> Callable[[Any], Any]:
+    if issubclass(cls, enum.Enum):
+        # `value` is a property in Python; a state holds thousands of enums.
+        return attrgetter("_value_")
+    if cls is int:
+        return _pack_big_int
     if cls not in TAG_OF:
         raise TypeError(f"{cls.__name__} has no tag")
     tag = TAG_OF[cls]
     fields = attrs.fields(cls)
-    if not fields:
-        return lambda value: (tag,)
     names = [field.name for field in fields]
     if any(typing.get_origin(field.type) is dict for field in fields):
         return lambda value: (tag, *(_pairs(getattr(value, n)) for n in names))
+    if not names:
+        return lambda value: (tag,)
     get = attrgetter(*names)
     if len(names) == 1:
         return lambda value: (tag, get(value))
     return lambda value: (tag, *get(value))
 
 
+def _pack_big_int(value: int) -> msgpack.ExtType:
+    # Numbers from JSON are unbounded, and one beyond 64 bits must not stop
+    # the host that logs it.
+    size = value.bit_length() // 8 + 1
+    if size > _BIG_INT_BYTES:
+        raise OverflowError("integer is too large")
+    return msgpack.ExtType(_BIG_INT, value.to_bytes(size, "big", signed=True))
+
+
 def _pairs(value: Any) -> Any:
     if type(value) is not dict:
         return value
