--- a/packages/daemon/crocuswell_daemon/counters.py
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -44,6 +44,7 @@
     "peer_messages_dropped": Metric(
         "Messages to entry hosts that were not sent", ("peer", "reason")
     ),
+    "preemptions_total": Metric("Attempts stopped for a claim", ("workspace",)),
     "reports_dropped_total": Metric("Reports without an attempt or outcome to end"),
     "reports_stale_total": Metric("Reports of an earlier incarnation"),
     "request_completion_seconds": Metric(
@@ -52,6 +53,7 @@
     "requests_accepted_total": Metric("Accepted requests", ("workspace",)),
     "requests_ended_total": Metric("Ended requests", ("workspace", "outcome")),
     "requests_refused_total": Metric("Refused requests", ("workspace", "kind")),
+    "reservations_unconfirmed_total": Metric("Gangs whose agents did not confirm"),
     "retries_total": Metric("Retries of requests", ("workspace",)),
 }
 
--- a/packages/daemon/crocuswell_daemon/tags.py
+++ b/packages/daemon/crocuswell_daemon/tags.py
@@ -5,6 +5,7 @@
     configuration,
     effects,
     messages,
+    policies,
     records,
     resources,
     state,
@@ -95,6 +96,14 @@
     state.RecordDue,
     state.AnswerDue,
     state.DueItem,
+    state.ReservationDue,
+    state.ProbeDue,
+    state.PlannedShape,
+    state.Hold,
+    state.Reservation,
+    state.RunTimeRecord,
+    state.WorkerHealth,
+    policies.StandingPolicy,
 )
 
 TAG_OF: dict[type, int] = {
--- a/packages/daemon/crocuswell_daemon/wire.py
+++ b/packages/daemon/crocuswell_daemon/wire.py
@@ -97,6 +97,11 @@
     return state
 
 
+def _wire_fields(cls: Any) -> tuple[Any, ...]:
+    # A field that __init__ doesn't take is derived from the others.
+    return tuple(field for field in attrs.fields(cls) if field.init)
+
+
 # --- encoding ------------------------------------------------------------
 
 
@@ -125,7 +130,7 @@
     if cls not in TAG_OF:
         raise TypeError(f"{cls.__name__} has no tag")
     tag = TAG_OF[cls]
-    fields = attrs.fields(cls)
+    fields = _wire_fields(cls)
     names = [field.name for field in fields]
     if any(typing.get_origin(field.type) is dict for field in fields):
         return lambda value: (tag, *(_pairs(getattr(value, n)) for n in names))
@@ -208,7 +213,10 @@
         return _dict_decoder(*typing.get_args(hint))
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
         return _enum_decoder(hint)
-    return _class_decoder(hint)
+    if hint in TAG_OF:
+        return _class_decoder(hint)
+    # A base class stands for those of its subclasses that can travel.
+    return _union_decoder(tuple(cls for cls in TAG_OF if issubclass(cls, hint)))
 
 
 def _union_decoder(hints: tuple[Any, ...]) -> Decoder:
@@ -273,7 +281,7 @@
 @cache
 def _class_decoder(cls: type) -> Decoder:
     tag = TAG_OF[cls]
-    fields = attrs.fields(cls)
+    fields = _wire_fields(cls)
     decoders = tuple(_decoder(field.type) for field in fields)
     required = 1 + sum(field.default is attrs.NOTHING for field in fields)
 
