--- a/tests/test_storage_random.py
+++ b/tests/test_storage_random.py
@@ -169,13 +169,21 @@
 
     @precondition(lambda self: self.written.entries)
     @rule(data=st.data(), calls=st.integers(0, 60))
-    def crash_in_snapshot(self, data: Any, calls: int) -> None:
+    def crash_in_own_snapshot(self, data: Any, calls: int) -> None:
         entry = data.draw(st.sampled_from(self.written.entries))
-        record = SnapshotRecord(entry.index, entry.term, (), (), STATE)
-        after = self.written.with_snapshot(entry.index, entry.term)
+        self.crash_in_snapshot(entry.index, entry.term, calls)
+
+    @rule(ahead=st.integers(-2, 3), calls=st.integers(0, 60))
+    def crash_in_foreign_snapshot(self, ahead: int, calls: int) -> None:
+        index = max(self.written.snapshot_index + 1, self.written.last_index + ahead)
+        self.term += 1
+        self.crash_in_snapshot(index, self.term, calls)
+
+    def crash_in_snapshot(self, index: int, term: int, calls: int) -> None:
+        after = self.written.with_snapshot(index, term)
         self.disk.calls_left = calls
         try:
-            self.storage.append([record])
+            self.storage.append([SnapshotRecord(index, term, (), (), STATE)])
         except StorageError:
             self.reopen(self.synced, self.written, after)
         else:
