--- a/packages/daemon/crocuswell_daemon/http_api.py
+++ b/packages/daemon/crocuswell_daemon/http_api.py
@@ -47,7 +47,7 @@
 RETRY_AFTER_MS = 1_000
 # Time for the loop to answer calls in flight when the listener is closed;
 # a planned stop has answered them by then.
-DRAIN_TIME_S = 5.0
+DRAIN_TIME_S = 1.0
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 REQUEST_ID_BYTES = 12
 
--- a/packages/daemon/crocuswell_daemon/http_calls.py
+++ b/packages/daemon/crocuswell_daemon/http_calls.py
@@ -108,7 +108,7 @@
         The exchange, or the problem with the request.
     """
     segments = request.path.split("/")[1:]
-    matches = [route for route in _ROUTES if route.names(segments) is not None]
+    matches = [route for route in ROUTES if route.names(segments) is not None]
     if not matches:
         return Err(Problem(ErrorKind.NOT_FOUND, f"no such path: {request.path[:200]}"))
     for route in matches:
@@ -122,7 +122,7 @@
     return Err(attrs.evolve(problem, headers=(Header("Allow", allowed),)))
 
 
-def _parse_route(route: "_Route", request: HttpRequest, segments: list[str]) -> Parsed:
+def _parse_route(route: "Route", request: HttpRequest, segments: list[str]) -> Parsed:
     names = route.names(segments) or ()
     for name in names:
         if len(name) > NAME_LIMIT or not _NAME.fullmatch(name):
@@ -140,23 +140,24 @@
     return route.parse(request, query.unwrap(), *names)
 
 
-def _parse_query(route: "_Route", query: str) -> Result[_Query, Problem]:
+def _parse_query(route: "Route", query: str) -> Result[_Query, Problem]:
     parsed = route.defaults
     try:
         pairs = parse_qsl(query, keep_blank_values=True, max_num_fields=8)
     except ValueError:
         return Err(invalid("query: found too many parameters"))
     for name, text in pairs:
-        high = route.parameters.get(name)
-        if high is None:
+        bounds = route.parameters.get(name)
+        if bounds is None:
             expected = ", ".join(route.parameters) or "no parameters"
             return Err(
                 invalid(f"query: found unknown {name[:60]!r}, expected {expected}")
             )
-        if not _NUMBER.fullmatch(text) or int(text) > high:
+        if not _NUMBER.fullmatch(text) or int(text) not in bounds:
             return Err(
                 invalid(
-                    f"{name}: found {text[:60]!r}, expected an integer from 0 to {high}"
+                    f"{name}: found {text[:60]!r}, expected an integer from "
+                    f"{bounds.start} to {bounds[-1]}"
                 )
             )
         parsed = attrs.evolve(parsed, **{name: int(text)})
@@ -305,7 +306,7 @@
 
 
 @attrs.frozen
-class _Route:
+class Route:
     """An endpoint.
 
     Attributes
@@ -315,13 +316,13 @@
     parse : callable
         Takes the request, the query and the names.
     parameters : dict
-        Largest value of each parameter that the query may have.
+        Permitted values of each parameter that the query may have.
     """
 
     method: str
     template: str
     parse: Callable[..., Parsed]
-    parameters: dict[str, int] = attrs.Factory(dict)
+    parameters: dict[str, range] = attrs.Factory(dict)
     defaults: _Query = _Query()
 
     def names(self, segments: list[str]) -> tuple[str, ...] | None:
@@ -335,21 +336,21 @@
         return tuple(text for part, text in pairs if part.startswith("{"))
 
 
-_WAIT = {"wait_ms": WAIT_LIMIT_MS}
-_LIMIT = {"limit": LIST_LIMIT}
+_WAIT = {"wait_ms": range(WAIT_LIMIT_MS + 1)}
+_LIMIT = {"limit": range(1, LIST_LIMIT + 1)}
 _JOBS = "/v1/workspaces/{workspace}/requests"
-_ROUTES = (
-    _Route("POST", _JOBS, _parse_submission, _WAIT),
-    _Route("GET", _JOBS, _read_requests, _LIMIT, _Query(limit=100)),
-    _Route("POST", "/v1/workspaces/{workspace}/cancel", _parse_cancellation),
-    _Route("GET", "/v1/requests/{id}", _read_request, _WAIT),
-    _Route("GET", "/v1/requests/{id}/result", _read_result),
-    _Route("GET", "/v1/requests/{id}/explanation", _read_explanation),
-    _Route("GET", "/v1/configuration", _read_configuration),
-    _Route("PUT", "/v1/configuration", _parse_change),
-    _Route("POST", "/v1/preset", _parse_switch),
-    _Route("GET", "/v1/configuration/history", _read_history, _LIMIT, _Query(limit=20)),
-    _Route("GET", "/v1/workers", _read_workers),
-    _Route("POST", "/v1/workers/{id}/mode", _parse_worker_mode),
-    _Route("GET", "/v1/members", _read_members),
+ROUTES = (
+    Route("POST", _JOBS, _parse_submission, _WAIT),
+    Route("GET", _JOBS, _read_requests, _LIMIT, _Query(limit=100)),
+    Route("POST", "/v1/workspaces/{workspace}/cancel", _parse_cancellation),
+    Route("GET", "/v1/requests/{id}", _read_request, _WAIT),
+    Route("GET", "/v1/requests/{id}/result", _read_result),
+    Route("GET", "/v1/requests/{id}/explanation", _read_explanation),
+    Route("GET", "/v1/configuration", _read_configuration),
+    Route("PUT", "/v1/configuration", _parse_change),
+    Route("POST", "/v1/preset", _parse_switch),
+    Route("GET", "/v1/configuration/history", _read_history, _LIMIT, _Query(limit=20)),
+    Route("GET", "/v1/workers", _read_workers),
+    Route("POST", "/v1/workers/{id}/mode", _parse_worker_mode),
+    Route("GET", "/v1/members", _read_members),
 )
--- a/tests/test_http_refusals.py
+++ b/tests/test_http_refusals.py
@@ -146,6 +146,7 @@
         400,
         "wait_ms: found '-1'",
     ),
+    Refusal("none", "GET", JOBS + "?limit=0", None, {}, 400, "limit: found '0'"),
     Refusal("limit", "GET", JOBS + "?limit=1001", None, {}, 400, "limit: found '1001'"),
     Refusal(
         "query", "GET", JOBS + "?wait=1", None, {}, 400, "query: found unknown 'wait'"
