--- a/bench/agent_memory.py
+++ b/bench/agent_memory.py
@@ -46,6 +46,11 @@
 RUN_LEASE_MS = 15_000
 WARM_UP_S = 40
 MEASURE_S = 60
+# After the measurement all tasks end at once with results of the largest
+# size that a configuration permits by default.
+RESULT_BYTES = 65_536
+RESULTS_S = 20
+RUN_MS = (WARM_UP_S + MEASURE_S + RESULTS_S // 2) * 1_000
 
 # The agent's pool takes the connection used last, so that a few are enough.
 # This makes it take the one used longest ago, until all 64 are open; nothing
@@ -83,9 +88,9 @@
             members=1,
             resources=Resources(1, 4, 1_024),
             accelerators=(number,),
-            payload=b'{"run_ms": 3600000}',
+            payload=b'{"run_ms": %d, "result_bytes": %d}' % (RUN_MS, RESULT_BYTES),
             idempotent=True,
-            run_time_ms=3_600_000,
+            run_time_ms=RUN_MS,
         )
         for number in range(SLOTS)
     )
@@ -200,12 +205,12 @@
     return environment
 
 
-def read_resident_bytes(pid: int) -> int:
-    """Return the resident memory of a process in bytes."""
+def read_memory_bytes(pid: int, field: str) -> int:
+    """Return `VmRSS` (resident now) or `VmHWM` (most so far) in bytes."""
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
+        if line.startswith(f"{field}:"):
             return int(line.split()[1]) * 1_024
-    raise RuntimeError(f"process {pid} has no resident memory")
+    raise RuntimeError(f"process {pid} has no {field}")
 
 
 def read_processor_s(pid: int) -> float:
@@ -277,23 +282,37 @@
     processor_s = read_processor_s(pid)
     memory = 0
     for _ in range(MEASURE_S):
-        memory = max(memory, read_resident_bytes(pid))
+        memory = max(memory, read_memory_bytes(pid, "VmRSS"))
         await asyncio.sleep(1)
     connections = count_connections(pid, port)
     share = (read_processor_s(pid) - processor_s) / MEASURE_S
+    stream = attrs.evolve(traffic)
+    before = read_memory_bytes(pid, "VmHWM")
+    await asyncio.sleep(RESULTS_S)
+    print(f"bytes sent while the tasks ended: {traffic.sent - stream.sent:,}")
     print(f"open connections: {connections} (wanted {CONNECTIONS_PER_WORKER})")
     return all(
         [
             connections == CONNECTIONS_PER_WORKER,
             report("resident memory, bytes", memory, MEMORY_LIMIT_BYTES),
+            report(
+                "resident memory at most since the start, bytes",
+                before,
+                MEMORY_LIMIT_BYTES,
+            ),
+            report(
+                f"the same after {SLOTS} results of {RESULT_BYTES} bytes",
+                read_memory_bytes(pid, "VmHWM"),
+                MEMORY_LIMIT_BYTES,
+            ),
             report(
                 "stream, bytes sent a second",
-                (traffic.sent - sent) / MEASURE_S,
+                (stream.sent - sent) / MEASURE_S,
                 STREAM_LIMIT_BYTES,
             ),
             report(
                 "stream, bytes received a second",
-                (traffic.received - received) / MEASURE_S,
+                (stream.received - received) / MEASURE_S,
                 STREAM_LIMIT_BYTES,
             ),
             report("processor time, share of a core", share, PROCESSOR_LIMIT),
