--- a/scripts/platform_calls.py
+++ b/scripts/platform_calls.py
@@ -144,7 +144,7 @@
         view = answer.json()
         if answer.status >= 400:
             return Answer(view["kind"], view.get("detail", ""))
-        while view["outcome"] is None:
+        while view.get("outcome") is None:
             path = f"/v1/requests/{view['id']}?wait_ms={self._wait_ms()}"
             view = self._require(self.call("GET", path))
         outcome = view["outcome"]
