Add the command line: declarations, commands, burn report

Cause: operators and callers had only curl. Change: crocuswell with declarations checked for form and meaning (the fleet must hold all guarantees at once, planned by the scheduler itself), diff, apply with compare-and-set and resend, rollback as a new change, requests, workers, members, and the burn of error budgets from stored outcomes. Conclusion: not yet tried against running processes.

--- /dev/null
+++ b/packages/cli/crocuswell_cli/burn.py
@@ -0,0 +1,245 @@
+"""Burn of the error budgets: how fast objectives use what they may miss."""
+
+import html
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+HOUR_MS = 3_600_000
+WINDOWS_MS = {"1h": HOUR_MS, "6h": 6 * HOUR_MS, "24h": 24 * HOUR_MS}
+LONGEST_MS = 48 * HOUR_MS
+SIGNIFICANT_DIGITS = 3
+PERCENTILES = (50, 90, 99)
+BAR_WIDTH = 20
+# A burn rate of 1 uses up the budget exactly at the end of its period.
+FULL_BAR_RATE = 10.0
+
+
+@attrs.frozen
+class WindowBurn:
+    """Burn in one window.
+
+    Attributes
+    ----------
+    rate : float
+        Share of bad requests divided by the permitted share.
+    """
+
+    window: str
+    total: int
+    bad: int
+    rate: float
+
+
+@attrs.frozen
+class ObjectiveBurn:
+    """Burn of one objective over all windows.
+
+    Attributes
+    ----------
+    percentiles_ms : dict
+        Completion time in ms by percentile, over the longest window.
+    """
+
+    workspace: str
+    name: str
+    target: float
+    windows: tuple[WindowBurn, ...]
+    percentiles_ms: dict[int, int]
+
+
+def measure(
+    configuration: dict[str, Any], requests: Sequence[dict[str, Any]]
+) -> list[ObjectiveBurn]:
+    """Measure all objectives from the stored outcomes of requests.
+
+    The newest outcome's time counts as now, so that a report does not
+    depend on this host's clock.
+    """
+    ended = [request for request in requests if request["outcome"] is not None]
+    now_ms = max((request["outcome"]["at_ms"] for request in ended), default=0)
+    found = [
+        _measure_completion(objective, ended, now_ms)
+        for objective in configuration["objectives"]
+    ]
+    for workspace in configuration["workspaces"]:
+        found.append(_measure_truth(workspace["name"], ended, now_ms))
+    return found
+
+
+def _measure_completion(
+    objective: dict[str, Any], ended: Iterable[dict[str, Any]], now_ms: int
+) -> ObjectiveBurn:
+    mine = [
+        request
+        for request in ended
+        if request["workspace"] == objective["workspace"]
+        and request["job_class"] == objective["job_class"]
+        and request["outcome"]["outcome"] not in {"cancelled", "not_run"}
+    ]
+    histogram = HdrHistogram(1, LONGEST_MS, SIGNIFICANT_DIGITS)
+    for request in mine:
+        histogram.record_value(min(max(completion_ms(request), 1), LONGEST_MS))
+    limit_ms = objective["completion_ms"]
+    bad = [
+        completion_ms(request) > limit_ms
+        or request["outcome"]["outcome"] != "completed"
+        for request in mine
+    ]
+    name = f"{objective['job_class']} within {limit_ms} ms"
+    windows = _windows(mine, bad, objective["target"], now_ms)
+    percentiles = {
+        percentile: int(histogram.get_value_at_percentile(percentile))
+        for percentile in PERCENTILES
+    }
+    return ObjectiveBurn(
+        objective["workspace"], name, objective["target"], windows, percentiles
+    )
+
+
+def _measure_truth(
+    workspace: str, ended: Iterable[dict[str, Any]], now_ms: int
+) -> ObjectiveBurn:
+    mine = [request for request in ended if request["workspace"] == workspace]
+    bad = [request["outcome"]["outcome"] == "outcome_unknown" for request in mine]
+    target = 0.999
+    windows = _windows(mine, bad, target, now_ms)
+    return ObjectiveBurn(workspace, "known outcomes", target, windows, {})
+
+
+def completion_ms(request: dict[str, Any]) -> int:
+    """Return the time in ms from acceptance to outcome."""
+    return int(request["outcome"]["at_ms"] - request["accepted_at_ms"])
+
+
+def _windows(
+    requests: Sequence[dict[str, Any]],
+    bad: Sequence[bool],
+    target: float,
+    now_ms: int,
+) -> tuple[WindowBurn, ...]:
+    burns = []
+    for window, length_ms in WINDOWS_MS.items():
+        recent = [
+            is_bad
+            for request, is_bad in zip(requests, bad, strict=True)
+            if now_ms - request["outcome"]["at_ms"] <= length_ms
+        ]
+        share = sum(recent) / len(recent) if recent else 0.0
+        rate = share / (1 - target)
+        burns.append(WindowBurn(window, len(recent), sum(recent), rate))
+    return tuple(burns)
+
+
+# --- forms -----------------------------------------------------------------
+
+
+def to_document(found: Sequence[ObjectiveBurn]) -> list[dict[str, Any]]:
+    """Return the report for programs."""
+    return [attrs.asdict(burn) for burn in found]
+
+
+def to_text(found: Sequence[ObjectiveBurn]) -> str:
+    """Return the report with a bar for each window."""
+    lines = []
+    for burn in found:
+        lines.append(f"{burn.workspace}: {burn.name}, target {burn.target:.1%}")
+        if burn.percentiles_ms and burn.windows[-1].total:
+            shown = (f"p{p} {ms} ms" for p, ms in burn.percentiles_ms.items())
+            lines.append(f"  completion: {', '.join(shown)}")
+        lines += [
+            f"  {w.window:>4} {_bar(w.rate)} {w.rate:6.2f}x  {w.bad} of {w.total} bad"
+            for w in burn.windows
+        ]
+    return "\n".join(lines)
+
+
+def _bar(rate: float) -> str:
+    filled = min(BAR_WIDTH, round(rate / FULL_BAR_RATE * BAR_WIDTH))
+    return "[" + "#" * filled + "." * (BAR_WIDTH - filled) + "]"
+
+
+def to_html(found: Sequence[ObjectiveBurn], fleet: Sequence[dict[str, Any]]) -> str:
+    """Return one self-contained page: burn, percentiles, map of racks."""
+    objectives = "\n".join(map(_objective_section, found))
+    racks = "\n".join(_rack_section(name, ws) for name, ws in _by_rack(fleet).items())
+    return PAGE.format(objectives=objectives, racks=racks)
+
+
+def _objective_section(burn: ObjectiveBurn) -> str:
+    bars = "".join(
+        f'<text x="0" y="{y + 13}">{w.window}</text>'
+        f'<rect x="40" y="{y}" width="{_width(w.rate)}" height="16" '
+        f'class="{"over" if w.rate > 1 else "under"}"/>'
+        f'<text x="{_width(w.rate) + 46}" y="{y + 13}">{w.rate:.2f}x '
+        f"({w.bad} of {w.total} bad)</text>"
+        for w, y in zip(burn.windows, range(0, 90, 24), strict=False)
+    )
+    percentiles = ", ".join(f"p{p} {ms} ms" for p, ms in burn.percentiles_ms.items())
+    title = html.escape(f"{burn.workspace}: {burn.name}, target {burn.target:.1%}")
+    limit = 40 + _width(1.0)
+    return (
+        f"<section><h3>{title}</h3><p>{percentiles}</p>"
+        f'<svg width="460" height="72"><line x1="{limit}" x2="{limit}" y1="0" '
+        f'y2="72" class="limit"/>{bars}</svg></section>'
+    )
+
+
+def _width(rate: float) -> int:
+    return round(min(rate, FULL_BAR_RATE) / FULL_BAR_RATE * 260) + 1
+
+
+def _by_rack(fleet: Sequence[dict[str, Any]]) -> dict[str, list[dict[str, Any]]]:
+    racks: dict[str, list[dict[str, Any]]] = {}
+    for worker in fleet:
+        name = f"{worker['failure_domain']} / {worker['rack']}"
+        racks.setdefault(name, []).append(worker)
+    return racks
+
+
+def _rack_section(name: str, workers: Sequence[dict[str, Any]]) -> str:
+    rows = "".join(
+        f"<tr><th>{html.escape(worker['worker'])}</th><td>{_cells(worker)}</td>"
+        f"<td>{html.escape(' '.join(worker['attempts']))}</td></tr>"
+        for worker in workers
+    )
+    return f"<section><h3>{html.escape(name)}</h3><table>{rows}</table></section>"
+
+
+def _cells(worker: dict[str, Any]) -> str:
+    free = worker["free"]["accelerators"]
+    total = worker["capacity"]["accelerators"]
+    # A whole free worker can hold the largest gang member; a part cannot.
+    kind = "whole" if free == total else "part"
+    return "".join(
+        f'<span class="cell {"used" if i < total - free else kind}"></span>'
+        for i in range(total)
+    )
+
+
+PAGE = """<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>crocuswell: burn</title>
+<style>
+body {{ font: 14px sans-serif; margin: 24px; color: #222; }}
+main {{ display: grid; grid-template-columns: repeat(auto-fill, 480px); gap: 12px; }}
+section {{ border: 1px solid #ddd; padding: 8px 12px; }}
+h3 {{ font-size: 14px; margin: 4px 0; }} p {{ margin: 4px 0; color: #666; }}
+svg text {{ font: 12px sans-serif; }}
+.under {{ fill: #4a8f5c; }} .over {{ fill: #c0453b; }} .limit {{ stroke: #999; }}
+.cell {{ display: inline-block; width: 14px; height: 14px; margin: 1px; }}
+.used {{ background: #37618e; }} .part {{ background: #f0d9a8; }}
+.whole {{ background: #d5e8d4; }}
+th {{ text-align: left; font-weight: normal; }}
+</style></head><body>
+<h1>Burn of error budgets</h1>
+<p>A rate above 1 (the grey line) uses the budget up before its period ends.</p>
+<main>{objectives}</main>
+<h1>Racks</h1>
+<p><span class="cell used"></span> held <span class="cell whole"></span> free, the
+whole worker is free and can hold a gang's member
+<span class="cell part"></span> free beside other work</p>
+<main>{racks}</main>
+</body></html>
+"""
--- /dev/null
+++ b/packages/cli/crocuswell_cli/declarations.py
@@ -0,0 +1,398 @@
+"""Declarations of operators: form, meaning, schema, differences."""
+
+import enum
+import types
+import typing
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from crocuswell_cli.documents import (
+    DeclarationError,
+    Documents,
+    Finding,
+    KeyPath,
+    read_folder,
+)
+from crocuswell_core import reducer  # noqa: F401  (registers the handlers)
+from crocuswell_core.commands import (
+    AnnounceWorker,
+    ChangeConfiguration,
+    Command,
+    LogEntry,
+    Proposal,
+)
+from crocuswell_core.committed import apply_entry
+from crocuswell_core.configuration import Configuration, find_problem
+from crocuswell_core.records import WorkerInfo
+from crocuswell_core.resources import SLOTS_PER_WORKER, Resources
+from crocuswell_core.state import ClusterState
+
+SCHEMA_DIALECT = "https://json-schema.org/draft/2020-12/schema"
+
+
+@attrs.frozen
+class Rack:
+    """Workers of the declared fleet that are alike.
+
+    Attributes
+    ----------
+    workers : int
+        Number of workers in the rack.
+    """
+
+    rack: str
+    failure_domain: str
+    workers: int
+    accelerators: int = 0
+    processors: int = 1
+    memory_mb: int = 1_024
+    slots: int = SLOTS_PER_WORKER
+
+
+@attrs.frozen
+class Declarations:
+    """What a folder declares.
+
+    Attributes
+    ----------
+    fleet : tuple of Rack
+        Expected workers; used for checks only and not sent.
+    """
+
+    configuration: Configuration
+    fleet: tuple[Rack, ...] = ()
+
+
+@attrs.frozen
+class _Folder:
+    """Top-level keys of a folder: those of a configuration and the fleet."""
+
+    fleet: tuple[Rack, ...] = ()
+
+
+def load(folder: Path) -> Declarations:
+    """Read a folder and check form and meaning.
+
+    Raises
+    ------
+    DeclarationError
+        With every finding: file, line, key and what to change.
+    """
+    documents = read_folder(folder)
+    findings: list[Finding] = []
+    values = dict(documents.values)
+    fleet = _build(
+        tuple[Rack, ...], values.pop("fleet", ()), ("fleet",), findings, documents
+    )
+    configuration = _build(Configuration, values, (), findings, documents)
+    if findings:
+        raise DeclarationError(tuple(findings))
+    declared = Declarations(configuration, fleet)
+    findings = find_meaning(declared, documents)
+    if findings:
+        raise DeclarationError(tuple(findings))
+    return declared
+
+
+# --- form ----------------------------------------------------------------
+
+
+def _build(
+    hint: Any,
+    value: Any,
+    path: KeyPath,
+    findings: list[Finding],
+    documents: Documents,
+) -> Any:
+    """Build a value of a declared type, collecting everything wrong."""
+    origin = typing.get_origin(hint)
+    if origin in (types.UnionType, typing.Union):
+        if value is None:
+            return None
+        inner = next(h for h in typing.get_args(hint) if h is not types.NoneType)
+        return _build(inner, value, path, findings, documents)
+    if origin is tuple:
+        return _build_tuple(typing.get_args(hint)[0], value, path, findings, documents)
+    if attrs.has(hint):
+        return _build_object(hint, value, path, findings, documents)
+    if issubclass(hint, enum.Enum):
+        return _build_enum(hint, value, path, findings, documents)
+    accepted = (int, float) if hint is float else (hint,)
+    if type(value) not in accepted:
+        problem = f"found {value!r}, expected {_name(hint)}"
+        findings.append(documents.finding(path, problem))
+    return value
+
+
+def _build_tuple(
+    item: Any, value: Any, path: KeyPath, findings: list[Finding], documents: Documents
+) -> Any:
+    if type(value) not in (list, tuple):
+        findings.append(documents.finding(path, f"found {value!r}, expected a list"))
+        return ()
+    return tuple(
+        _build(item, entry, (*path, index), findings, documents)
+        for index, entry in enumerate(value)
+    )
+
+
+def _build_enum(
+    hint: Any, value: Any, path: KeyPath, findings: list[Finding], documents: Documents
+) -> Any:
+    names = [member.value for member in hint]
+    if value not in names:
+        problem = f"found {value!r}, expected one of {', '.join(names)}"
+        findings.append(documents.finding(path, problem))
+        return None
+    return hint(value)
+
+
+def _build_object(
+    cls: Any, value: Any, path: KeyPath, findings: list[Finding], documents: Documents
+) -> Any:
+    if type(value) is not dict:
+        findings.append(documents.finding(path, f"found {value!r}, expected keys"))
+        return None
+    hints = typing.get_type_hints(cls)
+    fields = {field.name: field for field in attrs.fields(cls)}
+    for key in value:
+        if key not in fields:
+            problem = f"unknown key; known are {', '.join(fields)}"
+            findings.append(documents.finding((*path, str(key)), problem))
+    for name, field in fields.items():
+        if field.default is attrs.NOTHING and name not in value:
+            findings.append(documents.finding(path, f"key {name!r} is missing"))
+    before = len(findings)
+    parts = {
+        name: _build(hints[name], value[name], (*path, name), findings, documents)
+        for name in fields
+        if name in value
+    }
+    complete = all(
+        f.default is not attrs.NOTHING or f.name in parts for f in fields.values()
+    )
+    return cls(**parts) if complete and len(findings) == before else None
+
+
+def _name(hint: Any) -> str:
+    return {
+        int: "a whole number",
+        float: "a number",
+        str: "text",
+        bool: "true or false",
+    }.get(hint, hint.__name__)
+
+
+# --- meaning -------------------------------------------------------------
+
+
+def find_meaning(declared: Declarations, documents: Documents) -> list[Finding]:
+    """Return what is well formed but cannot work."""
+    problem = find_problem(declared.configuration)
+    if problem is not None:
+        return [_locate(problem, declared, documents)]
+    return [
+        *_find_objectives(declared.configuration, documents),
+        *_find_presets(declared, documents),
+        *_find_guarantees(declared, documents),
+    ]
+
+
+def _locate(problem: str, declared: Declarations, documents: Documents) -> Finding:
+    key, _, rest = problem.partition(": ")
+    if key == "workspaces":
+        name, _, rest = rest.partition(": ")
+        names = [w.name for w in declared.configuration.workspaces]
+        if name in names:
+            field = rest.partition(":")[0]
+            path = ("workspaces", names.index(name), field)
+            return documents.finding(path, rest.partition(": ")[2] or rest)
+        return documents.finding(("workspaces",), name)
+    return documents.finding((key,), rest)
+
+
+def _find_objectives(
+    configuration: Configuration, documents: Documents
+) -> list[Finding]:
+    findings: list[Finding] = []
+    for index, objective in enumerate(configuration.objectives):
+        path: KeyPath = ("objectives", index)
+        if configuration.workspace(objective.workspace) is None:
+            problem = f"workspace {objective.workspace!r} is not declared"
+            findings.append(documents.finding((*path, "workspace"), problem))
+        if not 0 < objective.target < 1:
+            problem = "must lie between 0 and 1; with 1 there is no error budget"
+            findings.append(documents.finding((*path, "target"), problem))
+        if objective.completion_ms < 1:
+            problem = "must be at least 1 ms"
+            findings.append(documents.finding((*path, "completion_ms"), problem))
+    return findings
+
+
+def _find_presets(declared: Declarations, documents: Documents) -> list[Finding]:
+    findings: list[Finding] = []
+    configuration = declared.configuration
+    guaranteed = sum(
+        shape.total.accelerators
+        for workspace in configuration.workspaces
+        for shape in workspace.guarantees
+    )
+    fleet = sum(rack.workers * rack.accelerators for rack in declared.fleet)
+    for index, preset in enumerate(configuration.presets):
+        path: KeyPath = ("presets", index)
+        if not 0 <= preset.reserve_share < 1:
+            problem = "must be at least 0 and less than 1"
+            findings.append(documents.finding((*path, "reserve_share"), problem))
+        if fleet and guaranteed + preset.reserve_share * fleet > fleet:
+            problem = (
+                f"with {guaranteed} guaranteed of {fleet} accelerators, no such "
+                f"share can be kept idle; lower it or the guarantees"
+            )
+            findings.append(documents.finding((*path, "reserve_share"), problem))
+        if not preset.placement and guaranteed:
+            problem = (
+                "places nothing, so no guarantee could be claimed; use "
+                "borrowing: false to keep claims working"
+            )
+            findings.append(documents.finding((*path, "placement"), problem))
+    return findings
+
+
+def _find_guarantees(declared: Declarations, documents: Documents) -> list[Finding]:
+    """Plan all guarantees on the declared fleet, as the scheduler would."""
+    if not declared.fleet:
+        return []
+    cluster = ClusterState()
+    for info in fleet_workers(declared.fleet):
+        _apply(cluster, AnnounceWorker(info, "declared", "declared"))
+    _apply(cluster, ChangeConfiguration(0, declared.configuration, "validate"))
+    findings: list[Finding] = []
+    names = [w.name for w in declared.configuration.workspaces]
+    for planned in cluster.plan.values():
+        if planned.workers:
+            continue
+        position = names.index(planned.workspace)
+        guarantees = declared.configuration.workspaces[position].guarantees
+        path = ("workspaces", position, "guarantees", guarantees.index(planned.shape))
+        shape = planned.shape
+        problem = (
+            f"the declared fleet cannot hold {shape.members} x "
+            f"{shape.per_member.accelerators} accelerators in one "
+            f"{shape.adjacency.value} beside the other guarantees"
+        )
+        findings.append(documents.finding(path, problem))
+    return findings
+
+
+def fleet_workers(fleet: tuple[Rack, ...]) -> list[WorkerInfo]:
+    """Return the announcement that each declared worker would make."""
+    return [
+        WorkerInfo(
+            f"{rack.failure_domain}-{rack.rack}-{number}",
+            rack.rack,
+            rack.failure_domain,
+            Resources(rack.accelerators, rack.processors, rack.memory_mb),
+            rack.slots,
+        )
+        for rack in fleet
+        for number in range(1, rack.workers + 1)
+    ]
+
+
+def _apply(cluster: ClusterState, command: Command) -> None:
+    apply_entry(cluster, LogEntry(1, 1, 1, Proposal("", "", command)))
+
+
+# --- documents for the API and for editors --------------------------------
+
+
+def to_document(value: Any) -> Any:
+    """Return a configuration as the JSON body of the API."""
+    return attrs.asdict(value, value_serializer=_serialise)
+
+
+def _serialise(_cls: object, _field: object, value: Any) -> Any:
+    return value.value if issubclass(type(value), enum.Enum) else value
+
+
+def json_schema() -> dict[str, Any]:
+    """Return the JSON Schema of a folder's merged keys."""
+    schema = _schema_of(Configuration)
+    schema["properties"]["fleet"] = _schema_of(tuple[Rack, ...])
+    return {"$schema": SCHEMA_DIALECT, "title": "crocuswell declarations", **schema}
+
+
+def _schema_of(hint: Any) -> dict[str, Any]:
+    origin = typing.get_origin(hint)
+    if origin in (types.UnionType, typing.Union):
+        return {"anyOf": [_schema_of(inner) for inner in typing.get_args(hint)]}
+    if origin is tuple:
+        return {"type": "array", "items": _schema_of(typing.get_args(hint)[0])}
+    if attrs.has(hint):
+        return _object_schema(hint)
+    if issubclass(hint, enum.Enum):
+        return {"enum": [member.value for member in hint]}
+    names = {
+        int: "integer",
+        float: "number",
+        str: "string",
+        bool: "boolean",
+        types.NoneType: "null",
+    }
+    return {"type": names[hint]}
+
+
+def _object_schema(cls: Any) -> dict[str, Any]:
+    hints = typing.get_type_hints(cls)
+    fields = attrs.fields(cls)
+    return {
+        "type": "object",
+        "additionalProperties": False,
+        "properties": {field.name: _schema_of(hints[field.name]) for field in fields},
+        "required": [f.name for f in fields if f.default is attrs.NOTHING],
+    }
+
+
+# --- differences ----------------------------------------------------------
+
+
+@attrs.frozen
+class Difference:
+    """One value that a change would alter; None stands for absent."""
+
+    key: str
+    before: Any
+    after: Any
+
+
+def differences(before: Any, after: Any, key: str = "") -> list[Difference]:
+    """Return what differs between two documents of a configuration.
+
+    Lists of named objects are compared by name, so that a moved entry is
+    no difference.
+    """
+    if type(before) is dict and type(after) is dict:
+        found: list[Difference] = []
+        for name in dict.fromkeys([*before, *after]):
+            path = f"{key}.{name}" if key else str(name)
+            found += differences(before.get(name), after.get(name), path)
+        return found
+    if _is_named(before) and _is_named(after):
+        return differences(_by_name(before), _by_name(after), key)
+    return [] if _plain(before) == _plain(after) else [Difference(key, before, after)]
+
+
+def _is_named(value: Any) -> bool:
+    return type(value) in (list, tuple) and all(
+        type(item) is dict and "name" in item for item in value
+    )
+
+
+def _by_name(items: Any) -> dict[str, Any]:
+    return {item["name"]: item for item in items}
+
+
+def _plain(value: Any) -> Any:
+    return list(value) if type(value) is tuple else value
--- /dev/null
+++ b/packages/cli/crocuswell_cli/documents.py
@@ -0,0 +1,155 @@
+"""Reads YAML documents and knows the line of every key."""
+
+from functools import singledispatch
+from pathlib import Path
+from typing import Any
+
+import attrs
+import yaml
+
+KeyPath = tuple[str | int, ...]
+
+
+@attrs.frozen
+class Finding:
+    """One thing that is wrong in a declaration.
+
+    Attributes
+    ----------
+    line : int
+        Line in the file, counted from 1; 0 if the file has no such line.
+    key : str
+        Path of the key, such as `workspaces[0].quota`.
+    """
+
+    file: str
+    line: int
+    key: str
+    problem: str
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}: {self.key}: {self.problem}"
+
+
+class DeclarationError(Exception):
+    """Declarations that are not valid, with all findings."""
+
+    def __init__(self, findings: tuple[Finding, ...]):
+        super().__init__("\n".join(map(str, findings)))
+        self.findings = findings
+
+
+@attrs.define
+class Documents:
+    """The merged top-level keys of a folder, and where each key stands.
+
+    Attributes
+    ----------
+    lines : dict
+        For each path of keys the file and the line.
+    """
+
+    values: dict[str, Any] = attrs.Factory(dict)
+    lines: dict[KeyPath, tuple[str, int]] = attrs.Factory(dict)
+
+    def finding(self, path: KeyPath, problem: str) -> Finding:
+        """Return a finding at a path, or at the nearest known parent."""
+        known = path
+        while known and known not in self.lines:
+            known = known[:-1]
+        file, line = self.lines.get(known, ("declarations", 0))
+        return Finding(file, line, show_path(path), problem)
+
+
+def show_path(path: KeyPath) -> str:
+    """Return a path of keys as text."""
+    text = ""
+    for part in path:
+        text += f"[{part}]" if type(part) is int else f".{part}"
+    return text.lstrip(".") or "(file)"
+
+
+def read_folder(folder: Path) -> Documents:
+    """Read and merge all `*.yaml` files of a folder.
+
+    Raises
+    ------
+    DeclarationError
+        If there is no file, one is no YAML mapping, or two files declare
+        the same top-level key.
+    """
+    documents = Documents()
+    paths = sorted(folder.glob("*.yaml")) if folder.is_dir() else []
+    if not paths:
+        finding = Finding(str(folder), 0, "(folder)", "holds no *.yaml file")
+        raise DeclarationError((finding,))
+    for path in paths:
+        _read_file(path, documents)
+    return documents
+
+
+def _read_file(path: Path, documents: Documents) -> None:
+    try:
+        node = yaml.compose(path.read_text(encoding="utf-8"), yaml.SafeLoader)
+        value = yaml.safe_load(path.read_text(encoding="utf-8"))
+    except yaml.YAMLError as exc:
+        mark = getattr(exc, "problem_mark", None)
+        line = mark.line + 1 if mark else 0
+        problem = getattr(exc, "problem", None) or "is not YAML"
+        raise DeclarationError(
+            (Finding(path.name, line, "(file)", str(problem)),)
+        ) from exc
+    except (OSError, UnicodeDecodeError) as exc:
+        raise DeclarationError(
+            (Finding(path.name, 0, "(file)", f"cannot be read: {exc}"),)
+        ) from exc
+    if node is None:
+        return
+    if type(value) is not dict:
+        finding = Finding(path.name, 1, "(file)", "must be a mapping of keys")
+        raise DeclarationError((finding,))
+    for key in value:
+        if key in documents.values:
+            other = documents.lines[key,][0]
+            finding = Finding(path.name, 1, str(key), f"is declared in {other} too")
+            raise DeclarationError((finding,))
+    documents.values |= value
+    _note_lines(node, (), path.name, documents)
+
+
+def _note_lines(
+    node: yaml.Node, path: KeyPath, file: str, documents: Documents
+) -> None:
+    documents.lines.setdefault(path, (file, node.start_mark.line + 1))
+    for child in _children(node):
+        child_path = (*path, child.part)
+        documents.lines[child_path] = (file, child.line)
+        _note_lines(child.node, child_path, file, documents)
+
+
+@attrs.frozen
+class _Child:
+    part: str | int
+    line: int
+    node: yaml.Node
+
+
+@singledispatch
+def _children(node: yaml.Node) -> list[_Child]:
+    return []
+
+
+@_children.register
+def _(node: yaml.MappingNode) -> list[_Child]:
+    return [
+        _Child(str(key.value), key.start_mark.line + 1, value)
+        for key, value in node.value
+    ]
+
+
+@_children.register
+def _(node: yaml.SequenceNode) -> list[_Child]:
+    return [
+        _Child(index, item.start_mark.line + 1, item)
+        for index, item in enumerate(node.value)
+    ]
--- /dev/null
+++ b/packages/cli/crocuswell_cli/main.py
@@ -0,0 +1,383 @@
+"""The command `crocuswell`: a thin layer over pure functions."""
+
+import base64
+import json
+import sys
+import uuid
+from collections.abc import Callable
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from crocuswell_cli import burn, declarations, render
+from crocuswell_cli.client import CallError, Client
+from crocuswell_cli.documents import DeclarationError
+
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+EXIT_NOT_COMPLETED = 4
+WAIT_MS = 20_000
+LIST_LIMIT = 1_000
+
+app = typer.Typer(
+    help=(
+        "Operate crocuswell and submit requests to it.\n\n"
+        "Exit codes: 0 done, 1 refused, 2 wrong use or not valid, 3 no entry "
+        "host in reach, 4 the request did not complete."
+    ),
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+preset_app = typer.Typer(help="Presets.", no_args_is_help=True)
+report_app = typer.Typer(help="Reports.", no_args_is_help=True)
+app.add_typer(preset_app, name="preset")
+app.add_typer(report_app, name="report")
+
+Folder = Annotated[Path, typer.Argument(help="Folder with the declarations.")]
+Yes = Annotated[bool, typer.Option("--yes", help="Do not ask.")]
+
+
+@app.callback()
+def options(
+    ctx: typer.Context,
+    endpoint: Annotated[
+        list[str] | None,
+        typer.Option(envvar="CROCUSWELL_ENDPOINTS", help="host:port; repeat it."),
+    ] = None,
+    output: Annotated[str, typer.Option(help="text or json")] = "text",
+    author: Annotated[
+        str, typer.Option(envvar="CROCUSWELL_AUTHOR", help="Your name.")
+    ] = "",
+) -> None:
+    """Take the options of all commands."""
+    if output not in {"text", "json"}:
+        fail(f"--output {output}: use text or json", EXIT_USAGE)
+    endpoints = tuple(endpoint or ("127.0.0.1:8080",))
+    ctx.obj = Session(Client(endpoints, author), output == "json")
+
+
+class Session:
+    """The client and the form of the output."""
+
+    def __init__(self, client: Client, as_json: bool):
+        self.client = client
+        self.as_json = as_json
+
+    def show(self, document: Any, text: Callable[[Any], str]) -> None:
+        """Print a reply for people or for programs."""
+        typer.echo(json.dumps(document, indent=2) if self.as_json else text(document))
+
+
+def fail(message: str, code: int) -> None:
+    """Print one sentence and end with an exit code."""
+    typer.echo(message, err=True)
+    raise typer.Exit(code)
+
+
+def confirm(question: str, yes: bool) -> None:
+    """Ask before something that cannot simply be undone."""
+    if not yes:
+        typer.confirm(question, abort=True)
+
+
+# --- declarations ----------------------------------------------------------
+
+
+@app.command()
+def validate(folder: Folder) -> None:
+    """Check declarations offline: form, and whether they can work."""
+    declared = declarations.load(folder)
+    configuration = declared.configuration
+    typer.echo(
+        f"{folder}: valid: {len(configuration.workspaces)} workspaces, "
+        f"{len(configuration.presets)} presets, "
+        f"{len(configuration.objectives)} objectives"
+    )
+
+
+@app.command()
+def schema() -> None:
+    """Print the JSON Schema of declarations."""
+    typer.echo(json.dumps(declarations.json_schema(), indent=2))
+
+
+@app.command()
+def diff(ctx: typer.Context, folder: Folder) -> None:
+    """Show what `apply` would change."""
+    document = declarations.to_document(declarations.load(folder).configuration)
+    current = ctx.obj.client.get("/v1/configuration").json()
+    found = declarations.differences(current["configuration"], document)
+    as_json = [{"key": d.key, "before": d.before, "after": d.after} for d in found]
+    ctx.obj.show(as_json, show_differences)
+
+
+def show_differences(found: list[dict[str, Any]]) -> str:
+    """Return differences as text."""
+    if not found:
+        return "no differences"
+    return "\n".join(f"{d['key']}: {d['before']} -> {d['after']}" for d in found)
+
+
+@app.command()
+def apply(
+    ctx: typer.Context,
+    folder: Folder,
+    yes: Yes = False,
+    key: Annotated[
+        str, typer.Option(help="Send a command whose answer was lost again.")
+    ] = "",
+    if_number: Annotated[
+        int | None, typer.Option(help="Only if this is still the newest number.")
+    ] = None,
+) -> None:
+    """Put declarations in force as one change."""
+    document = declarations.to_document(declarations.load(folder).configuration)
+    current = ctx.obj.client.get("/v1/configuration").json()
+    number = current["number"] if if_number is None else if_number
+    found = declarations.differences(current["configuration"], document)
+    if not found and if_number is None and not key:
+        typer.echo(f"no differences from change {number}")
+        return
+    confirm(f"{len(found)} values change after change {number}. Apply?", yes)
+    change(ctx, "PUT", "/v1/configuration", document, number, key)
+
+
+@app.command()
+def rollback(
+    ctx: typer.Context,
+    number: Annotated[int, typer.Argument(help="Change to return to.")],
+    yes: Yes = False,
+) -> None:
+    """Apply an earlier configuration again, as a new change."""
+    changes = ctx.obj.client.get("/v1/configuration/history?limit=200").json()
+    earlier = [c for c in changes["changes"] if c["number"] == number]
+    if not earlier:
+        fail(f"change {number} is not in the history; see `history`", EXIT_REFUSED)
+    current = changes["changes"][0]["number"]
+    confirm(f"Apply the configuration of change {number} as {current + 1}?", yes)
+    document = earlier[0]["configuration"]
+    change(ctx, "PUT", "/v1/configuration", document, current, "")
+
+
+@preset_app.command("switch")
+def preset_switch(
+    ctx: typer.Context,
+    name: Annotated[str, typer.Argument(help="Declared preset.")],
+    yes: Yes = False,
+) -> None:
+    """Put another preset in force."""
+    current = ctx.obj.client.get("/v1/configuration").json()
+    before = current["configuration"]["active_preset"]
+    confirm(f"Switch from preset {before} to {name}?", yes)
+    change(ctx, "POST", "/v1/preset", {"preset": name}, current["number"], "")
+
+
+def change(
+    ctx: typer.Context, method: str, path: str, body: Any, number: int, key: str
+) -> None:
+    """Send a change of the configuration with compare-and-set."""
+    key = key or uuid.uuid4().hex
+    headers = {"If-Match": f'"{number}"'}
+    try:
+        reply = ctx.obj.client.call(method, path, body, key, headers).json()
+    except CallError as exc:
+        if exc.kind in {"unreachable", "unavailable"}:
+            hint = f"it may have been accepted; repeat it with --key {key}"
+            fail(f"{exc.detail}; {hint}", EXIT_UNREACHABLE)
+        raise
+    ctx.obj.show(reply, lambda r: f"change {r['number']} accepted")
+
+
+@app.command()
+def history(ctx: typer.Context, limit: int = 20) -> None:
+    """Show the newest configuration changes."""
+    reply = ctx.obj.client.get(f"/v1/configuration/history?limit={limit}").json()
+    ctx.obj.show(reply["changes"], render.history_rows)
+
+
+# --- requests --------------------------------------------------------------
+
+
+@app.command()
+def submit(
+    ctx: typer.Context,
+    workspace: str,
+    job: Annotated[Path, typer.Argument(help="JSON file with the job; - for stdin.")],
+    payload: Annotated[Path | None, typer.Option(help="File with the input.")] = None,
+    key: Annotated[str, typer.Option(help="Idempotency key.")] = "",
+    wait: Annotated[bool, typer.Option(help="Wait for the outcome.")] = False,
+) -> None:
+    """Submit a job."""
+    body = read_job(job)
+    if payload is not None:
+        body["payload"] = base64.b64encode(payload.read_bytes()).decode()
+    path = f"/v1/workspaces/{workspace}/requests"
+    request = ctx.obj.client.call("POST", path, body, key).json()
+    if wait:
+        request = wait_for(ctx, request)
+    ctx.obj.show(request, lambda r: render.request_rows([r]))
+    outcome = request["outcome"]
+    if wait and outcome["outcome"] != "completed":
+        raise typer.Exit(EXIT_NOT_COMPLETED)
+
+
+def read_job(path: Path) -> dict[str, Any]:
+    """Read a job's JSON document."""
+    text = sys.stdin.read() if str(path) == "-" else path.read_text(encoding="utf-8")
+    document = json.loads(text)
+    if type(document) is not dict:
+        raise ValueError(f"{path}: expected a JSON object")
+    return document
+
+
+def wait_for(ctx: typer.Context, request: dict[str, Any]) -> dict[str, Any]:
+    """Wait for the outcome, telling each change of phase."""
+    phase = ""
+    while request["outcome"] is None:
+        if request["phase"] != phase:
+            phase = request["phase"]
+            typer.echo(f"{request['id']}: {phase}", err=True)
+        path = f"/v1/requests/{request['id']}?wait_ms={WAIT_MS}"
+        request = ctx.obj.client.get(path).json()
+    return request
+
+
+@app.command()
+def status(
+    ctx: typer.Context,
+    name: Annotated[str, typer.Argument(help="Request id, or a workspace.")],
+    limit: int = 20,
+) -> None:
+    """Show a request, or the newest requests of a workspace."""
+    try:
+        reply = ctx.obj.client.get(f"/v1/requests/{name}").json()
+        ctx.obj.show(reply, lambda r: render.request_rows([r]))
+    except CallError as exc:
+        if exc.kind != "not_found":
+            raise
+        path = f"/v1/workspaces/{name}/requests?limit={limit}"
+        reply = ctx.obj.client.get(path).json()
+        ctx.obj.show(reply["requests"], render.request_rows)
+
+
+@app.command()
+def result(ctx: typer.Context, request_id: str) -> None:
+    """Write the result of a completed request to standard output."""
+    reply = ctx.obj.client.get(f"/v1/requests/{request_id}/result")
+    sys.stdout.buffer.write(reply.body)
+
+
+@app.command()
+def explain(ctx: typer.Context, request_id: str) -> None:
+    """Tell why a request waits, and when and where it can start."""
+    reply = ctx.obj.client.get(f"/v1/requests/{request_id}/explanation").json()
+    ctx.obj.show(reply, render.explanation)
+
+
+@app.command()
+def cancel(
+    ctx: typer.Context,
+    workspace: str,
+    request_id: Annotated[list[str] | None, typer.Argument(help="Ids.")] = None,
+    job_class: Annotated[str, typer.Option(help="Cancel a whole class.")] = "",
+    yes: Yes = False,
+) -> None:
+    """Cancel requests by id, by class, or all of a workspace."""
+    chosen = f"{len(request_id)} requests" if request_id else "all requests"
+    of_class = f" of class {job_class}" if job_class else ""
+    confirm(f"Cancel {chosen}{of_class} of {workspace}?", yes)
+    body = {"request_ids": request_id or [], "job_class": job_class}
+    path = f"/v1/workspaces/{workspace}/cancel"
+    reply = ctx.obj.client.call("POST", path, body).json()
+    ctx.obj.show(reply, lambda r: f"{r['count']} requests cancelled")
+
+
+# --- fleet -----------------------------------------------------------------
+
+
+@app.command()
+def workers(ctx: typer.Context) -> None:
+    """Show all workers with what they hold."""
+    reply = ctx.obj.client.get("/v1/workers").json()
+    ctx.obj.show(reply["workers"], render.worker_rows)
+
+
+@app.command()
+def members(ctx: typer.Context) -> None:
+    """Show the control group."""
+    ctx.obj.show(ctx.obj.client.get("/v1/members").json(), render.member_rows)
+
+
+@app.command()
+def drain(ctx: typer.Context, worker: str, yes: Yes = False) -> None:
+    """Give a worker no new work; move what can be moved."""
+    confirm(f"Drain {worker}? Work that can checkpoint is moved.", yes)
+    set_mode(ctx, worker, "draining")
+
+
+@app.command()
+def undrain(ctx: typer.Context, worker: str) -> None:
+    """Let a worker take work again."""
+    set_mode(ctx, worker, "active")
+
+
+@app.command()
+def quarantine(ctx: typer.Context, worker: str, yes: Yes = False) -> None:
+    """Keep a worker out until `undrain`."""
+    confirm(f"Quarantine {worker}?", yes)
+    set_mode(ctx, worker, "quarantined")
+
+
+def set_mode(ctx: typer.Context, worker: str, mode: str) -> None:
+    """Order a mode for a worker."""
+    path = f"/v1/workers/{worker}/mode"
+    reply = ctx.obj.client.call("POST", path, {"mode": mode}).json()
+    ctx.obj.show(reply, lambda r: f"{r['worker']}: {r['mode']}")
+
+
+# --- reports ---------------------------------------------------------------
+
+
+@report_app.command("burn")
+def report_burn(
+    ctx: typer.Context,
+    html: Annotated[Path | None, typer.Option(help="Write a page.")] = None,
+) -> None:
+    """Show how fast each objective uses its error budget."""
+    client = ctx.obj.client
+    current = client.get("/v1/configuration").json()["configuration"]
+    requests = []
+    for workspace in current["workspaces"]:
+        path = f"/v1/workspaces/{workspace['name']}/requests?limit={LIST_LIMIT}"
+        requests += client.get(path).json()["requests"]
+    fleet = client.get("/v1/workers").json()["workers"]
+    found = burn.measure(current, requests)
+    if html is not None:
+        html.write_text(burn.to_html(found, fleet), encoding="utf-8")
+    ctx.obj.show(burn.to_document(found), lambda _: burn.to_text(found))
+
+
+def main() -> None:
+    """Run the command and turn errors into one sentence and an exit code."""
+    try:
+        app(standalone_mode=False)
+    except typer.Exit as exc:
+        sys.exit(exc.exit_code)
+    except typer.Abort:
+        print("nothing was changed", file=sys.stderr)
+        sys.exit(EXIT_REFUSED)
+    except DeclarationError as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    except CallError as exc:
+        print(f"{exc.kind}: {exc.detail}", file=sys.stderr)
+        sys.exit(EXIT_UNREACHABLE if exc.status in {0, 503} else EXIT_REFUSED)
+    except (OSError, ValueError) as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+
+
+if __name__ == "__main__":
+    main()
