--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 STEPS ?= 200000
 
-.PHONY: setup format lint test soak demo demo-kill clean
+.PHONY: setup format lint test soak model demo demo-kill failures rolling tour bench bench-agent capacity clean
 
 setup: $(VENV)/.ready
 
@@ -37,5 +37,18 @@
 demo-kill: setup
 	$(BIN)/python scripts/demo.py --kill-leader
 
+# Kills, freezes, cuts off and restarts real processes under load.
+failures: setup
+	$(BIN)/python scripts/failures.py
+
+rolling: setup
+	$(BIN)/python scripts/failures.py rolling-restart
+
+tour: setup
+	$(BIN)/python scripts/tour.py
+
+bench-agent: setup
+	$(BIN)/python bench/agent_memory.py
+
 clean:
 	rm -rf $(VENV)
