--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,46 @@
+"""Simple policies to compare with."""
+
+import attrs
+
+from crocuswell_core.attempts import place_request
+from crocuswell_core.effects import ClusterEffect
+from crocuswell_core.index import index_of
+from crocuswell_core.placement import first_fit
+from crocuswell_core.policies import Policy, StandingPolicy
+from crocuswell_core.scheduling import run_pass
+from crocuswell_core.state import ClusterState
+
+
+@attrs.frozen
+class FirstComeFirstServed(Policy):
+    """Arrival order and first fit; the head of the queue blocks the rest."""
+
+
+# Fair share with backfill and best fit: the product with all else left out.
+FAIR_SHARE = StandingPolicy(
+    guarantees=False,
+    reservations=1,
+    correction=False,
+    response_ratio=False,
+    shape_scoring=False,
+    consolidation=False,
+    quarantine=False,
+)
+
+
+@run_pass.register
+def _(policy: FirstComeFirstServed, cluster: ClusterState) -> list[ClusterEffect]:
+    effects: list[ClusterEffect] = []
+    while True:
+        heads = [
+            lane.order[0]
+            for lanes in index_of(cluster).lanes.values()
+            for lane in lanes.values()
+        ]
+        if not heads:
+            return effects
+        request = cluster.requests[min(heads)[1]]
+        workers = first_fit(cluster, request.spec.shape)
+        if workers is None:
+            return effects
+        effects += place_request(cluster, request, workers)
--- a/bench/fake_workers.py
+++ b/bench/fake_workers.py
@@ -26,7 +26,12 @@
     TaskStopped,
 )
 from crocuswell_core.committed import apply_entry
-from crocuswell_core.effects import OrderWorker
+from crocuswell_core.effects import (
+    ClusterEffect,
+    Count,
+    OrderWorker,
+    RequestEnded,
+)
 from crocuswell_core.messages import Order, ReserveTask, StartTask, StopTask
 from crocuswell_core.records import AttemptId, WorkerInfo
 from crocuswell_core.state import ClusterState
@@ -143,6 +148,9 @@
     numbers: itertools.count = attrs.Factory(lambda: itertools.count(1))
     starts: dict[str, int] = attrs.Factory(dict)
     wasted_ms: int = 0
+    preemptions: int = 0
+    partial_gangs: int = 0
+    ended: list[str] = attrs.Factory(list)
     ticks: set[int] = attrs.Factory(set)
 
     def at(self, at_ms: int, event: Event) -> None:
@@ -164,12 +172,14 @@
         entry = LogEntry(1, next(self.numbers), self.now_ms, Proposal("", "", command))
         applied = apply_entry(self.cluster, entry)
         for effect in applied.effects:
-            if type(effect) is OrderWorker:
-                worker = self.workers[effect.worker]
-                if worker.up:
-                    obey(effect.order, worker, self)
+            pass_to(effect, self)
         return applied.reply
 
+    def take_ended(self) -> list[str]:
+        """Return and forget the requests that ended."""
+        ended, self.ended = self.ended, []
+        return ended
+
     def announce(self, info: WorkerInfo) -> None:
         """Let a worker announce itself with nothing running."""
         worker = self.workers.setdefault(info.worker, FakeWorker(info))
@@ -185,6 +195,29 @@
         self.at(self.now_ms + delay_ms, deliver)
 
 
+@singledispatch
+def pass_to(effect: ClusterEffect, world: World) -> None:
+    """Let an effect reach the workers or the measures."""
+
+
+@pass_to.register
+def _(effect: OrderWorker, world: World) -> None:
+    worker = world.workers[effect.worker]
+    if worker.up:
+        obey(effect.order, worker, world)
+
+
+@pass_to.register
+def _(effect: RequestEnded, world: World) -> None:
+    world.ended.append(effect.request_id)
+
+
+@pass_to.register
+def _(effect: Count, world: World) -> None:
+    if effect.counter == "preemptions_total":
+        world.preemptions += effect.amount
+
+
 @singledispatch
 def act(event: Event, world: World) -> None:
     """Let an event happen."""
@@ -258,6 +291,8 @@
 
 @obey.register
 def _(order: StartTask, worker: FakeWorker, world: World) -> None:
+    if order.members > 1 and order.rank == 0:
+        world.partial_gangs += not _all_reserved(order.attempt, world)
     progress_ms = int(order.checkpoint or b"0")
     task = Task(order, world.now_ms + DELAY_MS, progress_ms)
     worker.tasks[order.attempt, order.rank] = task
@@ -293,6 +328,16 @@
     world.report(worker, 2 * DELAY_MS + order.checkpoint_ms, stopped)
 
 
+def _all_reserved(attempt: AttemptId, world: World) -> bool:
+    """Tell whether every worker of a gang holds its room at its start."""
+    members = world.cluster.attempts[attempt].members
+    return all(
+        (attempt, m.rank) in world.workers[m.worker].tasks
+        or not world.workers[m.worker].up
+        for m in members
+    )
+
+
 def _waste(world: World, attempt: AttemptId, rank: int, task: Task) -> None:
     """Count the accelerator time that a stop without checkpoint discards."""
     if task.started_ms is None:
--- /dev/null
+++ b/packages/core/crocuswell_core/consolidation.py
@@ -0,0 +1,158 @@
+"""Moving small jobs together so that a large shape fits again."""
+
+import attrs
+
+from crocuswell_core.attempts import stop_attempt
+from crocuswell_core.effects import ClusterEffect, Count
+from crocuswell_core.index import RECLAIM_STOP_MS, index_of
+from crocuswell_core.records import Attempt, AttemptPhase, StopReason
+from crocuswell_core.resources import Adjacency, Shape
+from crocuswell_core.spaces import SchedulingIndex
+from crocuswell_core.state import ClusterState
+
+# Least time in ms between two moves: the jobs of one must have found their
+# new room before the next is chosen.
+MOVE_PAUSE_MS = 5_000
+
+# Most jobs stopped for one move.
+JOBS_PER_MOVE = 4
+
+# A job is moved only if its expected rest is this many times the time of its
+# checkpoint, which is what the move costs.
+LEAST_GAIN = 20
+
+
+@attrs.frozen
+class Move:
+    """Attempts whose stop opens room for a shape.
+
+    Attributes
+    ----------
+    cost : int
+        Accelerator time in ms that the checkpoints take.
+    """
+
+    attempts: tuple[Attempt, ...]
+    cost: int
+
+
+def consolidate(cluster: ClusterState) -> list[ClusterEffect]:
+    """Move small jobs if that lets the free room hold a recent shape."""
+    if cluster.now_ms - cluster.moved_at_ms < MOVE_PAUSE_MS:
+        return []
+    index = index_of(cluster)
+    for shape in _wanted(cluster):
+        if index.free.accelerators < shape.total.accelerators:
+            continue
+        move = _find_move(cluster, index, shape)
+        if move is not None:
+            cluster.moved_at_ms = cluster.now_ms
+            return _carry_out(cluster, move)
+    return []
+
+
+def _wanted(cluster: ClusterState) -> list[Shape]:
+    """Return recent shapes that a unit must hold, the largest first."""
+    shapes = [s for s in cluster.shapes if s.adjacency is not Adjacency.NONE]
+    return sorted(
+        shapes, key=lambda s: (-s.total.accelerators, s.members, str(s.adjacency))
+    )
+
+
+def _carry_out(cluster: ClusterState, move: Move) -> list[ClusterEffect]:
+    effects: list[ClusterEffect] = [Count("moves_total", len(move.attempts))]
+    for attempt in move.attempts:
+        effects += stop_attempt(cluster, attempt, StopReason.PREEMPTED)
+    return effects
+
+
+def _find_move(
+    cluster: ClusterState, index: SchedulingIndex, shape: Shape
+) -> Move | None:
+    """Return the cheapest move that opens one unit for `shape`."""
+    units = index.units[shape.adjacency]
+    best: Move | None = None
+    for unit in sorted(units):
+        names = [name for name in units[unit] if index.spaces[name].usable]
+        fits = sum(index.spaces[n].free.members(shape.per_member) for n in names)
+        if fits >= shape.members:
+            return None
+        move = _open_unit(cluster, index, shape, names)
+        if move is not None and (best is None or move.cost < best.cost):
+            best = move
+    return best
+
+
+def _open_unit(
+    cluster: ClusterState, index: SchedulingIndex, shape: Shape, names: list[str]
+) -> Move | None:
+    rests = {name: index.spaces[name].free.less() for name in names}
+    chosen: list[Attempt] = []
+    cost = 0
+    candidates = sorted(
+        (
+            (_cost(cluster, attempt), str(attempt.id), attempt)
+            for name in names
+            for attempt_id in cluster.rooms[name].attempts
+            if _can_move(cluster, attempt := cluster.attempts[attempt_id], shape)
+        ),
+        key=lambda candidate: candidate[:2],
+    )
+    for attempt_cost, _, attempt in candidates:
+        if len(chosen) == JOBS_PER_MOVE:
+            return None
+        spec = cluster.requests[attempt.id.request_id].spec
+        rests[attempt.members[0].worker].add(spec.shape.per_member)
+        chosen.append(attempt)
+        cost += attempt_cost
+        fits = sum(rest.members(shape.per_member) for rest in rests.values())
+        if fits >= shape.members:
+            fitting = _fits_elsewhere(cluster, index, chosen, names)
+            return Move(tuple(chosen), cost) if fitting else None
+    return None
+
+
+def _can_move(cluster: ClusterState, attempt: Attempt, shape: Shape) -> bool:
+    if attempt.phase is not AttemptPhase.RUNNING or attempt.guarantee is not None:
+        return False
+    spec = cluster.requests[attempt.id.request_id].spec
+    if len(attempt.members) != 1 or spec.checkpoint_ms is None:
+        return False
+    if spec.shape.total.accelerators >= shape.total.accelerators:
+        return False
+    if not spec.shape.total.accelerators:
+        return False
+    rest_ms = attempt.expected_end_ms - cluster.now_ms
+    return (
+        spec.checkpoint_ms <= RECLAIM_STOP_MS
+        and rest_ms >= LEAST_GAIN * spec.checkpoint_ms
+    )
+
+
+def _cost(cluster: ClusterState, attempt: Attempt) -> int:
+    spec = cluster.requests[attempt.id.request_id].spec
+    return (spec.checkpoint_ms or 0) * spec.shape.total.accelerators
+
+
+def _fits_elsewhere(
+    cluster: ClusterState,
+    index: SchedulingIndex,
+    attempts: list[Attempt],
+    names: list[str],
+) -> bool:
+    """Tell whether all jobs fit on other workers that are already in use."""
+    rests = {
+        name: space.free.less(space.held)
+        for key in sorted(index.buckets)
+        for name in index.buckets[key]
+        if name not in names
+        and (space := index.spaces[name]).free.accelerators
+        and cluster.rooms[name].attempts
+    }
+    for attempt in attempts:
+        amount = cluster.requests[attempt.id.request_id].spec.shape.per_member
+        target = next((n for n, r in rests.items() if r.members(amount)), None)
+        if target is None:
+            return False
+        rests[target].add(amount, -1)
+    return True
--- a/packages/core/crocuswell_core/fairness.py
+++ b/packages/core/crocuswell_core/fairness.py
@@ -1,7 +1,7 @@
 """Order of borrowers: dominant resource fairness, then response ratio."""
 
 from crocuswell_core.forecast import expected_run_ms
-from crocuswell_core.index import index_of
+from crocuswell_core.index import index_of, workspace_of
 from crocuswell_core.policies import StandingPolicy
 from crocuswell_core.spaces import Lane, Quantity, Usage
 from crocuswell_core.state import ClusterState
@@ -12,7 +12,7 @@
 
     The share is divided by the workspace's weight.
     """
-    declared = cluster.configuration.workspace(workspace)
+    declared = workspace_of(cluster, workspace)
     if declared is None:
         return 0.0
     index = index_of(cluster)
--- a/packages/core/crocuswell_core/fleet.py
+++ b/packages/core/crocuswell_core/fleet.py
@@ -57,6 +57,7 @@
         info=command.info,
         incarnation=command.incarnation,
         backend_incarnation=command.backend_incarnation,
+        mode=_announced_mode(cluster, name),
         operator_mode=known.operator_mode if known else WorkerMode.ACTIVE,
     )
     cluster.rooms.setdefault(name, new_room(command.info))
@@ -126,6 +127,17 @@
     )
 
 
+def _announced_mode(cluster: ClusterState, name: str) -> WorkerMode:
+    """Return the mode of a worker that announces itself.
+
+    A restart does not end a quarantine: the fault may be in the device.
+    """
+    health = cluster.health.get(name)
+    if health is not None and health.quarantined_at_ms is not None:
+        return WorkerMode.QUARANTINED
+    return WorkerMode.ACTIVE
+
+
 def _tasks_are_gone(known: Worker, command: AnnounceWorker) -> bool:
     return (
         known.backend_incarnation != command.backend_incarnation
--- a/packages/core/crocuswell_core/guarantees.py
+++ b/packages/core/crocuswell_core/guarantees.py
@@ -8,7 +8,9 @@
 import attrs
 
 from crocuswell_core.attempts import place_request, stop_attempt
+from crocuswell_core.borrowing import find_workers
 from crocuswell_core.effects import ClusterEffect, Count, Label
+from crocuswell_core.forecast import expected_run_ms
 from crocuswell_core.index import (
     RECLAIM_STOP_MS,
     add_hold,
@@ -17,8 +19,9 @@
     is_movable,
     plan_keys,
     set_planned,
-    total_of,
 )
+from crocuswell_core.placement import find_offers
+from crocuswell_core.quotas import within_quota
 from crocuswell_core.records import (
     ENDED_MEMBER_PHASES,
     Attempt,
@@ -26,8 +29,9 @@
     Request,
     StopReason,
 )
-from crocuswell_core.resources import LARGEST_GANG, Resources, Shape
-from crocuswell_core.spaces import Lane, Quantity, Usage, WorkerSpace
+from crocuswell_core.resources import Resources, Shape
+from crocuswell_core.scoring import choose_by_shapes
+from crocuswell_core.spaces import Lane, Need, Quantity, WorkerSpace
 from crocuswell_core.state import ClusterState, Hold, PlannedShape
 
 
@@ -108,35 +112,6 @@
     return not stopping and not spec.urgent and is_movable(spec)
 
 
-def within_quota(cluster: ClusterState, request: Request, guaranteed: bool) -> bool:
-    """Tell whether a start keeps the workspace within its quota.
-
-    What a workspace borrows leaves room in its quota for all of its
-    guarantees, so that its own borrowing never delays a claim.
-    """
-    workspace = cluster.configuration.workspace(request.workspace)
-    if workspace is None:
-        return False
-    if workspace.quota is None:
-        return True
-    usage = index_of(cluster).usage.get(request.workspace, Usage())
-    rest = total_of(workspace.quota, LARGEST_GANG).less(usage.total)
-    for request_id, hold in cluster.holds.items():
-        if cluster.requests[request_id].workspace == request.workspace:
-            rest.add(hold.amount, -len(hold.workers))
-    shape = request.spec.shape
-    rest.slots = shape.members
-    if rest.members(shape.per_member) < shape.members:
-        return False
-    if guaranteed:
-        return True
-    rest = total_of(workspace.quota, LARGEST_GANG).less(usage.borrowed)
-    for guarantee in workspace.guarantees:
-        rest.add(guarantee.per_member, -guarantee.members)
-    rest.slots = shape.members
-    return rest.members(shape.per_member) >= shape.members
-
-
 def _wanted_shapes(cluster: ClusterState) -> dict[str, PlannedShape]:
     return {
         f"{workspace.name}/{position}": PlannedShape(workspace.name, shape)
@@ -157,19 +132,16 @@
     return not space.capacity.less(space.planned, space.fixed).is_negative()
 
 
-def _find_room(
-    cluster: ClusterState, shape: Shape, only_free: bool = False
-) -> tuple[str, ...]:
+def _find_room(cluster: ClusterState, shape: Shape) -> tuple[str, ...]:
     """Return workers for a planned shape, in the unit with least to spare."""
     index = index_of(cluster)
     best: tuple[int, tuple[str, ...]] | None = None
     units = index.units[shape.adjacency]
     for unit in sorted(units):
-        names = units[unit]
         rests = {
-            name: rest
-            for name in names
-            if (rest := _plannable(index.spaces[name], only_free)) is not None
+            name: space.capacity.less(space.planned, space.fixed)
+            for name in units[unit]
+            if (space := index.spaces[name]).usable
         }
         workers = fill(rests, shape.per_member, shape.members)
         spare = sum(rest.accelerators for rest in rests.values())
@@ -178,21 +150,6 @@
     return best[1] if best else ()
 
 
-def _plannable(space: WorkerSpace, only_free: bool) -> Quantity | None:
-    if not space.usable:
-        return None
-    rest = space.capacity.less(space.planned, space.fixed)
-    if not only_free:
-        return rest
-    free = space.free.less(space.held)
-    return Quantity(
-        min(rest.accelerators, free.accelerators),
-        min(rest.processors, free.processors),
-        min(rest.memory_mb, free.memory_mb),
-        min(rest.slots, free.slots),
-    )
-
-
 def fill(
     rests: dict[str, Quantity], amount: Resources, members: int
 ) -> tuple[str, ...]:
@@ -282,8 +239,12 @@
 
 
 def _claim(cluster: ClusterState, request: Request, hold: Hold) -> list[ClusterEffect]:
-    if not _is_free(cluster, hold):
-        hold = _plan_on_free_room(cluster, request, hold)
+    if cluster.plan[hold.guarantee].shape != request.spec.shape:
+        # A part of a shape would break it up, so other room goes first.
+        workers = find_workers(cluster, request)
+        if workers:
+            return place_request(cluster, request, workers)
+    hold = _plan_on_free_room(cluster, request, hold)
     if _is_free(cluster, hold):
         return place_request(cluster, request, hold.workers, hold.guarantee)
     add_hold(cluster, request, hold)
@@ -291,20 +252,26 @@
 
 
 def _plan_on_free_room(cluster: ClusterState, request: Request, hold: Hold) -> Hold:
-    """Plan an unclaimed shape on free room rather than stop borrowers."""
+    """Move an unclaimed shape to the free room that suits the claim best.
+
+    The room must be free and planned for nothing else, as for a borrower
+    that cannot be moved; so no borrower is stopped where none needs to be.
+    """
     key = hold.guarantee
     planned = cluster.plan[key]
     if index_of(cluster).claims.get(key):
         return hold
     if any(other.guarantee == key for other in cluster.holds.values()):
         return hold
-    workers = _find_room(cluster, planned.shape, only_free=True)
-    if not workers:
-        return hold
-    set_planned(cluster, key, attrs.evolve(planned, workers=workers))
-    fitting = _fit_in_plan(cluster, key, request.spec.shape, False)
-    if fitting:
-        return attrs.evolve(hold, workers=fitting)
+    set_planned(cluster, key, attrs.evolve(planned, workers=()))
+    offers = find_offers(cluster, Need(planned.shape, movable=False))
+    if offers:
+        end_ms = cluster.now_ms + expected_run_ms(cluster, request)
+        workers = choose_by_shapes(cluster, planned.shape, offers, end_ms)
+        set_planned(cluster, key, attrs.evolve(planned, workers=workers))
+        fitting = _fit_in_plan(cluster, key, request.spec.shape, False)
+        if fitting:
+            return attrs.evolve(hold, workers=fitting)
     set_planned(cluster, key, planned)
     return hold
 
--- a/packages/core/crocuswell_core/index.py
+++ b/packages/core/crocuswell_core/index.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from crocuswell_core.configuration import Workspace
 from crocuswell_core.records import (
     ENDED_MEMBER_PHASES,
     Attempt,
@@ -54,6 +55,15 @@
     return cluster.index
 
 
+def workspace_of(cluster: ClusterState, name: str) -> Workspace | None:
+    """Return the declared workspace of that name, or None."""
+    index = index_of(cluster)
+    if index.number != cluster.number:
+        index.number = cluster.number
+        index.workspaces = {w.name: w for w in cluster.configuration.workspaces}
+    return index.workspaces.get(name)
+
+
 def is_usable(cluster: ClusterState, name: str) -> bool:
     """Tell whether new work may be placed on a worker."""
     return (
--- a/packages/core/crocuswell_core/outcomes.py
+++ b/packages/core/crocuswell_core/outcomes.py
@@ -22,6 +22,7 @@
     RequestEnded,
 )
 from crocuswell_core.errors import ErrorKind
+from crocuswell_core.failures import note_failure, note_success
 from crocuswell_core.forecast import observe_run
 from crocuswell_core.index import dequeue, drop_hold, enqueue
 from crocuswell_core.records import (
@@ -53,7 +54,10 @@
     phases = {m.phase for m in attempt.members}
     if phases == {MemberPhase.FINISHED}:
         observe_run(cluster, request, attempt)
+        note_success(cluster, request, attempt)
         return _complete(cluster, request, attempt)
+    if MemberPhase.FAILED in phases:
+        note_failure(cluster, request, attempt)
     ran = _may_have_run(attempt)
     if ran:
         request = attrs.evolve(request, may_have_run=True)
--- a/packages/core/crocuswell_core/placement.py
+++ b/packages/core/crocuswell_core/placement.py
@@ -50,11 +50,15 @@
     """Tell whether a borrower could start if nothing else ran."""
     if need.movable:
         return can_ever_fit(cluster, need.shape)
-    index = index_of(cluster)
-    amount = need.shape.per_member
-    for names in index.units[need.shape.adjacency].values():
-        rests = (index.spaces[n].capacity.less(index.spaces[n].planned) for n in names)
-        if sum(rest.members(amount) for rest in rests) >= need.shape.members:
+    spaces = index_of(cluster).spaces
+    counts: dict[str, int] = {}
+    for name, worker in cluster.workers.items():
+        unit = unit_names(worker)[need.shape.adjacency]
+        rest = total_of(worker.info.capacity, worker.info.slots)
+        if name in spaces:
+            rest.merge(spaces[name].planned, -1)
+        counts[unit] = counts.get(unit, 0) + rest.members(need.shape.per_member)
+        if counts[unit] >= need.shape.members:
             return True
     return False
 
--- a/packages/core/crocuswell_core/requests.py
+++ b/packages/core/crocuswell_core/requests.py
@@ -33,9 +33,9 @@
     ReportsRecorded,
 )
 from crocuswell_core.errors import ErrorKind
-from crocuswell_core.index import enqueue, index_of, refresh_worker
+from crocuswell_core.index import enqueue, index_of, need_of, refresh_worker
 from crocuswell_core.outcomes import end_request
-from crocuswell_core.placement import can_ever_fit
+from crocuswell_core.placement import can_ever_borrow, can_ever_fit
 from crocuswell_core.records import (
     AttemptId,
     AttemptPhase,
@@ -54,6 +54,7 @@
     ClusterState,
     DeadlineDue,
     Due,
+    ProbeDue,
     RecordDue,
     ReservationDue,
     ResultDue,
@@ -166,9 +167,22 @@
             ErrorKind.NEVER_FITS,
             "no set of known workers has the room that the shape needs",
         )
+    if cluster.workers and not _can_start(cluster, workspace, command.spec):
+        return Refused(
+            ErrorKind.NEVER_FITS,
+            "it cannot be moved in time, it is larger than the workspace's "
+            "guarantees, and guarantees are planned on all room that would hold it",
+        )
     return _find_overload(workspace, cluster)
 
 
+def _can_start(cluster: ClusterState, workspace: Workspace, spec: JobSpec) -> bool:
+    total = spec.shape.total
+    if any(total.fits_in(guarantee.total) for guarantee in workspace.guarantees):
+        return True
+    return can_ever_borrow(cluster, need_of(spec))
+
+
 def _find_overload(workspace: Workspace, cluster: ClusterState) -> Refused | None:
     waiting = len(cluster.queues.get(workspace.name, ()))
     if waiting < workspace.queue_limit:
@@ -281,6 +295,12 @@
     ]
 
 
+@_act_on_due.register
+def _(due: ProbeDue, cluster: ClusterState) -> list[ClusterEffect]:
+    cluster.needs_scheduling = True
+    return []
+
+
 @_act_on_due.register
 def _(due: AnswerDue, cluster: ClusterState) -> list[ClusterEffect]:
     cluster.answered.pop(due.command_id, None)
--- a/packages/core/crocuswell_core/reservations.py
+++ b/packages/core/crocuswell_core/reservations.py
@@ -10,14 +10,19 @@
 # is planned again: the work it waited for ran longer than expected.
 OVERDUE_MS = 1_000
 
+END_OF_TIME_MS = 2**62
+
 
 def reserve_start(cluster: ClusterState, request: Request) -> None:
     """Reserve the earliest expected start for a blocked request."""
     best: tuple[int, tuple[str, ...]] | None = None
     need = need_of(request.spec)
     index = index_of(cluster)
+    # Room of earlier reservations counts as taken: its end is not known.
+    earlier = _reserved_room(cluster, request.id, END_OF_TIME_MS)
     for unit in sorted(index.units[need.shape.adjacency]):
-        found = _earliest_start(cluster, need, index.units[need.shape.adjacency][unit])
+        names = index.units[need.shape.adjacency][unit]
+        found = _earliest_start(cluster, need, names, earlier)
         if found is not None and (best is None or found[0] < best[0]):
             best = found
     if best is None:
@@ -88,12 +93,15 @@
 
 
 def _earliest_start(
-    cluster: ClusterState, need: Need, names: list[str]
+    cluster: ClusterState,
+    need: Need,
+    names: list[str],
+    earlier: dict[str, Quantity],
 ) -> tuple[int, tuple[str, ...]] | None:
     """Return when and where a need fits in one unit, by expected ends."""
     spaces = index_of(cluster).spaces
     rests = {
-        name: spaces[name].free.less(spaces[name].held)
+        name: spaces[name].free.less(spaces[name].held, earlier.get(name, Quantity()))
         for name in names
         if spaces[name].usable
     }
--- a/packages/core/crocuswell_core/scheduling.py
+++ b/packages/core/crocuswell_core/scheduling.py
@@ -1,33 +1,35 @@
 """The scheduling pass that follows each applied command."""
 
+import heapq
 from functools import singledispatch
 
 import attrs
 
 from crocuswell_core.attempts import place_request
+from crocuswell_core.borrowing import Tries, find_workers, reserve_would_shrink
+from crocuswell_core.consolidation import consolidate
 from crocuswell_core.effects import ClusterEffect
 from crocuswell_core.fairness import dominant_share, lane_priority
-from crocuswell_core.forecast import expected_run_ms
-from crocuswell_core.guarantees import (
-    serve_claims,
-    update_plan,
-    within_quota,
-)
+from crocuswell_core.guarantees import serve_claims, update_plan
+from crocuswell_core.health import review_workers
 from crocuswell_core.index import index_of, need_of
 from crocuswell_core.placement import can_ever_borrow, find_offers
 from crocuswell_core.policies import Policy, StandingPolicy
+from crocuswell_core.quotas import within_quota
 from crocuswell_core.records import Request, RequestPhase
 from crocuswell_core.reservations import (
     drop_stale,
     reserve_start,
-    respect_reservations,
 )
-from crocuswell_core.scoring import choose_best_fit, choose_by_shapes
 from crocuswell_core.spaces import Lane
 from crocuswell_core.state import ClusterState
 
-# Most lanes that one pass tries; the rest follow with the next event.
-LANES_PER_PASS = 64
+# Most searches for room that may fail in one pass although room is free; it
+# bounds the cost of a pass when the free room is reserved.
+TRIES_PER_PASS = 12
+
+# Most requests behind a blocked one of the same need that are tried.
+BACKFILL_DEPTH = 8
 
 
 def schedule(cluster: ClusterState) -> list[ClusterEffect]:
@@ -46,13 +48,18 @@
 
 @run_pass.register
 def _(policy: StandingPolicy, cluster: ClusterState) -> list[ClusterEffect]:
+    placement = cluster.configuration.preset().placement
+    effects = review_workers(cluster) if placement else []
     if policy.guarantees:
         update_plan(cluster)
-    if not cluster.configuration.preset().placement:
-        return []
-    effects = serve_claims(cluster) if policy.guarantees else []
-    if cluster.configuration.preset().borrowing or not policy.guarantees:
+    if not placement:
+        return effects
+    if policy.guarantees:
+        effects += serve_claims(cluster)
+    if cluster.configuration.preset().borrowing:
         effects += _start_borrowers(policy, cluster)
+    if policy.consolidation:
+        effects += consolidate(cluster)
     return effects
 
 
@@ -62,59 +69,66 @@
     """Start work above the guarantees, the smallest dominant share first."""
     drop_stale(cluster)
     effects: list[ClusterEffect] = []
-    waiting = _waiting_lanes(cluster)
-    tries = 0
-    while waiting and tries < LANES_PER_PASS:
-        workspace = min(waiting, key=lambda name: (dominant_share(cluster, name), name))
+    waiting = _waiting_lanes(policy, cluster)
+    shares = [(dominant_share(cluster, name), name) for name in waiting]
+    heapq.heapify(shares)
+    tries = Tries()
+    while shares and tries.failed < TRIES_PER_PASS:
+        _, workspace = shares[0]
         lanes = waiting[workspace]
-        lane = min(lanes, key=lambda lane: lane_priority(cluster, lane))
+        lane = _next_lane(policy, cluster, lanes)
+        if lane is None:
+            heapq.heappop(shares)
+            continue
         request = cluster.requests[lane.order[0][1]]
-        workers = _find_workers(policy, cluster, request)
+        workers = find_workers(cluster, request, tries)
         if workers:
             effects += place_request(cluster, request, workers)
+            share = dominant_share(cluster, workspace)
+            heapq.heapreplace(shares, (share, workspace))
         else:
-            tries += 1
             _reserve(policy, cluster, request)
+            effects += _backfill(cluster, lane, tries)
         if not workers or not lane.order:
             lanes.remove(lane)
-        if not lanes:
-            del waiting[workspace]
     return effects
 
 
-def _waiting_lanes(cluster: ClusterState) -> dict[str, list[Lane]]:
+def _backfill(cluster: ClusterState, lane: Lane, tries: Tries) -> list[ClusterEffect]:
+    """Start shorter work of a lane whose head would delay a reserved start."""
+    effects: list[ClusterEffect] = []
+    for _, request_id in lane.order[1 : 1 + BACKFILL_DEPTH]:
+        request = cluster.requests[request_id]
+        workers = find_workers(cluster, request, tries)
+        if workers:
+            effects += place_request(cluster, request, workers)
+    return effects
+
+
+def _waiting_lanes(
+    policy: StandingPolicy, cluster: ClusterState
+) -> dict[str, list[Lane]]:
     return {
-        workspace: list(lanes.values())
-        for workspace, lanes in index_of(cluster).lanes.items()
-        if lanes
+        workspace: lanes
+        for workspace, all_lanes in index_of(cluster).lanes.items()
+        if (lanes := [*all_lanes.values()])
+        and any(_is_worth_trying(policy, cluster, lane) for lane in lanes)
     }
 
 
-def _find_workers(
-    policy: StandingPolicy, cluster: ClusterState, request: Request
-) -> tuple[str, ...]:
-    """Return workers on which a borrower may start now, or nothing."""
-    if _reserve_would_shrink(cluster, request):
-        return ()
-    offers = find_offers(cluster, need_of(request.spec))
-    if not offers or not within_quota(cluster, request, guaranteed=False):
-        return ()
-    end_ms = cluster.now_ms + expected_run_ms(cluster, request)
-    offers = respect_reservations(cluster, request, offers, end_ms)
-    if not offers:
-        return ()
-    if policy.shape_scoring:
-        return choose_by_shapes(cluster, request, offers, end_ms)
-    return choose_best_fit(cluster, request, offers)
-
-
-def _reserve_would_shrink(cluster: ClusterState, request: Request) -> bool:
-    share = cluster.configuration.preset().reserve_share
-    if share <= 0:
-        return False
+def _next_lane(
+    policy: StandingPolicy, cluster: ClusterState, lanes: list[Lane]
+) -> Lane | None:
+    lanes[:] = [lane for lane in lanes if _is_worth_trying(policy, cluster, lane)]
+    return min(lanes, key=lambda lane: lane_priority(cluster, lane), default=None)
+
+
+def _is_worth_trying(policy: StandingPolicy, cluster: ClusterState, lane: Lane) -> bool:
+    """Tell whether a lane's head may start, or may get a reserved start."""
     index = index_of(cluster)
-    wanted = request.spec.shape.total.accelerators
-    return index.free.accelerators - wanted < share * index.capacity.accelerators
+    if index.blocked.get(lane.need) != len(index.opened):
+        return True
+    return len(cluster.reservations) < policy.reservations
 
 
 def _reserve(policy: StandingPolicy, cluster: ClusterState, request: Request) -> None:
@@ -173,7 +187,7 @@
             "it cannot be moved in time, and all room that would hold it is "
             "planned for guarantees"
         )
-    if _reserve_would_shrink(cluster, request):
+    if reserve_would_shrink(cluster, request):
         return f"the preset {preset.name} keeps a share of accelerators idle"
     if not find_offers(cluster, need):
         return "free room for all members at once"
--- a/packages/core/crocuswell_core/scoring.py
+++ b/packages/core/crocuswell_core/scoring.py
@@ -46,20 +46,19 @@
 
 
 def choose_by_shapes(
-    cluster: ClusterState, request: Request, offers: list[Offer], end_ms: int
+    cluster: ClusterState, shape: Shape, offers: list[Offer], end_ms: int
 ) -> tuple[str, ...]:
     """Return the workers that leave most room for the recent shapes."""
     index = index_of(cluster)
-    members = request.spec.shape.members
-    amount = request.spec.shape.per_member
+    members, amount = shape.members, shape.per_member
     candidates = dict.fromkeys(_pack(index, offer, members) for offer in offers)
     if len(candidates) == 1:
         return next(iter(candidates))
     weight = cluster.configuration.preset().fragmentation_weight
-    shapes = [shape for shape in cluster.shapes if shape != request.spec.shape]
+    shapes = [other for other in cluster.shapes if other != shape]
 
     def cost(workers: tuple[str, ...]) -> tuple[float, tuple[str, ...]]:
-        loss = sum(_loss(index, workers, amount, shape) for shape in shapes)
+        loss = sum(_loss(index, workers, amount, other) for other in shapes)
         leftover = _leftover(index, workers, amount)
         outlast = _outlast(cluster, workers, end_ms)
         total = weight * loss + LEFTOVER_WEIGHT * leftover + OUTLAST_WEIGHT * outlast
--- a/packages/core/crocuswell_core/sessions.py
+++ b/packages/core/crocuswell_core/sessions.py
@@ -34,6 +34,7 @@
 from crocuswell_core.rooms import members_on
 from crocuswell_core.state import AgentSession, ClusterState, EntryState
 from crocuswell_core.timers import SessionTimer
+from crocuswell_core.usage import check_usage
 
 
 @handle.register
@@ -88,7 +89,7 @@
         if added > 0:
             labels = (Label("event", counter.name),)
             effects.append(Count("agent_events_total", added, labels))
-    return effects
+    return effects + check_usage(state.cluster, session.worker, message.usage)
 
 
 @handle_agent.register
--- a/packages/core/crocuswell_core/spaces.py
+++ b/packages/core/crocuswell_core/spaces.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from crocuswell_core.configuration import Workspace
 from crocuswell_core.records import AttemptId
 from crocuswell_core.resources import Adjacency, Resources, Shape
 
@@ -35,7 +36,7 @@
 
     def less(self, *others: "Quantity") -> "Quantity":
         """Return this quantity without the others."""
-        rest = attrs.evolve(self)
+        rest = Quantity(self.accelerators, self.processors, self.memory_mb, self.slots)
         for other in others:
             rest.merge(other, -1)
         return rest
@@ -161,6 +162,8 @@
         For each need that found no room the length of `opened` then.
     ever_fits : dict
         Whether the idle fleet can hold a shape; empty when it changed.
+    workspaces : dict
+        The declared workspaces as of `number`.
     plan_keys : dict
         For each workspace its planned shapes, smallest first; empty when
         the plan changed.
@@ -181,5 +184,7 @@
     opened: list[str] = attrs.Factory(list)
     blocked: dict[Need, int] = attrs.Factory(dict)
     ever_fits: dict[Shape, bool] = attrs.Factory(dict)
+    number: int = -1
+    workspaces: dict[str, Workspace] = attrs.Factory(dict)
     plan_keys: dict[str, list[str]] = attrs.Factory(dict)
     claim_workspaces: dict[str, None] = attrs.Factory(dict)
--- a/packages/core/crocuswell_core/state.py
+++ b/packages/core/crocuswell_core/state.py
@@ -239,6 +239,8 @@
         Ends of work by worker.
     unresponsive : dict
         Workers whose agents did not confirm in time, with the time.
+    moved_at_ms : int
+        Cluster time in ms of the last move of small jobs.
     policy : StandingPolicy
         How starts are chosen.
     index : SchedulingIndex or None
@@ -270,6 +272,7 @@
     shapes: dict[Shape, int] = attrs.Factory(dict)
     health: dict[str, WorkerHealth] = attrs.Factory(dict)
     unresponsive: dict[str, int] = attrs.Factory(dict)
+    moved_at_ms: int = 0
     policy: Policy = attrs.Factory(StandingPolicy)
     index: SchedulingIndex | None = attrs.field(
         default=None, init=False, eq=False, repr=False
--- /dev/null
+++ b/packages/core/crocuswell_core/usage.py
@@ -0,0 +1,34 @@
+"""Usage that workers report, compared with what their leases allow."""
+
+from crocuswell_core.effects import Count, Effect, Label
+from crocuswell_core.messages import TaskUsage
+from crocuswell_core.records import ENDED_MEMBER_PHASES
+from crocuswell_core.state import ClusterState
+
+
+def check_usage(
+    cluster: ClusterState, worker: str, usage: tuple[TaskUsage, ...]
+) -> list[Effect]:
+    """Count usage that contradicts the lease of its task.
+
+    Reports lag, so a task that ended lately may still be named; that is
+    counted apart from a task that uses more than it was given.
+    """
+    effects: list[Effect] = []
+    for item in usage:
+        kind = _contradiction(cluster, worker, item)
+        if kind:
+            labels = (Label("kind", kind),)
+            effects.append(Count("usage_contradictions_total", labels=labels))
+    return effects
+
+
+def _contradiction(cluster: ClusterState, worker: str, item: TaskUsage) -> str:
+    attempt = cluster.attempts.get(item.attempt)
+    if attempt is None or not 0 <= item.rank < len(attempt.members):
+        return "no_lease"
+    member = attempt.members[item.rank]
+    if member.worker != worker or member.phase in ENDED_MEMBER_PHASES:
+        return "no_lease"
+    spec = cluster.requests[item.attempt.request_id].spec
+    return "" if item.used.fits_in(spec.shape.per_member) else "above_lease"
--- /dev/null
+++ b/tests/test_scheduling.py
@@ -0,0 +1,276 @@
+"""Guarantees, order, health and moves of the scheduling policy."""
+
+import attrs
+import pytest
+
+from crocuswell_core.commands import (
+    ChangeConfiguration,
+    Refused,
+    SetWorkerMode,
+    SuspectWorker,
+    TaskFailed,
+    TaskFinished,
+    TaskReserved,
+    TaskStopped,
+)
+from crocuswell_core.configuration import Configuration, Preset, Workspace
+from crocuswell_core.errors import ErrorKind
+from crocuswell_core.invariants import InvariantViolation, check_all
+from crocuswell_core.messages import StopTask, TaskUsage
+from crocuswell_core.records import (
+    AttemptId,
+    JobSpec,
+    RequestPhase,
+    WorkerMode,
+)
+from crocuswell_core.resources import NOTHING, Adjacency, Resources, Shape
+from crocuswell_core.scheduling import explain_waiting
+from crocuswell_core.usage import check_usage
+from tests.clusters import Cluster, gang
+
+WHOLE = gang(1, 8, Adjacency.WORKER)
+FIXED = JobSpec(shape=gang(1, 8), idempotent=False)
+MOVABLE = JobSpec(shape=gang(1, 8), idempotent=False, checkpoint_ms=1_500)
+SLOW = JobSpec(shape=gang(1, 8), idempotent=False, checkpoint_ms=1_501)
+CLAIM = JobSpec(shape=WHOLE, idempotent=False)
+
+
+def shared_cluster(
+    workers: int = 2,
+    guarantees: tuple[Shape, ...] = (WHOLE,),
+    preset: Preset | None = None,
+    **workspace: object,
+) -> Cluster:
+    """Return a cluster of an owner of guarantees and a workspace without."""
+    cluster = Cluster()
+    owner = attrs.evolve(Workspace("owner", guarantees), **workspace)
+    presets = (preset or Preset("ordinary"),)
+    configuration = Configuration((owner, Workspace("other")), presets, presets[0].name)
+    cluster.apply(ChangeConfiguration(0, configuration, "test"))
+    for number in range(1, workers + 1):
+        cluster.announce(f"w{number}")
+    cluster.effects.clear()
+    return cluster
+
+
+def active(cluster: Cluster) -> list[str]:
+    return [i.request_id for i in cluster.state.attempts]
+
+
+@pytest.mark.parametrize(("spec", "started"), [(FIXED, 1), (SLOW, 1), (MOVABLE, 2)])
+def test_work_that_cannot_be_moved_in_time_stays_off_planned_room(
+    spec: JobSpec, started: int
+) -> None:
+    """Guards against a guarantee that cannot be reclaimed."""
+    cluster = shared_cluster()
+    cluster.submit("q1", spec, "other")
+    cluster.submit("q2", spec, "other")
+    assert len(active(cluster)) == started
+    check_all(cluster.state)
+
+
+def test_claim_stops_a_borrower_and_gets_its_room() -> None:
+    """Guards against room that another workspace takes while it is vacated."""
+    cluster = shared_cluster()
+    cluster.submit("q1", MOVABLE, "other")
+    cluster.submit("q2", MOVABLE, "other")
+    cluster.orders()
+    cluster.submit("claim", CLAIM, "owner")
+    [(worker, order)] = cluster.orders()
+    assert type(order) is StopTask
+    assert order.checkpoint_ms == 1_500
+    cluster.submit("q3", attrs.evolve(MOVABLE, urgent=True), "other")
+    cluster.report(worker, TaskStopped(order.attempt, 0, b"saved"))
+    assert cluster.attempt("claim").members[0].worker == worker
+    assert cluster.request(order.attempt.request_id).checkpoint == b"saved"
+    check_all(cluster.state)
+
+
+def test_claim_moves_its_plan_to_free_room_rather_than_stop_work() -> None:
+    """Guards against preemption although other room is free."""
+    cluster = shared_cluster()
+    cluster.submit("q1", MOVABLE, "other")
+    cluster.submit("claim", CLAIM, "owner")
+    assert active(cluster) == ["q1", "claim"]
+
+
+def test_urgent_work_evicts_a_movable_claim_of_its_own_workspace() -> None:
+    """Guards against urgent work that waits behind its own workspace."""
+    cluster = shared_cluster(workers=1)
+    cluster.submit("q1", MOVABLE, "owner")
+    cluster.submit("urgent", attrs.evolve(CLAIM, urgent=True), "owner")
+    cluster.report("w1", TaskStopped(AttemptId("q1", 1), 0, b"saved"))
+    assert active(cluster) == ["urgent"]
+
+
+def test_own_borrowing_leaves_room_in_the_quota_for_the_guarantee() -> None:
+    """Guards against a claim that its own workspace's quota delays."""
+    cluster = shared_cluster(workers=3, quota=Resources(16, 128, 262_144))
+    for number in range(3):
+        cluster.submit(f"q{number}", attrs.evolve(MOVABLE, shape=WHOLE), "owner")
+    assert len(active(cluster)) == 2
+    check_all(cluster.state)
+
+
+def test_gang_that_is_not_confirmed_is_placed_elsewhere() -> None:
+    """Guards against a claim that waits for an agent that is cut off."""
+    pair = gang(2, 8)
+    cluster = shared_cluster(workers=3, guarantees=(pair,))
+    cluster.submit("q", attrs.evolve(CLAIM, shape=pair), "owner")
+    first, second = (m.worker for m in cluster.attempt("q").members)
+    cluster.report(first, TaskReserved(AttemptId("q", 1), 0))
+    cluster.advance(800)
+    assert second not in [m.worker for m in cluster.attempt("q").members]
+    assert cluster.attempt("q").id.epoch == 2
+    check_all(cluster.state)
+
+
+@pytest.mark.parametrize(
+    ("preset", "reason"),
+    [
+        (Preset("closed", borrowing=False), "inside guarantees only"),
+        (Preset("shut", placement=False), "places no new work"),
+        (Preset("idle", reserve_share=0.8), "share of accelerators idle"),
+    ],
+)
+def test_explanation_names_what_blocks(preset: Preset, reason: str) -> None:
+    """Guards against an explanation that hides the preset or the plan."""
+    cluster = shared_cluster(workers=1, preset=preset)
+    cluster.submit("q", attrs.evolve(MOVABLE, shape=gang(1, 2)), "other")
+    assert reason in explain_waiting(cluster.state, cluster.request("q")).reason
+
+
+def test_later_small_jobs_do_not_delay_a_reserved_start() -> None:
+    """Guards against a large job that small ones push back for ever."""
+    cluster = shared_cluster(workers=1, guarantees=())
+    small = JobSpec(shape=gang(1, 4), run_time_ms=10_000)
+    cluster.submit("first", small, "other")
+    cluster.submit("large", attrs.evolve(FIXED), "owner")
+    cluster.submit("long", attrs.evolve(small, run_time_ms=20_000), "other")
+    cluster.submit("short", attrs.evolve(small, run_time_ms=9_000), "other")
+    assert active(cluster) == ["first", "short"]
+    waiting = explain_waiting(cluster.state, cluster.request("large"))
+    assert waiting.expected_start_ms == cluster.now_ms + 10_000
+
+
+def test_declared_run_time_is_corrected_by_what_was_observed() -> None:
+    """Guards against plans that trust run times which are far off."""
+    cluster = shared_cluster(guarantees=())
+    spec = JobSpec(shape=gang(1, 1), run_time_ms=1_000)
+    for number in range(3):
+        cluster.submit(f"q{number}", spec, "other")
+        cluster.now_ms += 5_000
+        worker = cluster.attempt(f"q{number}").members[0].worker
+        cluster.report(worker, TaskFinished(AttemptId(f"q{number}", 1), 0, b"", ""))
+    cluster.submit("q", spec, "other")
+    assert cluster.attempt("q").expected_end_ms == cluster.now_ms + 5_000
+
+
+def fail_on(cluster: Cluster, worker: str, request_id: str, spec: JobSpec) -> None:
+    """Let a new request fail on a worker, with all others closed."""
+    others = [w for w in cluster.state.workers if w != worker]
+    for name in others:
+        cluster.apply(SetWorkerMode(name, WorkerMode.DRAINING))
+    cluster.submit(request_id, spec, "other")
+    cluster.report(worker, TaskFailed(AttemptId(request_id, 1), 0))
+    for name in others:
+        cluster.apply(SetWorkerMode(name, WorkerMode.ACTIVE))
+
+
+def test_worker_that_fails_everything_is_taken_out_probed_and_returned() -> None:
+    """Guards against a worker that looks healthy and drains the queue."""
+    cluster = shared_cluster(workers=5, guarantees=())
+    once = JobSpec(shape=gang(1, 1), idempotent=False)
+    for number in range(6):
+        fail_on(cluster, "w1", f"q{number}", once)
+    assert cluster.state.workers["w1"].mode is WorkerMode.QUARANTINED
+    for name in ("w2", "w3", "w4", "w5"):
+        cluster.apply(SetWorkerMode(name, WorkerMode.DRAINING))
+    cluster.submit("once", once, "other")
+    probe = JobSpec(shape=gang(1, 1))
+    for number in range(2):
+        cluster.advance(30_000)
+        cluster.submit(f"p{number}", probe, "other")
+        assert cluster.attempt(f"p{number}").members[0].worker == "w1"
+        assert cluster.request("once").phase is RequestPhase.QUEUED
+        cluster.report("w1", TaskFinished(AttemptId(f"p{number}", 1), 0, b"", ""))
+    assert cluster.state.workers["w1"].mode is WorkerMode.ACTIVE
+    assert cluster.request("once").phase is RequestPhase.ACTIVE
+
+
+def test_job_that_fails_everywhere_counts_against_the_job() -> None:
+    """Guards against a bad job that empties the fleet."""
+    cluster = shared_cluster(workers=5, guarantees=())
+    for number in range(8):
+        cluster.submit(f"q{number}", JobSpec(shape=gang(1, 1)), "other")
+        while cluster.request(f"q{number}").phase is not RequestPhase.DONE:
+            attempt = cluster.attempt(f"q{number}")
+            worker = attempt.members[0].worker
+            cluster.report(worker, TaskFailed(attempt.id, 0))
+            cluster.apply(SetWorkerMode(worker, WorkerMode.DRAINING))
+            cluster.advance(60_000)
+        for worker in cluster.state.workers:
+            cluster.apply(SetWorkerMode(worker, WorkerMode.ACTIVE))
+    modes = {w.mode for w in cluster.state.workers.values()}
+    assert modes == {WorkerMode.ACTIVE}
+
+
+def test_small_jobs_are_moved_together_for_a_large_one() -> None:
+    """Guards against a gang that scattered small jobs block."""
+    cluster = shared_cluster(workers=2, guarantees=())
+    small = JobSpec(
+        shape=gang(1, 3), run_time_ms=600_000, idempotent=False, checkpoint_ms=500
+    )
+    for number, other in (("1", "w2"), ("2", "w1")):
+        cluster.apply(SetWorkerMode(other, WorkerMode.DRAINING))
+        cluster.submit(f"q{number}", small, "other")
+        cluster.apply(SetWorkerMode(other, WorkerMode.ACTIVE))
+    cluster.orders()
+    cluster.submit("large", attrs.evolve(CLAIM), "owner")
+    [(worker, order)] = cluster.orders()
+    assert type(order) is StopTask
+    cluster.report(worker, TaskStopped(order.attempt, 0, b"saved"))
+    assert sorted(active(cluster)) == ["large", "q1", "q2"]
+
+
+@pytest.mark.parametrize(
+    ("attempt", "used", "kind"),
+    [
+        (AttemptId("q", 1), Resources(1, 1, 256), ""),
+        (AttemptId("q", 1), Resources(1, 1, 257), "above_lease"),
+        (AttemptId("x", 1), NOTHING, "no_lease"),
+    ],
+)
+def test_usage_that_contradicts_the_lease_is_counted(
+    attempt: AttemptId, used: Resources, kind: str
+) -> None:
+    """Guards against tasks that outgrow their room unnoticed."""
+    cluster = shared_cluster(workers=1, guarantees=())
+    cluster.submit("q", JobSpec(shape=gang(1, 1)), "other")
+    counts = check_usage(cluster.state, "w1", (TaskUsage(attempt, 0, used),))
+    assert [c.labels[0].value for c in counts] == ([kind] if kind else [])
+
+
+def test_job_that_only_planned_room_could_hold_is_refused() -> None:
+    """Guards against a job that waits for ever."""
+    cluster = shared_cluster(workers=1)
+    reply = cluster.submit("q", FIXED, "other")
+    assert type(reply) is Refused
+    assert reply.kind is ErrorKind.NEVER_FITS
+
+
+def test_plan_leaves_a_suspect_worker() -> None:
+    """Guards against a guarantee on a worker that starts nothing."""
+    cluster = shared_cluster()
+    [name] = cluster.state.plan["owner/0"].workers
+    cluster.apply(SuspectWorker(name, "i1", True))
+    assert cluster.state.plan["owner/0"].workers not in {(), (name,)}
+
+
+def test_invariants_notice_a_broken_table() -> None:
+    """Guards against checks that pass whatever they see."""
+    cluster = shared_cluster()
+    cluster.submit("q", MOVABLE, "other")
+    cluster.state.rooms["w1"].accelerators.append(3)
+    with pytest.raises(InvariantViolation):
+        check_all(cluster.state)
