--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,9 @@
 tour: setup
 	$(BIN)/python scripts/tour.py
 
+capacity: setup
+	$(BIN)/python -m bench.capacity
+
 bench-agent: setup
 	$(BIN)/python bench/agent_memory.py
 
--- a/packages/cli/crocuswell_cli/main.py
+++ b/packages/cli/crocuswell_cli/main.py
@@ -284,11 +284,14 @@
     job_class: Annotated[str, typer.Option(help="Cancel a whole class.")] = "",
     yes: Yes = False,
 ) -> None:
-    """Cancel requests by id, by class, or all of a workspace."""
-    chosen = f"{len(request_id)} requests" if request_id else "all requests"
-    of_class = f" of class {job_class}" if job_class else ""
-    confirm(f"Cancel {chosen}{of_class} of {workspace}?", yes)
-    body = {"request_ids": request_id or [], "job_class": job_class}
+    """Cancel requests of a workspace by id or by class."""
+    if bool(request_id) == bool(job_class):
+        fail("cancel: name either request ids or --job-class", EXIT_USAGE)
+    chosen = f"{len(request_id)} requests" if request_id else f"class {job_class}"
+    confirm(f"Cancel {chosen} of {workspace}?", yes)
+    body: dict[str, Any] = {"job_class": job_class}
+    if request_id:
+        body = {"request_ids": request_id}
     path = f"/v1/workspaces/{workspace}/cancel"
     reply = ctx.obj.client.call("POST", path, body).json()
     ctx.obj.show(reply, lambda r: f"{r['count']} requests cancelled")
