--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup format lint test demo demo-kill bench-agent clean
+SEED ?= 1
+STEPS ?= 200000
+
+.PHONY: setup format lint test soak model demo demo-kill failures rolling tour bench bench-agent capacity clean
 
 setup: $(VENV)/.ready
 
@@ -24,12 +27,29 @@
 test: setup
 	$(BIN)/python -m pytest -n 4
 
+# Random faults on the agreement protocol; a failing seed replays exactly.
+soak: setup
+	$(BIN)/python -m scripts.soak --seed $(SEED) --steps $(STEPS)
+
 demo: setup
 	$(BIN)/python scripts/demo.py
 
 demo-kill: setup
 	$(BIN)/python scripts/demo.py --kill-leader
 
+# Kills, freezes, cuts off and restarts real processes under load.
+failures: setup
+	$(BIN)/python scripts/failures.py
+
+rolling: setup
+	$(BIN)/python scripts/failures.py rolling-restart
+
+tour: setup
+	$(BIN)/python scripts/tour.py
+
+capacity: setup
+	$(BIN)/python -m bench.capacity
+
 bench-agent: setup
 	$(BIN)/python bench/agent_memory.py
 
--- a/packages/core/crocuswell_core/state.py
+++ b/packages/core/crocuswell_core/state.py
@@ -239,6 +239,8 @@
         Ends of work by worker.
     unresponsive : dict
         Workers whose agents did not confirm in time, with the time.
+    moved_at_ms : int
+        Cluster time in ms of the last move of small jobs.
     policy : StandingPolicy
         How starts are chosen.
     index : SchedulingIndex or None
@@ -270,6 +272,7 @@
     shapes: dict[Shape, int] = attrs.Factory(dict)
     health: dict[str, WorkerHealth] = attrs.Factory(dict)
     unresponsive: dict[str, int] = attrs.Factory(dict)
+    moved_at_ms: int = 0
     policy: Policy = attrs.Factory(StandingPolicy)
     index: SchedulingIndex | None = attrs.field(
         default=None, init=False, eq=False, repr=False
@@ -405,6 +408,9 @@
         First membership; later ones come from the log.
     initial_configuration : Configuration
         Applied as number 0 before any change.
+    append_entries : int
+        Most entries in one `Append`; a host that lags behind is sent the
+        next ones when it acknowledges these.
     """
 
     host: EntryHost
@@ -421,6 +427,7 @@
     agent_silence_ms: int = 2_500
     lease_margin_ms: int = 500
     admission_lease_ms: int = 5_000
+    append_entries: int = 128
     snapshot_entries: int = 2_000
     replace_voter_ms: int = 30_000
     call_limit_ms: int = 30_000
