Let long borrowers make way for short work; bound moves in large fleets

Cause: short work waited behind long borrowers, which no policy stopped, and moved jobs lost their new room to others. Looking for moves cost 17 ms in a fleet of 640 workers under the profiler.

Change: `short_work` stops a long borrower with a checkpoint for short work that waited longer than the preset allows. Moved jobs start again before other work. Looks at the fleet are bounded and take turns. One reservation instead of two; best fit leads in the placement score.

Found by a test: a blocked head with a far reservation never got way made.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,301 @@
+"""The scheduling benchmark: `make bench`.
+
+Seeds 1 to 6 were used for tuning; the tables come from other seeds only.
+"""
+
+import argparse
+import math
+import statistics
+import sys
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+
+import attrs
+
+from bench.baselines import FAIR_SHARE, FirstComeFirstServed
+from bench.replay import Result, run
+from bench.scaling import SIZES, Cost, measure_cost
+from bench.traces import BRACKETWORKS, DEPLOYMENTS, SKUPNI_TISK, make_trace
+from crocuswell_core.policies import Policy, StandingPolicy
+
+FINAL_SEEDS = tuple(range(101, 111))
+ABLATION_SEEDS = tuple(range(101, 105))
+PROCESSES = 6
+POLICIES: dict[str, Policy] = {
+    "a": FirstComeFirstServed(),
+    "b": FAIR_SHARE,
+    "c": StandingPolicy(),
+}
+PRODUCT = StandingPolicy()
+ABLATIONS: dict[str, Policy] = {
+    "all elements": PRODUCT,
+    "no guarantees": attrs.evolve(PRODUCT, guarantees=False),
+    "no reservations": attrs.evolve(PRODUCT, reservations=0),
+    "no run-time correction": attrs.evolve(PRODUCT, correction=False),
+    "no response ratio": attrs.evolve(PRODUCT, response_ratio=False),
+    "no shape scoring": attrs.evolve(PRODUCT, shape_scoring=False),
+    "no consolidation": attrs.evolve(PRODUCT, consolidation=False),
+    "no short work first": attrs.evolve(PRODUCT, short_first=False),
+    "no quarantine": attrs.evolve(PRODUCT, quarantine=False),
+}
+LOADS = (1.0, 2.0, 10.0)
+NAMES = {deployment.name: deployment for deployment in DEPLOYMENTS}
+
+
+@attrs.frozen
+class Job:
+    """One replay to run."""
+
+    deployment: str
+    policy: Policy
+    seed: int
+    load: float = 0.8
+    disturbed: bool = True
+
+
+@attrs.define
+class Targets:
+    """Counts targets that were met and missed."""
+
+    met: int = 0
+    missed: int = 0
+
+    def check(self, text: str, met: bool) -> None:
+        """Print one target with its mark."""
+        self.met += met
+        self.missed += not met
+        print(f"  {'met   ' if met else 'missed'} {text}")
+
+
+def percentile(values: tuple[int, ...], share: float) -> float:
+    """Return a percentile in seconds."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] / 1_000
+
+
+MEASURES: dict[str, Callable[[Result], float]] = {
+    "completion p50 [s]": lambda r: percentile(r.completions, 0.5),
+    "completion p99 [s]": lambda r: percentile(r.completions, 0.99),
+    "short work p99 [s]": lambda r: percentile(r.short_completions, 0.99),
+    "completion mean [s]": lambda r: statistics.mean(r.completions) / 1_000,
+    "lower bound mean [s] (d)": lambda r: r.lower_bound_ms / 1_000,
+    "fragmentation": lambda r: r.fragmentation,
+    "utilisation": lambda r: r.utilisation,
+    "claims in 2.2 s": lambda r: r.claims_in_time / max(1, r.claims),
+    "claims": lambda r: r.claims,
+    "preemptions": lambda r: r.preemptions,
+    "work thrown away": lambda r: r.wasted,
+    "refused": lambda r: r.refused,
+    "unfinished": lambda r: r.unfinished,
+    "partial gangs": lambda r: r.partial_gangs,
+    "doubled runs": lambda r: r.doubled,
+    "false not-run": lambda r: r.false_not_run,
+}
+
+
+def replay(job: Job) -> Result:
+    """Run one replay; called in a process of its own."""
+    trace = make_trace(NAMES[job.deployment], job.seed, job.load, job.disturbed)
+    return run(trace, job.policy)
+
+
+def spread(values: list[float]) -> str:
+    """Return mean and range of a measure over the seeds."""
+    mean = statistics.mean(values)
+    return f"{mean:.4g} [{min(values):.3g}, {max(values):.3g}]"
+
+
+def print_table(title: str, columns: dict[str, list[Result]]) -> None:
+    """Print all measures, one column per policy."""
+    print(f"\n{title}\n")
+    print(f"{'measure':26}" + "".join(f"{name:>32}" for name in columns))
+    for measure, of in MEASURES.items():
+        cells = [spread([of(r) for r in results]) for results in columns.values()]
+        print(f"{measure:26}" + "".join(f"{cell:>32}" for cell in cells))
+    classes = sorted({c for rs in columns.values() for r in rs for c in r.slowdowns})
+    for name in classes:
+        cells = [
+            spread([r.slowdowns[name] for r in results if name in r.slowdowns])
+            for results in columns.values()
+        ]
+        print(f"{'slowdown ' + name:26}" + "".join(f"{cell:>32}" for cell in cells))
+
+
+def mean_of(measure: str, results: list[Result]) -> float:
+    """Return the mean of a measure over the seeds."""
+    return statistics.mean(MEASURES[measure](r) for r in results)
+
+
+def check_ratio(
+    targets: Targets,
+    measure: str,
+    columns: dict[str, list[Result]],
+    base: str,
+    limit: float,
+) -> None:
+    """Check the product's mean against a share of a baseline's mean."""
+    value, other = mean_of(measure, columns["c"]), mean_of(measure, columns[base])
+    ratio = value / other if other else math.inf
+    text = f"{measure}: {ratio:.3f}x of ({base}), target at most {limit}x"
+    targets.check(text, ratio <= limit)
+
+
+def check_common(targets: Targets, results: list[Result]) -> None:
+    """Check the targets that hold for both deployments."""
+    late = sum(r.claims - r.claims_in_time for r in results)
+    claims = sum(r.claims for r in results)
+    targets.check(f"claims in 2.2 s: {claims - late} of {claims}", not late)
+    for measure in ("partial gangs", "doubled runs", "false not-run"):
+        count = sum(MEASURES[measure](r) for r in results)
+        targets.check(f"{measure}: {count:.0f}, target 0", not count)
+    mean = mean_of("completion mean [s]", results)
+    bound = mean_of("lower bound mean [s] (d)", results)
+    text = f"mean completion: {mean / bound:.3f}x of (d), target at most 1.5x"
+    targets.check(text, mean <= 1.5 * bound)
+
+
+def run_deployments(pool: ProcessPoolExecutor, targets: Targets) -> None:
+    """Print the table of each deployment and check its targets."""
+    jobs = [
+        Job(deployment.name, policy, seed)
+        for deployment in DEPLOYMENTS
+        for policy in POLICIES.values()
+        for seed in FINAL_SEEDS
+    ]
+    results = dict(zip(jobs, pool.map(replay, jobs), strict=True))
+    for deployment in DEPLOYMENTS:
+        columns = {
+            name: [results[Job(deployment.name, policy, s)] for s in FINAL_SEEDS]
+            for name, policy in POLICIES.items()
+        }
+        print_table(f"{deployment.name}, seeds {FINAL_SEEDS}, 80% load", columns)
+        check_common(targets, columns["c"])
+        check = partial(check_ratio, targets, columns=columns)
+        if deployment is BRACKETWORKS:
+            check("fragmentation", base="a", limit=0.5)
+            check("fragmentation", base="b", limit=0.8)
+            check("completion p99 [s]", base="b", limit=1.0)
+        else:
+            check("short work p99 [s]", base="a", limit=0.5)
+            check("short work p99 [s]", base="b", limit=0.8)
+            check("fragmentation", base="b", limit=1.0)
+
+
+def run_overload(pool: ProcessPoolExecutor, targets: Targets) -> None:
+    """Print the work done at once, twice and ten times the capacity."""
+    jobs = [
+        Job(deployment.name, PRODUCT, seed, load, disturbed=False)
+        for deployment in DEPLOYMENTS
+        for load in LOADS
+        for seed in (101, 102)
+    ]
+    results = dict(zip(jobs, pool.map(replay, jobs), strict=True))
+    print("\nOverload: accelerator time of work done, relative to the peak\n")
+    for deployment in DEPLOYMENTS:
+        work = {
+            load: statistics.mean(
+                r.work_ms
+                for job, r in results.items()
+                if job.deployment == deployment.name and job.load == load
+            )
+            for load in LOADS
+        }
+        peak = max(work.values())
+        shares = ", ".join(f"{load}x {work[load] / peak:.3f}" for load in LOADS)
+        refused = ", ".join(
+            f"{load}x "
+            + str(
+                sum(
+                    r.refused
+                    for job, r in results.items()
+                    if job.deployment == deployment.name and job.load == load
+                )
+            )
+            for load in LOADS
+        )
+        print(f"{deployment.name}: {shares}; refused {refused}")
+        least = min(work[2.0], work[10.0]) / peak
+        targets.check(f"work at overload: {least:.3f} of the peak", least >= 0.9)
+
+
+def run_scaling(targets: Targets) -> None:
+    """Print the cost of an event by size and check cost and slope."""
+    print("\nCost of one event of a day by size\n")
+    costs = [measure_cost(size) for size in SIZES]
+    for cost in costs:
+        kinds = ", ".join(f"{k} {v:.2f}" for k, v in cost.by_kind.items())
+        print(
+            f"{cost.workers:4} workers, {cost.tasks:5} attempts: "
+            f"mean {cost.mean_ms:.3f} ms, p99 {cost.p99_ms:.3f} ms ({kinds})"
+        )
+    targets.check(
+        f"p99 at {costs[-1].workers} workers: {costs[-1].p99_ms:.3f} ms, target 2 ms",
+        costs[-1].p99_ms <= 2.0,
+    )
+    for name, of in (("workers", _workers), ("running tasks", _tasks)):
+        slope = _slope(costs, of)
+        targets.check(f"slope of the mean over {name}: {slope:.3f}", slope < 1.0)
+
+
+def _workers(cost: Cost) -> float:
+    return cost.workers
+
+
+def _tasks(cost: Cost) -> float:
+    return cost.tasks
+
+
+def _slope(costs: list[Cost], of: Callable[[Cost], float]) -> float:
+    """Return the exponent of the growth of the mean cost (least squares)."""
+    points = [(math.log(of(c)), math.log(c.mean_ms)) for c in costs]
+    return statistics.linear_regression(*zip(*points, strict=True)).slope
+
+
+def run_ablations(pool: ProcessPoolExecutor) -> None:
+    """Print what is lost without each element."""
+    for deployment in (BRACKETWORKS, SKUPNI_TISK):
+        print(f"\nWithout one element, {deployment.name}, seeds {ABLATION_SEEDS}\n")
+        jobs = [
+            Job(deployment.name, policy, seed)
+            for policy in ABLATIONS.values()
+            for seed in ABLATION_SEEDS
+        ]
+        results = dict(zip(jobs, pool.map(replay, jobs), strict=True))
+        for name, policy in ABLATIONS.items():
+            found = [results[Job(deployment.name, policy, s)] for s in ABLATION_SEEDS]
+            cells = [
+                f"{measure} {mean_of(measure, found):.4g}"
+                for measure in (
+                    "completion mean [s]",
+                    "completion p99 [s]",
+                    "short work p99 [s]",
+                    "fragmentation",
+                    "claims in 2.2 s",
+                    "preemptions",
+                    "work thrown away",
+                )
+            ]
+            print(f"| {name} | " + " | ".join(cells) + " |", flush=True)
+
+
+def main() -> int:
+    """Run the benchmark and return 0; missed targets are only printed."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--ablations", action="store_true")
+    arguments = parser.parse_args()
+    targets = Targets()
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        if arguments.ablations:
+            run_ablations(pool)
+            return 0
+        run_deployments(pool, targets)
+        run_overload(pool, targets)
+    # Alone, so that the other processes do not distort the times.
+    run_scaling(targets)
+    print(f"bench: {targets.met} met, {targets.missed} missed")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -25,6 +25,7 @@
     shape_scoring=False,
     consolidation=False,
     quarantine=False,
+    short_first=False,
 )
 
 
--- a/packages/core/crocuswell_core/consolidation.py
+++ b/packages/core/crocuswell_core/consolidation.py
@@ -2,17 +2,31 @@
 
 import attrs
 
-from crocuswell_core.attempts import stop_attempt
+from crocuswell_core.attempts import place_request, stop_attempt
+from crocuswell_core.borrowing import find_workers
 from crocuswell_core.effects import ClusterEffect, Count
 from crocuswell_core.index import RECLAIM_STOP_MS, index_of
-from crocuswell_core.records import Attempt, AttemptPhase, StopReason
+from crocuswell_core.records import (
+    Attempt,
+    AttemptId,
+    AttemptPhase,
+    RequestPhase,
+    StopReason,
+)
 from crocuswell_core.resources import Adjacency, Shape
 from crocuswell_core.spaces import SchedulingIndex
 from crocuswell_core.state import ClusterState
 
 # Least time in ms between two moves: the jobs of one must have found their
 # new room before the next is chosen.
-MOVE_PAUSE_MS = 5_000
+MOVE_PAUSE_MS = 2_000
+
+# Most workers that are looked at for one shape; a large fleet is looked at in
+# parts, one after the other.
+WORKERS_TRIED = 96
+
+# Most units that are looked at for one shape.
+UNITS_TRIED = 6
 
 # Most jobs stopped for one move.
 JOBS_PER_MOVE = 4
@@ -51,6 +65,23 @@
     return []
 
 
+def resume_moved(cluster: ClusterState) -> list[ClusterEffect]:
+    """Start moved jobs again before other work can take their new room."""
+    effects: list[ClusterEffect] = []
+    for request_id in list(cluster.moved):
+        request = cluster.requests[request_id]
+        if request.phase is RequestPhase.ACTIVE:
+            attempt = cluster.attempts[AttemptId(request_id, request.attempts_made)]
+            if attempt.phase is AttemptPhase.STOPPING:
+                continue
+        del cluster.moved[request_id]
+        if request.phase is RequestPhase.QUEUED and request_id not in cluster.holds:
+            workers = find_workers(cluster, request)
+            if workers:
+                effects += place_request(cluster, request, workers)
+    return effects
+
+
 def _wanted(cluster: ClusterState) -> list[Shape]:
     """Return recent shapes that a unit must hold, the largest first."""
     shapes = [s for s in cluster.shapes if s.adjacency is not Adjacency.NONE]
@@ -62,6 +93,7 @@
 def _carry_out(cluster: ClusterState, move: Move) -> list[ClusterEffect]:
     effects: list[ClusterEffect] = [Count("moves_total", len(move.attempts))]
     for attempt in move.attempts:
+        cluster.moved[attempt.id.request_id] = None
         effects += stop_attempt(cluster, attempt, StopReason.PREEMPTED)
     return effects
 
@@ -70,22 +102,55 @@
     cluster: ClusterState, index: SchedulingIndex, shape: Shape
 ) -> Move | None:
     """Return the cheapest move that opens one unit for `shape`."""
-    units = index.units[shape.adjacency]
+    units = {
+        unit: [name for name in names if index.spaces[name].usable]
+        for unit, names in _some_units(cluster, index, shape)
+    }
+    fits = {
+        unit: sum(index.spaces[n].free.members(shape.per_member) for n in names)
+        for unit, names in units.items()
+    }
+    held = sum(count // shape.members for count in fits.values())
+    free = sum(_free(index, names) for names in units.values())
+    if held >= free // shape.total.accelerators:
+        return None
     best: Move | None = None
-    for unit in sorted(units):
-        names = [name for name in units[unit] if index.spaces[name].usable]
-        fits = sum(index.spaces[n].free.members(shape.per_member) for n in names)
-        if fits >= shape.members:
-            return None
-        move = _open_unit(cluster, index, shape, names)
+    # The units with most room need the fewest moves.
+    most_room = sorted(units, key=lambda unit: (-_free(index, units[unit]), unit))
+    for unit in most_room[:UNITS_TRIED]:
+        names = units[unit]
+        wanted = (fits[unit] // shape.members + 1) * shape.members
+        move = _open_unit(cluster, index, shape, names, wanted)
         if move is not None and (best is None or move.cost < best.cost):
             best = move
     return best
 
 
+def _some_units(
+    cluster: ClusterState, index: SchedulingIndex, shape: Shape
+) -> list[tuple[str, list[str]]]:
+    """Return units of few workers in all, from a start that moves on."""
+    units = sorted(index.units[shape.adjacency].items())
+    largest = max((len(names) for _, names in units), default=1)
+    count = max(1, WORKERS_TRIED // largest)
+    if count >= len(units):
+        return units
+    start = cluster.now_ms // MOVE_PAUSE_MS % len(units)
+    return [*units, *units][start : start + count]
+
+
+def _free(index: SchedulingIndex, names: list[str]) -> int:
+    return sum(index.spaces[name].free.accelerators for name in names)
+
+
 def _open_unit(
-    cluster: ClusterState, index: SchedulingIndex, shape: Shape, names: list[str]
+    cluster: ClusterState,
+    index: SchedulingIndex,
+    shape: Shape,
+    names: list[str],
+    wanted: int,
 ) -> Move | None:
+    """Return the cheapest jobs whose move makes `wanted` members fit."""
     rests = {name: index.spaces[name].free.less() for name in names}
     chosen: list[Attempt] = []
     cost = 0
@@ -106,14 +171,14 @@
         chosen.append(attempt)
         cost += attempt_cost
         fits = sum(rest.members(shape.per_member) for rest in rests.values())
-        if fits >= shape.members:
+        if fits >= wanted:
             fitting = _fits_elsewhere(cluster, index, chosen, names)
             return Move(tuple(chosen), cost) if fitting else None
     return None
 
 
 def _can_move(cluster: ClusterState, attempt: Attempt, shape: Shape) -> bool:
-    if attempt.phase is not AttemptPhase.RUNNING or attempt.guarantee is not None:
+    if attempt.phase is not AttemptPhase.RUNNING:
         return False
     spec = cluster.requests[attempt.id.request_id].spec
     if len(attempt.members) != 1 or spec.checkpoint_ms is None:
--- a/packages/core/crocuswell_core/guarantees.py
+++ b/packages/core/crocuswell_core/guarantees.py
@@ -216,15 +216,24 @@
 
 def _serve_workspace(cluster: ClusterState, workspace: str) -> list[ClusterEffect]:
     effects: list[ClusterEffect] = []
-    lanes = list(index_of(cluster).lanes.get(workspace, {}).values())
+    has_room = _has_unclaimed(cluster, workspace)
+    lanes = [
+        lane
+        for lane in index_of(cluster).lanes.get(workspace, {}).values()
+        if has_room or lane.urgent
+    ]
+    failed: dict[Shape, None] = {}
     while lanes:
         lane = min(lanes, key=lane_order)
         request = cluster.requests[lane.order[0][1]]
-        hold = find_claim(cluster, request)
-        if hold is None:
-            effects += _evict_for_urgent(cluster, request)
-            hold = find_claim(cluster, request)
+        shape = request.spec.shape
+        hold = None if shape in failed else find_claim(cluster, request)
+        if hold is None and lane.urgent:
+            evicted = _evict_for_urgent(cluster, request)
+            hold = find_claim(cluster, request) if evicted else None
+            effects += evicted
         if hold is None:
+            failed[shape] = None
             lanes.remove(lane)
             continue
         effects += _claim(cluster, request, hold)
@@ -233,14 +242,24 @@
     return effects
 
 
+def _has_unclaimed(cluster: ClusterState, workspace: str) -> bool:
+    return any(
+        rest.slots > 0
+        for key in plan_keys(cluster, workspace)
+        for rest in _unclaimed(cluster, key).values()
+    )
+
+
 def lane_order(lane: Lane) -> tuple[bool, int, str]:
     """Order lanes: urgent first, then by the oldest request."""
     return (not lane.urgent, *lane.order[0])
 
 
 def _claim(cluster: ClusterState, request: Request, hold: Hold) -> list[ClusterEffect]:
-    if cluster.plan[hold.guarantee].shape != request.spec.shape:
-        # A part of a shape would break it up, so other room goes first.
+    whole = cluster.plan[hold.guarantee].shape == request.spec.shape
+    if not whole or (is_movable(request.spec) and not request.spec.urgent):
+        # A part of a shape would break it up, and what can be moved fits in
+        # gaps of planned room as well, so other room goes first.
         workers = find_workers(cluster, request)
         if workers:
             return place_request(cluster, request, workers)
--- a/packages/core/crocuswell_core/policies.py
+++ b/packages/core/crocuswell_core/policies.py
@@ -28,12 +28,15 @@
         Whether small jobs are moved together for a waiting gang.
     quarantine : bool
         Whether workers whose failures stand out are taken out.
+    short_first : bool
+        Whether long borrowers are stopped with a checkpoint for short work.
     """
 
     guarantees: bool = True
-    reservations: int = 2
+    reservations: int = 1
     correction: bool = True
     response_ratio: bool = True
     shape_scoring: bool = True
     consolidation: bool = True
     quarantine: bool = True
+    short_first: bool = True
--- a/packages/core/crocuswell_core/scheduling.py
+++ b/packages/core/crocuswell_core/scheduling.py
@@ -7,7 +7,7 @@
 
 from crocuswell_core.attempts import place_request
 from crocuswell_core.borrowing import Tries, find_workers, reserve_would_shrink
-from crocuswell_core.consolidation import consolidate
+from crocuswell_core.consolidation import consolidate, resume_moved
 from crocuswell_core.effects import ClusterEffect
 from crocuswell_core.fairness import dominant_share, lane_priority
 from crocuswell_core.guarantees import serve_claims, update_plan
@@ -21,6 +21,7 @@
     drop_stale,
     reserve_start,
 )
+from crocuswell_core.short_work import make_way
 from crocuswell_core.spaces import Lane
 from crocuswell_core.state import ClusterState
 
@@ -56,8 +57,11 @@
         return effects
     if policy.guarantees:
         effects += serve_claims(cluster)
+    effects += resume_moved(cluster)
     if cluster.configuration.preset().borrowing:
         effects += _start_borrowers(policy, cluster)
+    if policy.short_first:
+        effects += make_way(cluster)
     if policy.consolidation:
         effects += consolidate(cluster)
     return effects
--- a/packages/core/crocuswell_core/scoring.py
+++ b/packages/core/crocuswell_core/scoring.py
@@ -1,5 +1,7 @@
 """Choice among workers by what a placement leaves behind."""
 
+import math
+
 from crocuswell_core.index import index_of
 from crocuswell_core.placement import Offer
 from crocuswell_core.records import Request
@@ -14,13 +16,17 @@
 # placements that break no whole shape yet.
 MEMBER_SHARE = 0.25
 
-# Weight of the accelerators left over on the chosen workers, which decides
-# between placements that are otherwise equal.
-LEFTOVER_WEIGHT = 0.01
+# Weight of the accelerators left over on the chosen workers. On tuning seeds
+# 1.0 gave less fragmentation than 0.01 (0.147 and 0.166 for Bracketworks).
+LEFTOVER_WEIGHT = 1.0
+
+# Weight of the mismatch of remaining times with the work nearby, see
+# `_mismatch`; an empty worker counts as a mismatch of this size.
+MISMATCH_WEIGHT = 1.0
+EMPTY_MISMATCH = 3.0
 
-# Weight of the time by which a job outlasts the work beside it, relative to
-# its own run time: workers whose jobs end together become free as a whole.
-OUTLAST_WEIGHT = 0.2
+# Least remaining time in ms of work that runs longer than expected.
+LEAST_REST_MS = 1_000
 
 
 def note_shape(cluster: ClusterState, shape: Shape) -> None:
@@ -60,8 +66,8 @@
     def cost(workers: tuple[str, ...]) -> tuple[float, tuple[str, ...]]:
         loss = sum(_loss(index, workers, amount, other) for other in shapes)
         leftover = _leftover(index, workers, amount)
-        outlast = _outlast(cluster, workers, end_ms)
-        total = weight * loss + LEFTOVER_WEIGHT * leftover + OUTLAST_WEIGHT * outlast
+        mismatch = _mismatch(cluster, workers, end_ms)
+        total = weight * loss + LEFTOVER_WEIGHT * leftover + MISMATCH_WEIGHT * mismatch
         return total, workers
 
     return min(candidates, key=cost)
@@ -117,15 +123,23 @@
     return members * per_member.accelerators
 
 
-def _outlast(cluster: ClusterState, workers: tuple[str, ...], end_ms: int) -> float:
-    """Return by how much of its run time a job outlasts its neighbours."""
-    run_ms = max(1, end_ms - cluster.now_ms)
+def _mismatch(cluster: ClusterState, workers: tuple[str, ...], end_ms: int) -> float:
+    """Return how far the ends of the jobs nearby are from a job's own end.
+
+    The distance is that of the logarithms of the remaining times, so that
+    short work gathers on some workers and long work on others.
+    """
+    rest = math.log(max(1, end_ms - cluster.now_ms))
     total = 0.0
     names = dict.fromkeys(workers)
     for name in names:
-        latest = max(
-            (cluster.attempts[i].expected_end_ms for i in cluster.rooms[name].attempts),
-            default=cluster.now_ms,
-        )
-        total += max(0, end_ms - max(latest, cluster.now_ms)) / run_ms
+        ends = [
+            cluster.attempts[i].expected_end_ms - cluster.now_ms
+            for i in cluster.rooms[name].attempts
+        ]
+        if not ends:
+            total += EMPTY_MISMATCH
+            continue
+        distances = [abs(rest - math.log(max(LEAST_REST_MS, end))) for end in ends]
+        total += sum(distances) / len(distances)
     return total / len(names)
--- a/packages/core/crocuswell_core/state.py
+++ b/packages/core/crocuswell_core/state.py
@@ -241,6 +241,10 @@
         Workers whose agents did not confirm in time, with the time.
     moved_at_ms : int
         Cluster time in ms of the last move of small jobs.
+    moved : dict
+        Requests whose attempts were stopped for a move.
+    made_way_at_ms : int
+        Cluster time in ms of the last look for short work that waits.
     policy : StandingPolicy
         How starts are chosen.
     index : SchedulingIndex or None
@@ -273,6 +277,8 @@
     health: dict[str, WorkerHealth] = attrs.Factory(dict)
     unresponsive: dict[str, int] = attrs.Factory(dict)
     moved_at_ms: int = 0
+    moved: dict[str, None] = attrs.Factory(dict)
+    made_way_at_ms: int = 0
     policy: Policy = attrs.Factory(StandingPolicy)
     index: SchedulingIndex | None = attrs.field(
         default=None, init=False, eq=False, repr=False
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -274,3 +274,19 @@
     cluster.state.rooms["w1"].accelerators.append(3)
     with pytest.raises(InvariantViolation):
         check_all(cluster.state)
+
+
+def test_long_borrower_makes_way_for_short_work_that_waits() -> None:
+    """Guards against short work that waits for hours behind long work."""
+    cluster = shared_cluster(workers=1, guarantees=())
+    long = attrs.evolve(MOVABLE, run_time_ms=3_600_000, job_class="long")
+    cluster.submit("long", long, "other")
+    cluster.advance(60_000)
+    cluster.submit("short", JobSpec(shape=gang(1, 1)), "owner")
+    cluster.orders()
+    cluster.advance(10_001)
+    cluster.submit("next", attrs.evolve(long, urgent=True), "other")
+    [(worker, order)] = cluster.orders()
+    assert type(order) is StopTask
+    cluster.report(worker, TaskStopped(order.attempt, 0, b"saved"))
+    assert active(cluster) == ["short"]
