Bound what a change of the configuration looks at

Cause: each change of the configuration or of a worker looked at the claims of all workspaces; equal needs were compared field by field.

--- a/packages/core/crocuswell_core/guarantees.py
+++ b/packages/core/crocuswell_core/guarantees.py
@@ -18,6 +18,7 @@
     index_of,
     is_movable,
     plan_keys,
+    refresh_workspaces,
     set_planned,
 )
 from crocuswell_core.placement import find_offers
@@ -40,8 +41,7 @@
     if not cluster.plan_outdated:
         return
     cluster.plan_outdated = False
-    for workspace in cluster.configuration.workspaces:
-        index_of(cluster).claim_workspaces[workspace.name] = None
+    refresh_workspaces(cluster)
     wanted = _wanted_shapes(cluster)
     for key, planned in list(cluster.plan.items()):
         same = wanted.get(key) == attrs.evolve(planned, workers=())
--- a/packages/core/crocuswell_core/index.py
+++ b/packages/core/crocuswell_core/index.py
@@ -1,6 +1,7 @@
 """Keeps the derived sums of `spaces` in step with the tables."""
 
 from bisect import bisect_left, insort
+from functools import lru_cache
 
 import attrs
 
@@ -44,7 +45,13 @@
 
 def need_of(spec: JobSpec) -> Need:
     """Return the need of a job."""
-    return Need(spec.shape, is_movable(spec))
+    return _intern_need(spec.shape, is_movable(spec))
+
+
+@lru_cache(maxsize=4_096)
+def _intern_need(shape: Shape, movable: bool) -> Need:
+    """Return one object for equal needs, so that look-ups are cheap."""
+    return Need(shape, movable)
 
 
 def index_of(cluster: ClusterState) -> SchedulingIndex:
@@ -57,11 +64,22 @@
 
 def workspace_of(cluster: ClusterState, name: str) -> Workspace | None:
     """Return the declared workspace of that name, or None."""
+    refresh_workspaces(cluster)
+    return index_of(cluster).workspaces.get(name)
+
+
+def refresh_workspaces(cluster: ClusterState) -> None:
+    """Note the declared workspaces, and whose claims a change concerns."""
     index = index_of(cluster)
-    if index.number != cluster.number:
-        index.number = cluster.number
-        index.workspaces = {w.name: w for w in cluster.configuration.workspaces}
-    return index.workspaces.get(name)
+    if index.number == cluster.number:
+        return
+    index.number = cluster.number
+    old = index.workspaces
+    index.workspaces = {w.name: w for w in cluster.configuration.workspaces}
+    for name, workspace in index.workspaces.items():
+        known = old.get(name)
+        if known is None or known.quota != workspace.quota:
+            index.claim_workspaces[name] = None
 
 
 def is_usable(cluster: ClusterState, name: str) -> bool:
