--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 STEPS ?= 200000
 
-.PHONY: setup format lint test soak model demo demo-kill failures rolling tour bench bench-agent capacity clean
+.PHONY: setup format lint test soak model demo demo-kill failures rolling tour bench bench-ablations bench-agent capacity clean
 
 setup: $(VENV)/.ready
 
@@ -31,6 +31,12 @@
 soak: setup
 	$(BIN)/python -m scripts.soak --seed $(SEED) --steps $(STEPS)
 
+bench: setup
+	$(BIN)/python -m bench
+
+bench-ablations: setup
+	$(BIN)/python -m bench --ablations
+
 demo: setup
 	$(BIN)/python scripts/demo.py
 
