--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 STEPS ?= 200000
 
-.PHONY: setup format lint test soak demo demo-kill clean
+.PHONY: setup format lint test soak model demo demo-kill clean
 
 setup: $(VENV)/.ready
 
@@ -31,6 +31,10 @@
 soak: setup
 	$(BIN)/python -m scripts.soak --seed $(SEED) --steps $(STEPS)
 
+# Exhaustive search of the protocol's specifications; takes minutes.
+model: setup
+	$(BIN)/python -m scripts.model
+
 demo: setup
 	$(BIN)/python scripts/demo.py
 
