--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,10 @@
 bench-ablations: setup
 	$(BIN)/python -m bench --ablations
 
+# Exhaustive search of the protocol's specifications; takes minutes.
+model: setup
+	$(BIN)/python -m scripts.model
+
 demo: setup
 	$(BIN)/python scripts/demo.py
 
