--- a/packages/daemon/crocuswell_daemon/counters.py
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -39,12 +39,15 @@
     "agent_streams_silent_total": Metric("Agent streams closed for silence"),
     "http_answers_late": Metric("Answers to calls that nobody waited for"),
     "http_responses": Metric("HTTP responses", ("status",)),
+    "moves_total": Metric("Attempts moved to make room for a gang"),
     "peer_connects_failed": Metric("Failed attempts to open a link", ("peer",)),
     "peer_links_lost": Metric("Lost links to entry hosts", ("peer",)),
     "peer_messages_dropped": Metric(
         "Messages to entry hosts that were not sent", ("peer", "reason")
     ),
     "preemptions_total": Metric("Attempts stopped for a claim", ("workspace",)),
+    "probes_total": Metric("Probes of quarantined workers"),
+    "quarantines_total": Metric("Workers put into quarantine"),
     "reports_dropped_total": Metric("Reports without an attempt or outcome to end"),
     "reports_stale_total": Metric("Reports of an earlier incarnation"),
     "request_completion_seconds": Metric(
@@ -55,6 +58,9 @@
     "requests_refused_total": Metric("Refused requests", ("workspace", "kind")),
     "reservations_unconfirmed_total": Metric("Gangs whose agents did not confirm"),
     "retries_total": Metric("Retries of requests", ("workspace",)),
+    "usage_contradictions_total": Metric(
+        "Usage reports that contradict the tables", ("kind",)
+    ),
 }
 
 
