Refuse a hand-over of leadership while stopping; mend the demo

Cause: two entry hosts that stopped at the same time handed leadership back and forth 10 to 20 times a second. The demo sent the fleet, which the API does not take, and an unmovable job that needed an accelerator, while all accelerators of three workers are planned for guarantees.

--- a/packages/core/crocuswell_core/election.py
+++ b/packages/core/crocuswell_core/election.py
@@ -167,7 +167,9 @@
     # Only the leader of the current term may give up its lease.
     if message.term != consensus.term or sender != consensus.leader:
         return []
-    if not members.may_campaign(state):
+    # Two hosts that stop at the same time must not hand leadership back and
+    # forth between them.
+    if state.stopping or not members.may_campaign(state):
         return []
     leadership.postpone_election(state)
     return _campaign(state, transfer=True)
--- a/scripts/platform_calls.py
+++ b/scripts/platform_calls.py
@@ -12,6 +12,8 @@
 import urllib3
 import yaml
 
+from crocuswell_cli import declarations
+
 CALL_LIMIT_S = 40
 WAIT_MS = 10_000
 ROUNDS_LIMIT = 30
@@ -34,11 +36,11 @@
 
 
 def load_declarations(folder: Path) -> dict[str, Any]:
-    """Merge the top-level keys of all declaration files in a folder."""
-    merged: dict[str, Any] = {}
-    for path in sorted(folder.glob("*.yaml")):
-        merged |= yaml.safe_load(path.read_text(encoding="utf-8"))
-    return merged
+    """Check the declarations of a folder and return the API's document."""
+    document: dict[str, Any] = declarations.to_document(
+        declarations.load(folder).configuration
+    )
+    return document
 
 
 def load_requests(path: Path, rounds: int) -> list[dict[str, Any]]:
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -19,11 +19,13 @@
     Liveness,
     LivenessReply,
     Orders,
+    TimeoutNow,
     Welcome,
     WorkerLiveness,
 )
 from crocuswell_core.records import JobSpec, WorkerMode
 from crocuswell_core.replies import RequestView
+from crocuswell_core.state import Role
 from tests.clusters import gang
 from tests.hosts import Host, leading_host
 
@@ -159,3 +161,13 @@
     assert Goodbye() in host.sent(1)
     host.advance(host.state.cfg.stop_limit_ms)
     assert Halt() in host.take(Halt)
+
+
+def test_stopping_host_does_not_take_leadership_over() -> None:
+    """Guards against two stopping hosts that hand leadership back and forth."""
+    host = welcomed_host()
+    host.post(EntryStopRequested())
+    consensus = host.state.consensus
+    consensus.role, consensus.leader = Role.FOLLOWER, "e2"
+    host.post(PeerMessageReceived("e2", TimeoutNow(consensus.term)))
+    assert consensus.role is Role.FOLLOWER
