Send large results once

Cause: each message of reports starts with the oldest unacknowledged one, so results that ended together were sent again with each later report.

Change: a message with more than 8 KiB of results waits for the acknowledgement of the one before.

Conclusion: results are no longer multiplied; small reports are still sent at once.

--- a/packages/core/crocuswell_core/agent_reports.py
+++ b/packages/core/crocuswell_core/agent_reports.py
@@ -20,6 +20,9 @@
 # Keeps one message well below the limits of the entry host's listener.
 REPORTS_PER_MESSAGE = 64
 RESULT_BYTES_PER_MESSAGE = 262_144
+# Messages with more than this wait for the acknowledgement of the one before,
+# since they would contain its reports again.
+PIPELINED_RESULT_BYTES = 8_192
 
 COUNTER_NAMES = {
     TaskReserved: "tasks_reserved",
@@ -118,15 +121,22 @@
     last = state.first_report + len(part) - 1
     if not part or last <= state.reports_sent:
         return []
+    is_waiting = state.reports_sent >= state.first_report
+    if is_waiting and sum(map(_result_length, part)) > PIPELINED_RESULT_BYTES:
+        return []
     state.reports_sent = last
     message = SendReports(state.first_report, tuple(part))
     return [SendEntry(state.stream_id, message)]
 
 
+def _result_length(report: Report) -> int:
+    return len(report.result) if isinstance(report, TaskFinished) else 0
+
+
 def _part_length(reports: list[Report]) -> int:
     size = 0
     for index, report in enumerate(reports[:REPORTS_PER_MESSAGE]):
-        size += len(report.result) if isinstance(report, TaskFinished) else 0
+        size += _result_length(report)
         if index and size > RESULT_BYTES_PER_MESSAGE:
             return index
     return min(len(reports), REPORTS_PER_MESSAGE)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -427,6 +427,20 @@
     assert [(m.first_sequence, len(m.reports)) for m in sent] == [(1, 64), (65, 36)]
 
 
+def test_large_results_are_sent_once() -> None:
+    """Guards against results that are sent again with each later report."""
+    agent = ready()
+    for number in range(3):
+        agent.start(start(name=f"q{number}", accelerators=(number,)))
+    agent.tasks = tuple(listed("finished", name=f"q{number}") for number in range(3))
+    agent.run(250)
+    for call in [c for c in agent.calls() if isinstance(c, FetchResult)]:
+        agent.reply(ResultFetched(bytes(60_000), "d"), call)
+    agent.receive(ReportAck(1))
+    sent = [m for m in agent.sent() if isinstance(m, SendReports)]
+    assert [(m.first_sequence, len(m.reports)) for m in sent] == [(1, 1), (2, 2)]
+
+
 @pytest.mark.parametrize("sequence", [0, 2, 1_000])
 def test_acknowledgement_of_unsent_reports_is_ignored(sequence: int) -> None:
     """Guards against an acknowledgement that drops unstored reports."""
