--- a/packages/core/crocuswell_core/agent.py
+++ b/packages/core/crocuswell_core/agent.py
@@ -14,6 +14,7 @@
     conclude_unstarted,
     follow_order,
     lease_stop_due_ms,
+    poll_delay_ms,
     stop_for_lease,
     stop_task,
 )
@@ -49,9 +50,6 @@
 from crocuswell_core.state import AgentState, AgentTask, TaskPhase
 from crocuswell_core.timers import AgentTimer, PollTimer
 
-# Well below the age at which an announcement no longer permits a start.
-IDLE_POLL_MS = 500
-
 # --- events --------------------------------------------------------------
 
 
@@ -157,8 +155,8 @@
 
 @handle_timer.register
 def _(timer: PollTimer, state: AgentState) -> list[Effect]:
-    delay_ms = state.cfg.poll_ms if state.tasks else IDLE_POLL_MS
-    return _settle(state, [*describe(state), StartTimer(PollTimer(), delay_ms)])
+    poll = StartTimer(PollTimer(), poll_delay_ms(state))
+    return _settle(state, [*describe(state), poll])
 
 
 def _stop_before_lease_ends(state: AgentState) -> list[Effect]:
--- a/packages/core/crocuswell_core/agent_tasks.py
+++ b/packages/core/crocuswell_core/agent_tasks.py
@@ -35,6 +35,10 @@
 # An unanswered or ineffective stop is sent again after this time.
 STOP_RETRY_MS = 500
 
+QUICK_POLL_MS = 20
+# Well below the age at which an announcement no longer permits a start.
+IDLE_POLL_MS = 500
+
 HOLDING_PHASES = frozenset(
     {
         TaskPhase.RESERVED,
@@ -242,8 +246,20 @@
         admission_end_ms(state),
         backend_lease_until_ms(state),
     )
-    # Without tasks the poll is slower, see `PollTimer`.
-    return [CallBackend(call), StartTimer(PollTimer(), state.cfg.poll_ms)]
+    state.newest_start_ms = state.now_ms
+    return [CallBackend(call), StartTimer(PollTimer(), poll_delay_ms(state))]
+
+
+def poll_delay_ms(state: AgentState) -> int:
+    """Return the time in ms until the backend server is asked again.
+
+    It doubles from a short time after each start, so that the end of a
+    short task is seen at once and long tasks cost few polls.
+    """
+    if not state.tasks:
+        return IDLE_POLL_MS
+    age_ms = state.now_ms - state.newest_start_ms
+    return min(state.cfg.poll_ms, max(QUICK_POLL_MS, age_ms))
 
 
 # --- stops and ends ------------------------------------------------------
--- a/packages/core/crocuswell_core/requests.py
+++ b/packages/core/crocuswell_core/requests.py
@@ -129,6 +129,10 @@
         cluster.needs_scheduling = True
     last = cluster.report_sequences.get(command.worker, 0)
     first = command.last_sequence - len(command.reports) + 1
+    # An earlier message was lost; the agent sends again what is not
+    # acknowledged, from the first one on.
+    if first > last + 1:
+        return Applied(Done(), (Count("reports_stale_total"),))
     effects: list[ClusterEffect] = []
     for sequence, report in enumerate(command.reports, start=first):
         if sequence > last:
--- a/packages/core/crocuswell_core/state.py
+++ b/packages/core/crocuswell_core/state.py
@@ -690,6 +690,8 @@
     lease_from_ms : int
         Time from which the leases run; they end at this time plus their
         length.
+    newest_start_ms : int
+        Time at which the newest start was sent.
     epochs : dict
         For each request the highest epoch seen, to refuse older orders.
     reports : list of Report
@@ -736,6 +738,7 @@
     reports: list[Report] = attrs.Factory(list)
     first_report: int = 1
     counters: dict[str, int] = attrs.Factory(dict)
+    newest_start_ms: int = -1_000_000
     stopping: bool = False
     ended: dict[AttemptId, dict[int, bool]] = attrs.Factory(dict)
     reports_sent: int = 0
--- a/packages/daemon/crocuswell_daemon/counters.py
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -49,7 +49,7 @@
     "probes_total": Metric("Probes of quarantined workers"),
     "quarantines_total": Metric("Workers put into quarantine"),
     "reports_dropped_total": Metric("Reports without an attempt or outcome to end"),
-    "reports_stale_total": Metric("Reports of an earlier incarnation"),
+    "reports_stale_total": Metric("Reports of an earlier incarnation or after a gap"),
     "request_completion_seconds": Metric(
         "Time from acceptance to outcome", ("workspace",), SECONDS
     ),
@@ -61,6 +61,7 @@
     "usage_contradictions_total": Metric(
         "Usage reports that contradict the tables", ("kind",)
     ),
+    "yields_total": Metric("Long borrowers stopped for short work"),
 }
 
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -121,3 +121,15 @@
     counters.count("a", 3, ())
     counters.observe("b", 0.5, ())
     assert counters.values == {"a": 5, "b": 1}
+
+
+def test_the_page_lists_exactly_the_known_metrics() -> None:
+    """Guards against a page that differs from what `/metrics` shows."""
+    page = (PACKAGES.parent / "docs" / "metrics.md").read_text(encoding="utf-8")
+    rows = [line for line in page.splitlines() if line.startswith("| `")]
+    expected = [
+        f"| `{name}` | {', '.join(f'`{x}`' for x in metric.labels) or '-'} "
+        f"| {metric.help} |"
+        for name, metric in sorted(METRICS.items())
+    ]
+    assert rows == expected
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -6,6 +6,7 @@
     CancelRequests,
     DeclareSilent,
     ModeSet,
+    RecordReports,
     Refused,
     RequestAccepted,
     SetWorkerMode,
@@ -285,3 +286,13 @@
     cluster.apply(DeclareSilent("w1", "i1"))
     reply = cluster.apply(SetWorkerMode("w1", WorkerMode.DRAINING))
     assert reply == ModeSet("w1", WorkerMode.DRAINING)
+
+
+def test_reports_after_a_gap_are_not_acknowledged() -> None:
+    """Guards against a lost report whose agent believes it is committed."""
+    cluster = small_cluster()
+    cluster.submit("q", SINGLE)
+    report = TaskFinished(FIRST, 0, b"answer", "digest")
+    cluster.apply(RecordReports("w1", "i1", 2, (report,)))
+    assert cluster.state.report_sequences["w1"] == 0
+    assert cluster.outcome("q") is None
