--- a/packages/core/crocuswell_core/state.py
+++ b/packages/core/crocuswell_core/state.py
@@ -9,8 +9,10 @@
 from crocuswell_core.commands import CommandReply, EntryHost, LogEntry, Proposal, Report
 from crocuswell_core.configuration import Configuration, ConfigurationChange
 from crocuswell_core.messages import GetRequest, ReadCall, StartTask
+from crocuswell_core.policies import Policy, StandingPolicy
 from crocuswell_core.records import Attempt, AttemptId, Request, Worker, WorkerInfo
-from crocuswell_core.resources import Resources
+from crocuswell_core.resources import Resources, Shape
+from crocuswell_core.spaces import SchedulingIndex
 
 STATE_VERSION = 1
 
@@ -80,7 +82,29 @@
     command_id: str
 
 
-Due = RetryDue | DeadlineDue | ResultDue | RecordDue | AnswerDue
+@attrs.frozen
+class ReservationDue:
+    """The time in which a gang's agents must confirm ends."""
+
+    attempt: AttemptId
+
+
+@attrs.frozen
+class ProbeDue:
+    """A quarantined worker may be probed."""
+
+    worker: str
+
+
+Due = (
+    RetryDue
+    | DeadlineDue
+    | ResultDue
+    | RecordDue
+    | AnswerDue
+    | ReservationDue
+    | ProbeDue
+)
 
 
 @attrs.frozen(order=True)
@@ -92,6 +116,90 @@
     due: Due = attrs.field(order=False)
 
 
+@attrs.frozen
+class PlannedShape:
+    """A guaranteed shape with the workers that the plan assigns to it.
+
+    Attributes
+    ----------
+    workers : tuple of str
+        Worker of each member; empty if the fleet has no room for it.
+    """
+
+    workspace: str
+    shape: Shape
+    workers: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Hold:
+    """Room kept for a claim while borrowers leave it.
+
+    Attributes
+    ----------
+    guarantee : str
+        Key of the planned shape.
+    amount : Resources
+        Resources of each member.
+    """
+
+    guarantee: str
+    amount: Resources
+    workers: tuple[str, ...]
+    since_ms: int
+
+
+@attrs.frozen
+class Reservation:
+    """A later start that backfilled work must not delay.
+
+    Attributes
+    ----------
+    start_ms : int
+        Cluster time in ms at which the room is expected to be free.
+    """
+
+    amount: Resources
+    workers: tuple[str, ...]
+    start_ms: int
+
+
+@attrs.frozen
+class RunTimeRecord:
+    """Observed over declared run time of one class of work.
+
+    Attributes
+    ----------
+    ratio : float
+        Moving average of the ratio.
+    count : int
+        Number of observations.
+    """
+
+    ratio: float
+    count: int
+
+
+@attrs.frozen
+class WorkerHealth:
+    """Recent ends of work on one worker.
+
+    Attributes
+    ----------
+    failures, successes : float
+        Decayed counts; a job counts once per worker.
+    probe : AttemptId or None
+        Attempt that probes it while it is in quarantine.
+    """
+
+    failures: float = 0.0
+    successes: float = 0.0
+    quarantined_at_ms: int | None = None
+    probe_at_ms: int = 0
+    probes_passed: int = 0
+    probe: AttemptId | None = None
+
+
 @attrs.define
 class ClusterState:
     """Result of applying the log; equal on every entry host.
@@ -113,6 +221,30 @@
         retry after a failure.
     needs_scheduling : bool
         Whether something changed that may let a request start.
+    plan : dict
+        The standing plan: for each guaranteed shape, by
+        `workspace/position`, where it can be claimed.
+    plan_outdated : bool
+        Whether the fleet or the configuration changed since planning.
+    holds : dict
+        For each queued claim the room that is being vacated for it.
+    reservations : dict
+        For each blocked request its reserved start, oldest first.
+    run_times : dict
+        Observed run times by `workspace/class`.
+    shapes : dict
+        Shapes of more than one accelerator that were asked for lately,
+        the newest last, with the cluster time in ms.
+    health : dict
+        Ends of work by worker.
+    unresponsive : dict
+        Workers whose agents did not confirm in time, with the time.
+    moved_at_ms : int
+        Cluster time in ms of the last move of small jobs.
+    policy : StandingPolicy
+        How starts are chosen.
+    index : SchedulingIndex or None
+        Derived sums; not part of a snapshot.
     """
 
     version: int = STATE_VERSION
@@ -132,6 +264,19 @@
     agenda_sequence: int = 0
     retries: dict[str, int] = attrs.Factory(dict)
     needs_scheduling: bool = False
+    plan: dict[str, PlannedShape] = attrs.Factory(dict)
+    plan_outdated: bool = True
+    holds: dict[str, Hold] = attrs.Factory(dict)
+    reservations: dict[str, Reservation] = attrs.Factory(dict)
+    run_times: dict[str, RunTimeRecord] = attrs.Factory(dict)
+    shapes: dict[Shape, int] = attrs.Factory(dict)
+    health: dict[str, WorkerHealth] = attrs.Factory(dict)
+    unresponsive: dict[str, int] = attrs.Factory(dict)
+    moved_at_ms: int = 0
+    policy: Policy = attrs.Factory(StandingPolicy)
+    index: SchedulingIndex | None = attrs.field(
+        default=None, init=False, eq=False, repr=False
+    )
 
     @property
     def configuration(self) -> Configuration:
@@ -373,11 +518,14 @@
     ----------
     number : int
         Configuration number that the agent confirmed.
+    lost : bool
+        Whether its stream ended and it was not heard since.
     """
 
     incarnation: str
     heard_ms: int
     number: int = 0
+    lost: bool = False
 
 
 @attrs.define
@@ -399,6 +547,8 @@
     heard_hosts : dict
         On the leader: when each entry host was last heard and the
         configuration number it has applied.
+    lost_sessions : list of AgentSession
+        Sessions whose stream ended since the last `Liveness`.
     liveness_sent : dict
         For each unconfirmed `Liveness` the heartbeat sequences that it
         covered, by stream.
@@ -431,6 +581,7 @@
     command_calls: dict[str, list[int]] = attrs.Factory(dict)
     outcome_waits: dict[int, GetRequest] = attrs.Factory(dict)
     outcome_calls: dict[str, list[int]] = attrs.Factory(dict)
+    lost_sessions: list[AgentSession] = attrs.Factory(list)
     liveness_sequence: int = 0
     liveness_sent: dict[int, dict[int, int]] = attrs.Factory(dict)
     cluster_timer_at_ms: int | None = None
@@ -478,7 +629,27 @@
 
 @attrs.define
 class AgentTask:
-    """A task as the agent knows it."""
+    """A task as the agent knows it.
+
+    Attributes
+    ----------
+    ran : bool
+        The backend server is known to have started it.
+    on_backend : bool
+        The backend server lists it, or may.
+    in_doubt : bool
+        Nobody answered the start, so it may have been carried out.
+    inherited : bool
+        Ordered before this incarnation, so an earlier one may have sent
+        its start.
+    backend_incarnation : str
+        Incarnation of the backend server when the start was sent.
+    checked_after : int
+        Only a `Describe` with a higher sequence shows that the backend
+        server does not know the task.
+    checkpoint_ms : int or None
+        Time in ms for the checkpoint of the newest stop.
+    """
 
     attempt: AttemptId
     rank: int
@@ -486,6 +657,20 @@
     resources: Resources
     order: StartTask | None = None
     last: BackendTask | None = None
+    accelerators: tuple[int, ...] = ()
+    ran: bool = False
+    on_backend: bool = False
+    in_doubt: bool = False
+    inherited: bool = False
+    backend_incarnation: str = ""
+    checked_after: int = 0
+    start_in_flight: bool = False
+    stop_in_flight: bool = False
+    fetch_in_flight: bool = False
+    stop_sent_ms: int = 0
+    checkpoint_ms: int | None = None
+    usage_sent: Resources | None = None
+    usage_sent_ms: int = 0
 
 
 @attrs.define
@@ -504,6 +689,21 @@
     reports : list of Report
         Reports not yet acknowledged; the first has number
         `first_report`.
+    ended : dict
+        For each attempt the ranks that ended here, and whether the rank
+        provably never ran; orders for these are not carried out again.
+    reports_sent : int
+        Number of the last report sent on the present stream.
+    opening, opened_ms : bool, int
+        Whether a stream is being opened, and when that began.
+    was_welcomed : bool
+        This incarnation has received the full set of wanted members.
+    describe_sequence : int
+        Sequence of the newest `Describe`.
+    described_ms : int
+        Time of sending of the newest `Describe` that was answered.
+    timer_at_ms : int or None
+        Time for which `AgentTimer` is set.
     """
 
     cfg: AgentConfig
@@ -531,4 +731,17 @@
     first_report: int = 1
     counters: dict[str, int] = attrs.Factory(dict)
     stopping: bool = False
+    ended: dict[AttemptId, dict[int, bool]] = attrs.Factory(dict)
+    reports_sent: int = 0
+    counters_sent: dict[str, int] = attrs.Factory(dict)
+    opening: bool = False
+    opened_ms: int = 0
+    was_welcomed: bool = False
+    booted_ms: int = 0
+    describe_sequence: int = 0
+    describe_sent_ms: int = 0
+    describe_in_flight: bool = False
+    describe_again: bool = False
+    described_ms: int = -1_000_000
+    timer_at_ms: int | None = None
     stopping_since_ms: int = 0
