--- /dev/null
+++ b/scripts/tour.py
@@ -0,0 +1,149 @@
+"""Walk through an operator's first hour and write docs/tour.md.
+
+Every command is run against real local processes; the page holds what they
+printed. Ends with status 1 if a command's exit code is not the expected one.
+"""
+
+import json
+import shlex
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import attrs
+from local_hosts import BIN, ROOT, LocalHosts, prepare, running, stop_all
+
+PAGE = ROOT / "docs" / "tour.md"
+DECLARATIONS = "examples/bracketworks/declarations"
+OUTPUT_LINES = 24
+SETTLE_S = 2.0
+
+LARGE_JOB = {
+    "job_class": "load-table",
+    "shape": {
+        "members": 2,
+        "per_member": {"accelerators": 8, "processors": 16, "memory_mb": 32768},
+        "adjacency": "rack",
+    },
+    "run_time_ms": 5000,
+    "checkpoint_ms": 500,
+}
+
+
+@attrs.define
+class Tour:
+    """Runs commands and collects the page."""
+
+    hosts: LocalHosts
+    folder: Path
+    lines: list[str] = attrs.Factory(list)
+    surprises: list[str] = attrs.Factory(list)
+
+    def say(self, text: str) -> None:
+        """Add a sentence to the page."""
+        self.lines += ["", text, ""]
+        print(text)
+
+    def run(self, command: str, expected: int = 0) -> str:
+        """Run a command and add it with its output to the page."""
+        endpoints = ",".join(self.hosts.endpoints()).split(",")
+        options = [part for e in endpoints for part in ("--endpoint", e)]
+        args = shlex.split(command)
+        done = subprocess.run(
+            [str(BIN / "crocuswell"), *options, "--author", "ana", *args[1:]],
+            capture_output=True,
+            text=True,
+            cwd=ROOT,
+            check=False,
+        )
+        output = (done.stdout + done.stderr).rstrip().splitlines()
+        shown = output[:OUTPUT_LINES]
+        if len(output) > OUTPUT_LINES:
+            shown.append(f"... {len(output) - OUTPUT_LINES} more lines")
+        self.lines += ["```console", f"$ {command}", *shown, "```"]
+        print("\n".join([f"$ {command}", *shown]))
+        if done.returncode != expected:
+            self.surprises.append(f"{command}: exit code {done.returncode}")
+        return done.stdout
+
+    def request_ids(self, workspace: str) -> list[str]:
+        """Return the ids of a workspace's requests, newest first."""
+        done = subprocess.run(
+            [
+                str(BIN / "crocuswell"),
+                "--endpoint",
+                self.hosts.endpoints()[0],
+                "--output",
+                "json",
+                "status",
+                workspace,
+            ],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        return [request["id"] for request in json.loads(done.stdout)]
+
+
+def main() -> int:
+    """Run the tour and return the exit status."""
+    with tempfile.TemporaryDirectory(prefix="crocuswell-tour-") as name:
+        folder = Path(name)
+        hosts = prepare(folder)
+        with running(hosts):
+            tour = Tour(hosts, folder)
+            walk(tour)
+            unclean = stop_all(hosts)
+    tour.surprises += unclean
+    text = "\n".join(["# Tour", "", "Made by `make tour`.", *tour.lines, ""])
+    PAGE.write_text(text.replace(str(folder), "/tmp/tour"), encoding="utf-8")
+    for surprise in tour.surprises:
+        print(f"tour: unexpected: {surprise}")
+    print(f"tour: {len(tour.surprises)} unexpected")
+    return 1 if tour.surprises else 0
+
+
+def walk(tour: Tour) -> None:
+    """Do what an operator does in the first hour."""
+    tour.say("Check the declarations, without any server.")
+    tour.run(f"crocuswell validate {DECLARATIONS}")
+    tour.say("Look at the running system: three entry hosts, three workers.")
+    tour.run("crocuswell members")
+    tour.run("crocuswell workers")
+    tour.say("Put the declarations in force. A second apply finds nothing to do.")
+    tour.run(f"crocuswell apply {DECLARATIONS} --yes")
+    tour.run(f"crocuswell apply {DECLARATIONS} --yes")
+    tour.say("Switch to the peak preset and back. A preset must be declared.")
+    tour.run("crocuswell preset switch peak --yes")
+    tour.run("crocuswell preset switch festival --yes", expected=1)
+    tour.run("crocuswell preset switch ordinary --yes")
+    tour.run("crocuswell history")
+    tour.say("Submit a gang job that needs two whole workers in one rack.")
+    job = tour.folder / "load-table.json"
+    job.write_text(json.dumps(LARGE_JOB), encoding="utf-8")
+    tour.run(f"crocuswell submit load-tables {job} --wait")
+    tour.say("Two more at once: the second waits, and `explain` says for what.")
+    for key in ("night-1", "night-2"):
+        tour.run(f"crocuswell submit load-tables {job} --key {key}")
+    waiting, started = tour.request_ids("load-tables")[:2]
+    tour.run(f"crocuswell explain {started}")
+    tour.run(f"crocuswell explain {waiting}")
+    tour.say("Drain a worker: work that can checkpoint moves away.")
+    tour.run("crocuswell drain worker-1 --yes")
+    time.sleep(SETTLE_S)
+    tour.run("crocuswell workers")
+    tour.run("crocuswell undrain worker-1")
+    tour.say("Cancel what is left, and see the outcomes.")
+    tour.run("crocuswell cancel load-tables --job-class load-table --yes")
+    time.sleep(SETTLE_S)
+    tour.run("crocuswell status load-tables")
+    tour.say("Return to an earlier change, as a new one.")
+    tour.run("crocuswell rollback 1 --yes")
+    tour.say("Read whether the service level is kept.")
+    tour.run(f"crocuswell report burn --html {tour.folder / 'burn.html'}")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
