Find out by bucket counts that a gang must wait

Change: an upper bound from the buckets comes first; looking for borrowers that make way considers 96 attempts.

--- a/packages/core/crocuswell_core/placement.py
+++ b/packages/core/crocuswell_core/placement.py
@@ -145,7 +145,7 @@
 
 def _gang_offers(index: SchedulingIndex, need: Need, opened: list[str]) -> list[Offer]:
     shape = need.shape
-    if index.free.members(shape.per_member) < shape.members:
+    if not _may_hold(index, shape):
         return []
     units = index.units[shape.adjacency]
     if opened and shape.adjacency is not Adjacency.NONE:
@@ -169,5 +169,21 @@
     return offers
 
 
+def _may_hold(index: SchedulingIndex, shape: Shape) -> bool:
+    """Tell whether free accelerators and slots could hold a shape at all.
+
+    An upper bound by bucket, so that most gangs that must wait are found
+    out without a look at each worker.
+    """
+    each = shape.per_member.accelerators
+    count = 0
+    for (accelerators, slots), names in index.buckets.items():
+        here = min(slots, accelerators // each) if each else slots
+        count += here * len(names)
+        if count >= shape.members:
+            return True
+    return False
+
+
 def _fits(space: WorkerSpace, need: Need) -> int:
     return space.borrowable(need.shape.per_member, need.movable)
--- a/packages/core/crocuswell_core/short_work.py
+++ b/packages/core/crocuswell_core/short_work.py
@@ -27,7 +27,7 @@
 # Least time in ms between two looks at what waits, and most attempts that one
 # look considers; they bound the cost in a large fleet.
 PAUSE_MS = 200
-ATTEMPTS_TRIED = 256
+ATTEMPTS_TRIED = 96
 
 # Most starts that are being made way for at once.
 OPEN_LIMIT = 8
