Remove the order by response ratio; count failed requests in the benchmark

Fewer failures may also make a variant look better, since failed requests leave the load.

Conclusion: within a workspace urgent work goes first, then the oldest.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -33,7 +33,6 @@
     "no guarantees": attrs.evolve(PRODUCT, guarantees=False),
     "no reservations": attrs.evolve(PRODUCT, reservations=0),
     "no run-time correction": attrs.evolve(PRODUCT, correction=False),
-    "no response ratio": attrs.evolve(PRODUCT, response_ratio=False),
     "no shape scoring": attrs.evolve(PRODUCT, shape_scoring=False),
     "no consolidation": attrs.evolve(PRODUCT, consolidation=False),
     "no short work first": attrs.evolve(PRODUCT, short_first=False),
@@ -87,6 +86,7 @@
     "preemptions": lambda r: r.preemptions,
     "work thrown away": lambda r: r.wasted,
     "refused": lambda r: r.refused,
+    "failed": lambda r: r.failed,
     "unfinished": lambda r: r.unfinished,
     "partial gangs": lambda r: r.partial_gangs,
     "doubled runs": lambda r: r.doubled,
@@ -274,6 +274,7 @@
                     "claims in 2.2 s",
                     "preemptions",
                     "work thrown away",
+                    "failed",
                 )
             ]
             print(f"| {name} | " + " | ".join(cells) + " |", flush=True)
--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -21,7 +21,6 @@
     guarantees=False,
     reservations=1,
     correction=False,
-    response_ratio=False,
     shape_scoring=False,
     consolidation=False,
     quarantine=False,
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -103,6 +103,7 @@
     doubled: int
     false_not_run: int
     refused: int
+    failed: int
     unfinished: int
     events: int
 
@@ -282,6 +283,10 @@
                 for r in requests.values()
             ),
             refused=self.refused,
+            failed=sum(
+                r.outcome is not None and r.outcome.outcome is Outcome.FAILED
+                for r in requests.values()
+            ),
             unfinished=len(outstanding),
             events=self.events,
         )
--- a/packages/core/crocuswell_core/guarantees.py
+++ b/packages/core/crocuswell_core/guarantees.py
@@ -10,6 +10,7 @@
 from crocuswell_core.attempts import place_request, stop_attempt
 from crocuswell_core.borrowing import find_workers
 from crocuswell_core.effects import ClusterEffect, Count, Label
+from crocuswell_core.fairness import lane_order
 from crocuswell_core.forecast import expected_run_ms
 from crocuswell_core.index import (
     RECLAIM_STOP_MS,
@@ -32,7 +33,7 @@
 )
 from crocuswell_core.resources import Resources, Shape
 from crocuswell_core.scoring import choose_by_shapes
-from crocuswell_core.spaces import Lane, Need, Quantity, WorkerSpace
+from crocuswell_core.spaces import Need, Quantity, WorkerSpace
 from crocuswell_core.state import ClusterState, Hold, PlannedShape
 
 
@@ -250,11 +251,6 @@
     )
 
 
-def lane_order(lane: Lane) -> tuple[bool, int, str]:
-    """Order lanes: urgent first, then by the oldest request."""
-    return (not lane.urgent, *lane.order[0])
-
-
 def _claim(cluster: ClusterState, request: Request, hold: Hold) -> list[ClusterEffect]:
     whole = cluster.plan[hold.guarantee].shape == request.spec.shape
     if not whole or (is_movable(request.spec) and not request.spec.urgent):
--- a/packages/core/crocuswell_core/policies.py
+++ b/packages/core/crocuswell_core/policies.py
@@ -20,8 +20,6 @@
         Most blocked requests that hold a reserved start at once.
     correction : bool
         Whether declared run times are corrected by what was observed.
-    response_ratio : bool
-        Whether long waits relative to run time go first in a workspace.
     shape_scoring : bool
         Whether placement counts what remains for the declared shapes.
     consolidation : bool
@@ -35,7 +33,6 @@
     guarantees: bool = True
     reservations: int = 1
     correction: bool = True
-    response_ratio: bool = True
     shape_scoring: bool = True
     consolidation: bool = True
     quarantine: bool = True
--- a/packages/core/crocuswell_core/scheduling.py
+++ b/packages/core/crocuswell_core/scheduling.py
@@ -9,7 +9,7 @@
 from crocuswell_core.borrowing import Tries, find_workers, reserve_would_shrink
 from crocuswell_core.consolidation import consolidate, resume_moved
 from crocuswell_core.effects import ClusterEffect
-from crocuswell_core.fairness import dominant_share, lane_priority
+from crocuswell_core.fairness import dominant_share, lane_order
 from crocuswell_core.guarantees import serve_claims, update_plan
 from crocuswell_core.health import review_workers
 from crocuswell_core.index import index_of, need_of
@@ -124,7 +124,7 @@
     policy: StandingPolicy, cluster: ClusterState, lanes: list[Lane]
 ) -> Lane | None:
     lanes[:] = [lane for lane in lanes if _is_worth_trying(policy, cluster, lane)]
-    return min(lanes, key=lambda lane: lane_priority(cluster, lane), default=None)
+    return min(lanes, key=lane_order, default=None)
 
 
 def _is_worth_trying(policy: StandingPolicy, cluster: ClusterState, lane: Lane) -> bool:
