--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup format lint test bench bench-ablations demo demo-kill clean
+SEED ?= 1
+STEPS ?= 200000
+
+.PHONY: setup format lint test soak model demo demo-kill failures rolling tour bench bench-ablations bench-agent capacity clean
 
 setup: $(VENV)/.ready
 
@@ -24,17 +27,41 @@
 test: setup
 	$(BIN)/python -m pytest -n 4
 
+# Random faults on the agreement protocol; a failing seed replays exactly.
+soak: setup
+	$(BIN)/python -m scripts.soak --seed $(SEED) --steps $(STEPS)
+
 bench: setup
 	$(BIN)/python -m bench
 
 bench-ablations: setup
 	$(BIN)/python -m bench --ablations
 
+# Exhaustive search of the protocol's specifications; takes minutes.
+model: setup
+	$(BIN)/python -m scripts.model
+
 demo: setup
 	$(BIN)/python scripts/demo.py
 
 demo-kill: setup
 	$(BIN)/python scripts/demo.py --kill-leader
 
+# Kills, freezes, cuts off and restarts real processes under load.
+failures: setup
+	$(BIN)/python scripts/failures.py
+
+rolling: setup
+	$(BIN)/python scripts/failures.py rolling-restart
+
+tour: setup
+	$(BIN)/python scripts/tour.py
+
+capacity: setup
+	$(BIN)/python -m bench.capacity
+
+bench-agent: setup
+	$(BIN)/python bench/agent_memory.py
+
 clean:
 	rm -rf $(VENV)
--- a/packages/core/crocuswell_core/liveness.py
+++ b/packages/core/crocuswell_core/liveness.py
@@ -85,7 +85,7 @@
     message = _collect(state)
     if election.holds_lease(state):
         refused = _note_heard(state, message)
-        effects += _confirm(state, message.sequence, refused, state.cluster.number)
+        effects += _confirm(state, message.sequence, refused)
         return effects + _watch_workers(state) + _watch_configuration(state)
     leader = state.consensus.leader
     if leader is not None and leader != state.cfg.host.id:
@@ -105,7 +105,11 @@
 
 @handle_peer.register
 def _(message: LivenessReply, state: EntryState, sender: str) -> list[Effect]:
-    return _confirm(state, message.sequence, message.refused, message.number)
+    # An extension carries this host's run lease, which must not be an older
+    # and longer one than the leader counts with.
+    if message.number > state.cluster.number:
+        return []
+    return _confirm(state, message.sequence, message.refused)
 
 
 def _collect(state: EntryState) -> Liveness:
@@ -122,7 +126,13 @@
         )
     state.liveness_sent[state.liveness_sequence] = covered
     state.liveness_sent.pop(state.liveness_sequence - LIVENESS_WINDOW, None)
-    return Liveness(state.liveness_sequence, state.cluster.number, tuple(heard))
+    lost = tuple(
+        WorkerLiveness(session.worker, session.incarnation, session.number)
+        for session in state.lost_sessions
+        if session.worker not in state.sessions
+    )
+    state.lost_sessions = []
+    return Liveness(state.liveness_sequence, state.cluster.number, tuple(heard), lost)
 
 
 def _note_heard(state: EntryState, message: Liveness) -> tuple[str, ...]:
@@ -141,11 +151,15 @@
         state.heard_workers[heard.worker] = HeardWorker(
             heard.incarnation, state.now_ms, heard.number
         )
+    for lost in message.lost:
+        known = state.heard_workers.get(lost.worker)
+        if known is not None and known.incarnation == lost.incarnation:
+            known.lost = True
     return tuple(refused)
 
 
 def _confirm(
-    state: EntryState, sequence: int, refused: tuple[str, ...], number: int
+    state: EntryState, sequence: int, refused: tuple[str, ...]
 ) -> list[Effect]:
     covered = state.liveness_sent.pop(sequence, {})
     effects: list[Effect] = []
@@ -157,7 +171,7 @@
             effects += _refuse(state, session)
             continue
         session.confirmed_sequence = max(session.confirmed_sequence, confirmed)
-        effects += send_heartbeat(state, session, number)
+        effects += send_heartbeat(state, session)
         effects += confirm_session(state, session)
     return effects
 
@@ -178,7 +192,6 @@
 def _watch_workers(state: EntryState) -> list[Effect]:
     """Suspect workers that miss heartbeats; declare the silent ones."""
     effects: list[Effect] = []
-    silent_ms = _longest_run_lease_ms(state) + state.cfg.lease_margin_ms
     for name, worker in state.cluster.workers.items():
         if worker.mode is WorkerMode.SILENT:
             continue
@@ -187,26 +200,28 @@
             heard = HeardWorker(worker.incarnation, state.now_ms)
             state.heard_workers[name] = heard
         age_ms = state.now_ms - heard.heard_ms
+        run_lease_ms = _longest_run_lease_ms(state, heard.number)
+        silent_ms = run_lease_ms + state.cfg.lease_margin_ms
         if age_ms >= silent_ms and state.declared.get(name) != worker.incarnation:
             state.declared[name] = worker.incarnation
             effects += _propose(state, DeclareSilent(name, worker.incarnation))
-        suspect = age_ms >= state.cfg.agent_silence_ms
+        suspect = heard.lost or age_ms >= state.cfg.agent_silence_ms
         if suspect != (worker.mode is WorkerMode.SUSPECT):
             command = SuspectWorker(name, worker.incarnation, suspect)
             effects += _propose(state, command)
     return effects
 
 
-def _longest_run_lease_ms(state: EntryState) -> int:
-    """Return the longest run lease in ms that an agent may still hold."""
-    history = state.cluster.history
-    in_force = state.cluster.number_in_force
-    leases = [
+def _longest_run_lease_ms(state: EntryState, number: int) -> int:
+    """Return the longest run lease in ms of an agent that confirmed `number`.
+
+    It may have received any newer configuration since.
+    """
+    return max(
         change.configuration.limits.run_lease_ms
-        for change in history
-        if change.number >= in_force
-    ]
-    return max(leases, default=state.cluster.configuration.limits.run_lease_ms)
+        for change in state.cluster.history
+        if change.number >= min(number, state.cluster.number)
+    )
 
 
 def _watch_configuration(state: EntryState) -> list[Effect]:
--- a/packages/core/crocuswell_core/sessions.py
+++ b/packages/core/crocuswell_core/sessions.py
@@ -47,6 +47,9 @@
 
 @handle.register
 def _(event: AgentStreamClosed, state: EntryState) -> list[Effect]:
+    session = session_of(state, event.stream_id)
+    if session is not None:
+        state.lost_sessions.append(session)
     _forget_stream(state, event.stream_id)
     return []
 
@@ -67,6 +70,7 @@
         info=message.info,
         backend_incarnation=message.backend_incarnation,
         attempts=message.attempts,
+        heard_sequence=message.sequence,
     )
     state.sessions[worker] = session
     state.streams[stream_id] = worker
@@ -159,14 +163,12 @@
     return state.sessions.get(worker) if worker is not None else None
 
 
-def send_heartbeat(
-    state: EntryState, session: AgentSession, number: int | None = None
-) -> list[Effect]:
+def send_heartbeat(state: EntryState, session: AgentSession) -> list[Effect]:
     """Send a heartbeat to an agent, with what the leader has confirmed."""
     session.heartbeat_sent_ms = state.now_ms
     heartbeat = EntryHeartbeat(
         confirmed=session.confirmed_sequence,
-        number=max(number or 0, state.cluster.number),
+        number=state.cluster.number,
         run_lease_ms=state.cluster.configuration.limits.run_lease_ms,
     )
     return [SendAgent(session.stream_id, heartbeat)]
@@ -190,6 +192,7 @@
         number=state.cluster.number,
         run_lease_ms=state.cluster.configuration.limits.run_lease_ms,
         acknowledged=state.cluster.report_sequences.get(worker, 0),
+        confirmed=session.confirmed_sequence,
     )
     return [SendAgent(session.stream_id, welcome)]
 
--- a/packages/core/crocuswell_core/state.py
+++ b/packages/core/crocuswell_core/state.py
@@ -414,6 +414,9 @@
         First membership; later ones come from the log.
     initial_configuration : Configuration
         Applied as number 0 before any change.
+    append_entries : int
+        Most entries in one `Append`; a host that lags behind is sent the
+        next ones when it acknowledges these.
     """
 
     host: EntryHost
@@ -430,6 +433,7 @@
     agent_silence_ms: int = 2_500
     lease_margin_ms: int = 500
     admission_lease_ms: int = 5_000
+    append_entries: int = 128
     snapshot_entries: int = 2_000
     replace_voter_ms: int = 30_000
     call_limit_ms: int = 30_000
@@ -520,11 +524,14 @@
     ----------
     number : int
         Configuration number that the agent confirmed.
+    lost : bool
+        Whether its stream ended and it was not heard since.
     """
 
     incarnation: str
     heard_ms: int
     number: int = 0
+    lost: bool = False
 
 
 @attrs.define
@@ -546,6 +553,8 @@
     heard_hosts : dict
         On the leader: when each entry host was last heard and the
         configuration number it has applied.
+    lost_sessions : list of AgentSession
+        Sessions whose stream ended since the last `Liveness`.
     liveness_sent : dict
         For each unconfirmed `Liveness` the heartbeat sequences that it
         covered, by stream.
@@ -578,6 +587,7 @@
     command_calls: dict[str, list[int]] = attrs.Factory(dict)
     outcome_waits: dict[int, GetRequest] = attrs.Factory(dict)
     outcome_calls: dict[str, list[int]] = attrs.Factory(dict)
+    lost_sessions: list[AgentSession] = attrs.Factory(list)
     liveness_sequence: int = 0
     liveness_sent: dict[int, dict[int, int]] = attrs.Factory(dict)
     cluster_timer_at_ms: int | None = None
@@ -625,7 +635,27 @@
 
 @attrs.define
 class AgentTask:
-    """A task as the agent knows it."""
+    """A task as the agent knows it.
+
+    Attributes
+    ----------
+    ran : bool
+        The backend server is known to have started it.
+    on_backend : bool
+        The backend server lists it, or may.
+    in_doubt : bool
+        Nobody answered the start, so it may have been carried out.
+    inherited : bool
+        Ordered before this incarnation, so an earlier one may have sent
+        its start.
+    backend_incarnation : str
+        Incarnation of the backend server when the start was sent.
+    checked_after : int
+        Only a `Describe` with a higher sequence shows that the backend
+        server does not know the task.
+    checkpoint_ms : int or None
+        Time in ms for the checkpoint of the newest stop.
+    """
 
     attempt: AttemptId
     rank: int
@@ -633,6 +663,20 @@
     resources: Resources
     order: StartTask | None = None
     last: BackendTask | None = None
+    accelerators: tuple[int, ...] = ()
+    ran: bool = False
+    on_backend: bool = False
+    in_doubt: bool = False
+    inherited: bool = False
+    backend_incarnation: str = ""
+    checked_after: int = 0
+    start_in_flight: bool = False
+    stop_in_flight: bool = False
+    fetch_in_flight: bool = False
+    stop_sent_ms: int = 0
+    checkpoint_ms: int | None = None
+    usage_sent: Resources | None = None
+    usage_sent_ms: int = 0
 
 
 @attrs.define
@@ -646,11 +690,28 @@
     lease_from_ms : int
         Time from which the leases run; they end at this time plus their
         length.
+    newest_start_ms : int
+        Time at which the newest start was sent.
     epochs : dict
         For each request the highest epoch seen, to refuse older orders.
     reports : list of Report
         Reports not yet acknowledged; the first has number
         `first_report`.
+    ended : dict
+        For each attempt the ranks that ended here, and whether the rank
+        provably never ran; orders for these are not carried out again.
+    reports_sent : int
+        Number of the last report sent on the present stream.
+    opening, opened_ms : bool, int
+        Whether a stream is being opened, and when that began.
+    was_welcomed : bool
+        This incarnation has received the full set of wanted members.
+    describe_sequence : int
+        Sequence of the newest `Describe`.
+    described_ms : int
+        Time of sending of the newest `Describe` that was answered.
+    timer_at_ms : int or None
+        Time for which `AgentTimer` is set.
     """
 
     cfg: AgentConfig
@@ -677,5 +738,19 @@
     reports: list[Report] = attrs.Factory(list)
     first_report: int = 1
     counters: dict[str, int] = attrs.Factory(dict)
+    newest_start_ms: int = -1_000_000
     stopping: bool = False
+    ended: dict[AttemptId, dict[int, bool]] = attrs.Factory(dict)
+    reports_sent: int = 0
+    counters_sent: dict[str, int] = attrs.Factory(dict)
+    opening: bool = False
+    opened_ms: int = 0
+    was_welcomed: bool = False
+    booted_ms: int = 0
+    describe_sequence: int = 0
+    describe_sent_ms: int = 0
+    describe_in_flight: bool = False
+    describe_again: bool = False
+    described_ms: int = -1_000_000
+    timer_at_ms: int | None = None
     stopping_since_ms: int = 0
--- /dev/null
+++ b/packages/daemon/crocuswell_daemon/agent_main.py
@@ -0,0 +1,94 @@
+"""Builds and runs an agent; started by `lean`."""
+
+import asyncio
+import base64
+import os
+import random
+import sys
+from contextlib import AsyncExitStack
+from functools import partial
+
+import attrs
+import msgpack
+
+from crocuswell_core.effects import Halt
+from crocuswell_core.events import AgentBooted, AgentStopRequested
+from crocuswell_core.messages import EntryMessage
+from crocuswell_core.reducer import reduce
+from crocuswell_core.state import AgentState
+from crocuswell_daemon import logs, wire
+from crocuswell_daemon.backend_client import BackendClient
+from crocuswell_daemon.counters import PlainCounters
+from crocuswell_daemon.entry_stream import EntryLink
+from crocuswell_daemon.interpreter import AgentParts, Interpreter
+from crocuswell_daemon.process import (
+    EXIT_FAULT,
+    choose_seed,
+    halt_at_start,
+    log_start,
+    log_stop,
+    post_on_stop_signals,
+)
+from crocuswell_daemon.roles import AgentSettings
+from crocuswell_daemon.runtime import Runtime
+from crocuswell_daemon.timer_service import TimerService
+
+SETTINGS_VARIABLE = "CROCUSWELL_AGENT_SETTINGS"
+
+
+def pack_settings(settings: AgentSettings) -> str:
+    """Return checked settings as text for `SETTINGS_VARIABLE`."""
+    return base64.b64encode(msgpack.packb(attrs.asdict(settings))).decode()
+
+
+def unpack_settings(text: str) -> AgentSettings:
+    """Return the settings that `pack_settings` was given."""
+    fields = msgpack.unpackb(base64.b64decode(text), use_list=False)
+    return AgentSettings(**fields)
+
+
+def run(settings: AgentSettings) -> int:
+    """Run an agent until it is stopped and return the exit status."""
+    logs.configure()
+    # Changes at each start, so that entry hosts tell the runs apart.
+    incarnation = os.urandom(8).hex()
+    log = logs.LogWriter(f"agent-{incarnation}")
+    try:
+        halt = asyncio.run(_serve(settings, incarnation, log))
+    except OSError as exc:
+        halt = halt_at_start(exc)
+    return log_stop(log, halt)
+
+
+async def _serve(
+    settings: AgentSettings, incarnation: str, log: logs.LogWriter
+) -> Halt:
+    seed = choose_seed(settings.seed)
+    cfg = settings.core_config(seed, incarnation)
+    # Agents with the same seed must not reconnect at the same moment.
+    state = AgentState(cfg, random.Random(f"{seed}:{settings.backend_server}"))
+    async with AsyncExitStack() as stack:
+        runtime = stack.enter_context(Runtime(reduce, state))
+        runtime.post(AgentBooted())
+        loop = asyncio.get_running_loop()
+        timers = stack.enter_context(TimerService(runtime.post, loop))
+        backend = stack.enter_context(
+            BackendClient(settings.backend_address, runtime.post)
+        )
+        decode = partial(wire.decode, expected=EntryMessage)
+        entry = await stack.enter_async_context(
+            EntryLink(wire.encode, decode, runtime.post)
+        )
+        parts = AgentParts(timers, PlainCounters(), log, entry, backend)
+        post_on_stop_signals(runtime.post, AgentStopRequested())
+        log_start(log, settings.role)
+        return await runtime.run(Interpreter(parts))
+
+
+def main() -> int:
+    """Run an agent with the settings that `crocuswelld` has checked."""
+    text = os.environ.pop(SETTINGS_VARIABLE, None)
+    if text is None:
+        print("start agents with crocuswelld SETTINGS.yaml", file=sys.stderr)
+        return EXIT_FAULT
+    return run(unpack_settings(text))
--- /dev/null
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -0,0 +1,101 @@
+"""The closed table of metrics, and counters without a metrics library."""
+
+import attrs
+
+from crocuswell_core.effects import Label
+
+PREFIX = "crocuswell_"
+
+
+@attrs.frozen
+class Metric:
+    """A known metric.
+
+    Attributes
+    ----------
+    labels : tuple of str
+        Label names in order; their values come from bounded sets.
+    buckets : tuple of float
+        Upper bounds of a histogram's buckets; empty for a counter.
+    """
+
+    help: str
+    labels: tuple[str, ...] = ()
+    buckets: tuple[float, ...] = ()
+
+
+# The bounds contain 2.2 s, the limit for urgent work.
+SECONDS = (
+    *(0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.2, 5.0, 10.0, 30.0, 60.0),
+    *(300.0, 1_800.0, 3_600.0, 14_400.0, 86_400.0),
+)
+
+METRICS: dict[str, Metric] = {
+    "agent_events_total": Metric("Events counted by agents", ("event",)),
+    "agent_messages_dropped": Metric(
+        "Messages to agents that were not sent", ("reason",)
+    ),
+    "agent_streams_refused": Metric("Agent streams beyond the limit"),
+    "agent_streams_silent_total": Metric("Agent streams closed for silence"),
+    "http_answers_late": Metric("Answers to calls that nobody waited for"),
+    "http_responses": Metric("HTTP responses", ("status",)),
+    "moves_total": Metric("Attempts moved to make room for a gang"),
+    "peer_connects_failed": Metric("Failed attempts to open a link", ("peer",)),
+    "peer_links_lost": Metric("Lost links to entry hosts", ("peer",)),
+    "peer_messages_dropped": Metric(
+        "Messages to entry hosts that were not sent", ("peer", "reason")
+    ),
+    "preemptions_total": Metric("Attempts stopped for a claim", ("workspace",)),
+    "probes_total": Metric("Probes of quarantined workers"),
+    "quarantines_total": Metric("Workers put into quarantine"),
+    "reports_dropped_total": Metric("Reports without an attempt or outcome to end"),
+    "reports_stale_total": Metric("Reports of an earlier incarnation or after a gap"),
+    "request_completion_seconds": Metric(
+        "Time from acceptance to outcome", ("workspace",), SECONDS
+    ),
+    "requests_accepted_total": Metric("Accepted requests", ("workspace",)),
+    "requests_ended_total": Metric("Ended requests", ("workspace", "outcome")),
+    "requests_refused_total": Metric("Refused requests", ("workspace", "kind")),
+    "reservations_unconfirmed_total": Metric("Gangs whose agents did not confirm"),
+    "retries_total": Metric("Retries of requests", ("workspace",)),
+    "usage_contradictions_total": Metric(
+        "Usage reports that contradict the tables", ("kind",)
+    ),
+    "yields_total": Metric("Long borrowers stopped for short work"),
+}
+
+
+class UnknownMetricError(Exception):
+    """A metric is not in `METRICS` or has other labels there."""
+
+
+def find_metric(name: str, labels: tuple[Label, ...]) -> Metric:
+    """Return the metric's entry in the table.
+
+    Raises
+    ------
+    UnknownMetricError
+        If the name or the label names differ from the table.
+    """
+    metric = METRICS.get(name)
+    if metric is None:
+        raise UnknownMetricError(f"{name} is not in the table of metrics")
+    names = tuple(label.name for label in labels)
+    if names != metric.labels:
+        raise UnknownMetricError(f"{name} has labels {names}, not {metric.labels}")
+    return metric
+
+
+class PlainCounters:
+    """Counters of an agent; they reach `/metrics` through heartbeats."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, int] = {}
+
+    def count(self, name: str, amount: int, labels: tuple[Label, ...]) -> None:
+        """Add to a counter; labels are left out."""
+        self.values[name] = self.values.get(name, 0) + amount
+
+    def observe(self, name: str, value: float, labels: tuple[Label, ...]) -> None:
+        """Count the observation; the value is left out."""
+        self.count(name, 1, labels)
