--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,18 +17,18 @@
 from bench.replay import Result, run
 from bench.scaling import SIZES, Cost, measure_cost
 from bench.traces import BRACKETWORKS, DEPLOYMENTS, SKUPNI_TISK, make_trace
-from crocuswell_core.policies import Policy, StandingPolicy
+from crocuswell_core.policies import StandingPolicy
 
 FINAL_SEEDS = tuple(range(101, 111))
 ABLATION_SEEDS = tuple(range(101, 105))
 PROCESSES = 6
-POLICIES: dict[str, Policy] = {
+POLICIES: dict[str, StandingPolicy] = {
     "a": FirstComeFirstServed(),
     "b": FAIR_SHARE,
     "c": StandingPolicy(),
 }
 PRODUCT = StandingPolicy()
-ABLATIONS: dict[str, Policy] = {
+ABLATIONS: dict[str, StandingPolicy] = {
     "all elements": PRODUCT,
     "no guarantees": attrs.evolve(PRODUCT, guarantees=False),
     "no reservations": attrs.evolve(PRODUCT, reservations=0),
@@ -47,7 +47,7 @@
     """One replay to run."""
 
     deployment: str
-    policy: Policy
+    policy: StandingPolicy
     seed: int
     load: float = 0.8
     disturbed: bool = True
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -12,7 +12,7 @@
     RequestAccepted,
     SubmitRequest,
 )
-from crocuswell_core.policies import Policy
+from crocuswell_core.policies import StandingPolicy
 from crocuswell_core.records import Outcome, Request
 from crocuswell_core.resources import Adjacency, Shape
 from crocuswell_core.state import ClusterState
@@ -169,7 +169,7 @@
     return sum(count // shape.members for count in units.values())
 
 
-def run(trace: Trace, policy: Policy) -> Result:
+def run(trace: Trace, policy: StandingPolicy) -> Result:
     """Replay a trace under a policy."""
     world = World(ClusterState(policy=policy))
     world.apply(ChangeConfiguration(0, trace.deployment.configuration, "bench"))
--- a/packages/core/crocuswell_core/state.py
+++ b/packages/core/crocuswell_core/state.py
@@ -9,7 +9,7 @@
 from crocuswell_core.commands import CommandReply, EntryHost, LogEntry, Proposal, Report
 from crocuswell_core.configuration import Configuration, ConfigurationChange
 from crocuswell_core.messages import GetRequest, ReadCall, StartTask
-from crocuswell_core.policies import Policy, StandingPolicy
+from crocuswell_core.policies import StandingPolicy
 from crocuswell_core.records import Attempt, AttemptId, Request, Worker, WorkerInfo
 from crocuswell_core.resources import Resources, Shape
 from crocuswell_core.spaces import SchedulingIndex
@@ -279,7 +279,7 @@
     moved_at_ms: int = 0
     moved: dict[str, None] = attrs.Factory(dict)
     made_way_at_ms: int = 0
-    policy: Policy = attrs.Factory(StandingPolicy)
+    policy: StandingPolicy = attrs.Factory(StandingPolicy)
     index: SchedulingIndex | None = attrs.field(
         default=None, init=False, eq=False, repr=False
     )
