--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -164,7 +164,7 @@
 
 
 def test_stopping_host_does_not_take_leadership_over() -> None:
-    """Guards against two stopping hosts that hand leadership back and forth."""
+    """Guards against two stopping hosts that pass leadership to and fro."""
     host = welcomed_host()
     host.post(EntryStopRequested())
     consensus = host.state.consensus
