Run the whole platform under random faults

Cause: the random runs covered the agreement protocol and a single agent, but not hosts, agents, backend servers and callers together. Change: tests/platform_simulator.py adds agents with fake backend servers, their streams, and callers to the simulated entry hosts; platform_checks holds the invariants. `make soak-platform SEED=n STEPS=m` runs it.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 STEPS ?= 200000
 
-.PHONY: setup format lint test soak model demo demo-kill failures rolling tour bench bench-ablations bench-agent capacity clean
+.PHONY: setup format lint test soak soak-platform model demo demo-kill failures rolling tour bench bench-ablations bench-agent capacity clean
 
 setup: $(VENV)/.ready
 
@@ -31,6 +31,10 @@
 soak: setup
 	$(BIN)/python -m scripts.soak --seed $(SEED) --steps $(STEPS)
 
+# The same with agents, backend servers and callers.
+soak-platform: setup
+	$(BIN)/python -m scripts.soak --platform --seed $(SEED) --steps $(STEPS)
+
 bench: setup
 	$(BIN)/python -m bench
 
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,5 +1,7 @@
 """Run the agreement protocol under random faults and check its invariants.
 
+With `--platform`, agents, backend servers and callers take part too.
+
 Runs as many seeds as the steps fill, from the first one on. A seed with
 the same number of steps replays exactly; runs of at most
 `STEPS_PER_SEED` steps are one seed.
@@ -11,6 +13,7 @@
 from collections import Counter
 
 from tests.agreement_checks import run_seed
+from tests.platform_simulator import run_platform_seed
 
 STEPS_PER_SEED = 20_000
 
@@ -19,7 +22,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--steps", type=int, default=200_000)
+    parser.add_argument("--platform", action="store_true")
     args = parser.parse_args()
+    run = run_platform_seed if args.platform else run_seed
+    target = "soak-platform" if args.platform else "soak"
     faults: Counter[str] = Counter()
     steps = seeds = violations = 0
     while steps < args.steps:
@@ -27,13 +33,13 @@
         limit = min(STEPS_PER_SEED, args.steps - steps)
         seeds += 1
         try:
-            simulation = run_seed(seed, limit)
+            simulation = run(seed, limit)
         except Exception:
             # The core also raises where its own state is inconsistent.
             violations += 1
             steps += limit
             traceback.print_exc(limit=-3)
-            print(f"replay: make soak SEED={seed} STEPS={limit}")
+            print(f"replay: make {target} SEED={seed} STEPS={limit}")
             continue
         steps += simulation.steps
         faults += simulation.faults
--- /dev/null
+++ b/tests/platform_simulator.py
@@ -0,0 +1,372 @@
+"""The whole platform on a simulated network, disk and clock.
+
+Adds agents with fake backend servers, their streams, and callers to the
+entry hosts of `simulator`.
+"""
+
+from functools import partial
+
+import attrs
+
+from crocuswell_core.backend import BackendCall, Unreachable
+from crocuswell_core.effects import (
+    AnswerCall,
+    CallBackend,
+    CloseAgentStream,
+    CloseEntryStream,
+    Effect,
+    Halt,
+    OpenEntryStream,
+    SendAgent,
+    SendEntry,
+    StartTimer,
+)
+from crocuswell_core.events import (
+    AgentMessageReceived,
+    AgentStopRequested,
+    AgentStreamClosed,
+    BackendReplied,
+    EntryMessageReceived,
+    EntryStopRequested,
+    EntryStreamClosed,
+    EntryStreamOpened,
+    Event,
+    TimerFired,
+)
+from crocuswell_core.records import RequestPhase, WorkerInfo
+from crocuswell_core.resources import Resources
+from crocuswell_core.timers import Timer
+from tests.platform_callers import Callers
+from tests.platform_checks import PlatformChecks
+from tests.simulated_agent import SimulatedWorker, Stream, Work
+from tests.simulated_host import Host, InvariantError
+from tests.simulator import Simulation
+
+# The margin of a lease (500 ms on 15 s) allows two clocks 1% of drift each.
+CLOCK_DRIFT = 0.01
+WORKERS = 3
+CAPACITY = Resources(4, 16, 16_000)
+CLIENT_TIMEOUT_MS = 2_000
+# Run lease and margin, five attempts of at most 5 s with back-off, queueing.
+SETTLE_MS = 180_000
+TO_ENTRY, TO_AGENT = 0, 1
+
+
+class Platform(Simulation):
+    """Entry hosts, workers and callers under one seed."""
+
+    def __init__(self, seed: int):
+        self.work = Work()
+        self.workers: list[SimulatedWorker] = []
+        self.streams: dict[tuple[str, int], Stream] = {}
+        self.callers = Callers(self)
+        super().__init__(seed, PlatformChecks(self.work, self.workers))
+        for host in self.hosts.values():
+            host.rate = 1 + self.rng.uniform(-CLOCK_DRIFT, CLOCK_DRIFT)
+        entries = tuple(host.cfg.host.address for host in self.hosts.values())
+        for number in range(1, WORKERS + 1):
+            info = WorkerInfo(f"w{number}", "r1", f"domain{number}", CAPACITY)
+            rate = 1 + self.rng.uniform(-CLOCK_DRIFT, CLOCK_DRIFT)
+            offset_ms = self.rng.randint(0, 100_000)
+            worker = SimulatedWorker(info, rate, offset_ms, entries, self.work)
+            self.workers.append(worker)
+            self._boot_agent(worker)
+        self._after(self.profile.fault_every_ms, self._break_worker)
+        self._after(2_000, self.callers.act)
+
+    # --- agents ----------------------------------------------------------
+
+    def _boot_agent(self, worker: SimulatedWorker) -> None:
+        self._carry_out_agent(worker, worker.boot(self.rng, self.time_ms))
+
+    def _reduce_agent(
+        self, worker: SimulatedWorker, generation: int, event: Event
+    ) -> None:
+        if worker.generation != generation or worker.state is None:
+            return
+        if worker.frozen_until > self.time_ms:
+            delay_ms = worker.frozen_until - self.time_ms
+            retry = partial(self._reduce_agent, worker, generation, event)
+            self._after(delay_ms, retry)
+            return
+        self.steps += 1
+        self._carry_out_agent(worker, worker.reduce(event, self.time_ms))
+
+    def _post_agent(
+        self, worker: SimulatedWorker, delay_ms: float, event: Event
+    ) -> None:
+        deliver = partial(self._reduce_agent, worker, worker.generation, event)
+        self._after(delay_ms, deliver)
+
+    def _carry_out_agent(self, worker: SimulatedWorker, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case StartTimer(timer, delay_ms):
+                    self._start_agent_timer(worker, timer, delay_ms)
+                case CallBackend(call):
+                    self._call_backend(worker, call)
+                case OpenEntryStream(stream_id, address):
+                    self._open_stream(worker, stream_id, address)
+                case CloseEntryStream(stream_id):
+                    stream = self._stream_of(worker, stream_id)
+                    if stream:
+                        self._end_stream(stream)
+                case SendEntry(stream_id, message):
+                    stream = self._stream_of(worker, stream_id)
+                    if stream:
+                        event = AgentMessageReceived(stream.entry_id, message)
+                        self._send_on(stream, TO_ENTRY, event)
+                case Halt():
+                    self._crash_agent(worker)
+
+    def _start_agent_timer(
+        self, worker: SimulatedWorker, timer: Timer, delay_ms: int
+    ) -> None:
+        token = next(self._sequence)
+        worker.timers[timer] = token
+        generation = worker.generation
+
+        def fire() -> None:
+            if worker.timers.get(timer) == token:
+                del worker.timers[timer]
+                self._reduce_agent(worker, generation, TimerFired(timer))
+
+        self._after(delay_ms / worker.rate, fire)
+
+    def _crash_agent(self, worker: SimulatedWorker) -> None:
+        if worker.state is None:
+            return
+        self.faults["agent_crash"] += 1
+        worker.state = None
+        worker.timers.clear()
+        for stream in list(self.streams.values()):
+            if stream.worker is worker:
+                self._end_stream(stream)
+        generation = worker.generation
+
+        def restart() -> None:
+            if worker.generation == generation:
+                self._boot_agent(worker)
+
+        self._after(self.rng.choice((300, 3_000, 25_000)) * self.rng.random(), restart)
+
+    def _call_backend(self, worker: SimulatedWorker, call: BackendCall) -> None:
+        timed_out = BackendReplied(call, Unreachable("timeout", sent=True))
+        if worker.backend_down:
+            refused = BackendReplied(call, Unreachable("refused", sent=False))
+            self._post_agent(worker, 1, refused)
+            return
+        slow = not self.calm and self.rng.random() < self.profile.slow
+        there_ms, back_ms = (
+            self.rng.uniform(0, 1_500 if slow else 3) for _ in range(2)
+        )
+        lost = not self.calm and self.rng.random() < self.profile.loss / 2
+        incarnation, generation = worker.backend.incarnation, worker.generation
+        late = there_ms + back_ms >= CLIENT_TIMEOUT_MS
+        if lost or late:
+            self.faults["backend_reply_lost"] += 1
+            self._post_agent(worker, CLIENT_TIMEOUT_MS, timed_out)
+
+        def arrive() -> None:
+            gone = worker.backend_down or worker.backend.incarnation != incarnation
+            if gone:
+                reset = BackendReplied(call, Unreachable("reset", sent=True))
+                answer = None if lost or late else reset
+            else:
+                reply = worker.serve(call, self.time_ms)
+                answer = None if lost or late else BackendReplied(call, reply)
+            if answer:
+                deliver = partial(self._reduce_agent, worker, generation, answer)
+                self._after(back_ms, deliver)
+
+        self._after(there_ms, arrive)
+
+    # --- streams ---------------------------------------------------------
+
+    def _stream_of(self, worker: SimulatedWorker, stream_id: int) -> Stream | None:
+        for stream in self.streams.values():
+            same = stream.worker is worker and stream.agent_id == stream_id
+            if same and stream.generation == worker.generation:
+                return stream
+        return None
+
+    def _open_stream(
+        self, worker: SimulatedWorker, stream_id: int, address: str
+    ) -> None:
+        host = self.hosts[address.partition(":")[0]]
+        if host.state is None:
+            self._post_agent(worker, 1, EntryStreamClosed(stream_id, "refused"))
+            return
+        if not self.calm and self.rng.random() < self.profile.loss:
+            self.faults["open_hangs"] += 1
+            return
+        entry_id = next(self._sequence)
+        incarnation = host.incarnation
+        stream = Stream(
+            worker, worker.generation, stream_id, host.id, incarnation, entry_id
+        )
+        self.streams[host.id, entry_id] = stream
+        self._post_agent(worker, self.rng.uniform(1, 5), EntryStreamOpened(stream_id))
+
+    def _send_on(self, stream: Stream, way: int, event: Event) -> None:
+        """Deliver in order within the stream, with delays of its own."""
+        if stream.silent:
+            return
+        delay_ms = self.rng.uniform(0.5, 3)
+        if not self.calm and self.rng.random() < self.profile.slow:
+            self.faults["stream_delay"] += 1
+            delay_ms += self.rng.uniform(1, 1_500)
+        at_ms = max(stream.last_ms[way], self.time_ms + delay_ms)
+        stream.last_ms[way] = at_ms
+
+        def deliver() -> None:
+            if stream.silent or (stream.host, stream.entry_id) not in self.streams:
+                return
+            if way == TO_AGENT:
+                self._reduce_agent(stream.worker, stream.generation, event)
+                return
+            host = self.hosts[stream.host]
+            if host.incarnation == stream.incarnation:
+                self._post(host, event)
+
+        self._after(at_ms - self.time_ms, deliver)
+
+    def _end_stream(self, stream: Stream) -> None:
+        """End a stream; each end is told, unless the stream is silent."""
+        self.streams.pop((stream.host, stream.entry_id), None)
+        if stream.silent:
+            return
+        closed = EntryStreamClosed(stream.agent_id, "reset")
+        deliver = partial(self._reduce_agent, stream.worker, stream.generation, closed)
+        self._after(1, deliver)
+        host = self.hosts[stream.host]
+        if host.incarnation == stream.incarnation:
+            self._post(host, AgentStreamClosed(stream.entry_id))
+
+    # --- entry hosts -----------------------------------------------------
+
+    def _crash(self, host: Host) -> None:
+        super()._crash(host)
+        for stream in list(self.streams.values()):
+            if stream.host == host.id:
+                self._end_stream(stream)
+        self.callers.host_crashed(host)
+
+    def _carry_out(self, host: Host, effect: Effect) -> None:
+        if host.state is None:
+            return
+        match effect:
+            case StartTimer(timer, delay_ms):
+                self._start_timer(host, timer, delay_ms)
+            case SendAgent(stream_id, message):
+                stream = self.streams.get((host.id, stream_id))
+                if stream:
+                    event = EntryMessageReceived(stream.agent_id, message)
+                    self._send_on(stream, TO_AGENT, event)
+            case CloseAgentStream(stream_id):
+                stream = self.streams.get((host.id, stream_id))
+                if stream:
+                    self._end_stream(stream)
+            case AnswerCall(call_id, reply):
+                self.callers.answered(call_id, reply)
+            case Halt(kind) if kind is None:
+                self._crash(host)
+            case Halt():
+                raise InvariantError("an entry host stopped itself", host.id, effect)
+            case _:
+                super()._carry_out(host, effect)
+
+    # --- faults ----------------------------------------------------------
+
+    def _break_worker(self) -> None:
+        self._after(
+            self.rng.expovariate(1 / self.profile.fault_every_ms), self._break_worker
+        )
+        if self.calm:
+            return
+        worker = self.rng.choice(self.workers)
+        kinds = [self._crash_agent, self._freeze, self._crash_backend, self._drain]
+        kinds += [self._silence, self._silence, self._break, self._stop_agent]
+        kinds += [self._stop_host]
+        self.rng.choice(kinds)(worker)
+
+    def _freeze(self, worker: SimulatedWorker) -> None:
+        self.faults["agent_frozen"] += 1
+        length_ms = self.rng.choice((3_000, 30_000)) * self.rng.random()
+        worker.frozen_until = self.time_ms + length_ms
+
+    def _crash_backend(self, worker: SimulatedWorker) -> None:
+        self.faults["backend_crash"] += 1
+        worker.backend_down = True
+        worker.backend.tasks = {}
+        started = worker.backend_starts
+
+        def restart() -> None:
+            if worker.backend_starts == started:
+                worker.start_backend()
+
+        self._after(self.rng.uniform(10, 5_000), restart)
+
+    def _drain(self, worker: SimulatedWorker) -> None:
+        self.faults["backend_draining"] += 1
+        info = worker.backend.info
+        worker.backend.info = attrs.evolve(info, draining=not info.draining)
+
+    def _silence(self, worker: SimulatedWorker) -> None:
+        for stream in self.streams.values():
+            if stream.worker is worker and not stream.silent:
+                self.faults["stream_silent"] += 1
+                stream.silent = True
+
+    def _break(self, worker: SimulatedWorker) -> None:
+        for stream in list(self.streams.values()):
+            if stream.worker is worker:
+                self.faults["stream_broken"] += 1
+                self._end_stream(stream)
+
+    def _stop_agent(self, worker: SimulatedWorker) -> None:
+        self.faults["agent_stop"] += 1
+        self._post_agent(worker, 0, AgentStopRequested())
+
+    def _stop_host(self, worker: SimulatedWorker) -> None:
+        self.faults["entry_stop"] += 1
+        self._post(self.rng.choice(list(self.hosts.values())), EntryStopRequested())
+
+    # --- the end ---------------------------------------------------------
+
+    def settle(self) -> None:
+        """End all faults; every accepted request must end in time."""
+        self.calm = True
+        self._blocked.clear()
+        for host in self.hosts.values():
+            host.paused_until = min(host.paused_until, self.time_ms)
+            if host.state is None:
+                self._boot(host)
+            self._schedule_batch(host)
+        for worker in self.workers:
+            worker.frozen_until = 0
+            worker.backend.info = attrs.evolve(worker.backend.info, draining=False)
+        end_ms = self.time_ms + SETTLE_MS
+        while self.time_ms < end_ms:
+            self._run_until(self.time_ms + 1_000)
+            if not self._unfinished():
+                return
+        raise InvariantError("requests without an outcome", self._unfinished())
+
+    def _unfinished(self) -> list[str]:
+        found = []
+        for host in self.hosts.values():
+            requests = host.state.cluster.requests if host.state else {}
+            for id_ in self.callers.accepted:
+                request = requests.get(id_)
+                if request is None or request.phase is not RequestPhase.DONE:
+                    found.append(f"{host.id}/{id_}")
+        return found
+
+
+def run_platform_seed(seed: int, steps: int) -> Platform:
+    """Run one seed with faults, then without; raises `InvariantError`."""
+    platform = Platform(seed)
+    platform.run(steps)
+    platform.settle()
+    return platform
