--- a/packages/core/crocuswell_core/callers.py
+++ b/packages/core/crocuswell_core/callers.py
@@ -212,6 +212,17 @@
     return effects
 
 
+def answer_ended_waits(state: EntryState) -> list[Effect]:
+    """Answer the reads whose outcome came with a snapshot."""
+    effects: list[Effect] = []
+    for call_id, call in list(state.outcome_waits.items()):
+        reply = answer_read(call, state)
+        if is_settled(reply):
+            effects += _stop_waiting(state, call_id)
+            effects.append(AnswerCall(call_id, reply))
+    return effects
+
+
 def _ask_read_index(state: EntryState, pending: PendingCall) -> list[Effect]:
     pending.sent_ms = state.now_ms
     if election.holds_lease(state):
--- a/packages/core/crocuswell_core/notices.py
+++ b/packages/core/crocuswell_core/notices.py
@@ -37,6 +37,16 @@
     """All entries up to the commit index are applied here."""
 
 
+@attrs.frozen
+class SnapshotInstalled:
+    """The state was replaced; effects of the skipped entries never come."""
+
+
 Notice = (
-    HostBooted | LeadershipGained | LeadershipLost | CommandApplied | EntriesApplied
+    HostBooted
+    | LeadershipGained
+    | LeadershipLost
+    | CommandApplied
+    | EntriesApplied
+    | SnapshotInstalled
 )
--- a/packages/core/crocuswell_core/sessions.py
+++ b/packages/core/crocuswell_core/sessions.py
@@ -3,9 +3,13 @@
 import attrs
 
 from crocuswell_core.attempts import wanted_order
-from crocuswell_core.callers import proposal_key, submit_proposal
+from crocuswell_core.callers import (
+    answer_ended_waits,
+    proposal_key,
+    submit_proposal,
+)
 from crocuswell_core.commands import AnnounceWorker, Command, Proposal, RecordReports
-from crocuswell_core.dispatch import handle, handle_agent, handle_timer, pass_on
+from crocuswell_core.dispatch import handle, handle_agent, handle_timer, notify, pass_on
 from crocuswell_core.effects import (
     CloseAgentStream,
     Count,
@@ -30,6 +34,7 @@
     SendReports,
     Welcome,
 )
+from crocuswell_core.notices import SnapshotInstalled
 from crocuswell_core.records import WorkerMode
 from crocuswell_core.rooms import members_on
 from crocuswell_core.state import AgentSession, ClusterState, EntryState
@@ -142,6 +147,17 @@
     return [SendAgent(session.stream_id, ReportAck(effect.sequence))]
 
 
+@notify.register
+def _(notice: SnapshotInstalled, state: EntryState) -> list[Effect]:
+    # The orders and acknowledgements of the skipped entries are in the full
+    # set of a `Welcome`.
+    effects: list[Effect] = []
+    for session in list(state.sessions.values()):
+        session.welcomed = False
+        effects += welcome_worker(state, session.worker)
+    return effects + answer_ended_waits(state)
+
+
 @handle_timer.register
 def _(timer: SessionTimer, state: EntryState) -> list[Effect]:
     effects: list[Effect] = [StartTimer(timer, state.cfg.agent_heartbeat_ms // 2)]
--- a/packages/core/crocuswell_core/snapshots.py
+++ b/packages/core/crocuswell_core/snapshots.py
@@ -3,7 +3,7 @@
 from typing import cast
 
 from crocuswell_core import committed, consensus_log, leadership, members
-from crocuswell_core.dispatch import handle
+from crocuswell_core.dispatch import handle, notify
 from crocuswell_core.effects import (
     Effect,
     EntriesRecord,
@@ -17,6 +17,7 @@
 )
 from crocuswell_core.events import SnapshotReceived
 from crocuswell_core.messages import AppendReply
+from crocuswell_core.notices import SnapshotInstalled
 from crocuswell_core.state import ClusterState, EntryState, Membership, PeerProgress
 
 # A snapshot in transit is not sent again within this time: at the target
@@ -132,5 +133,6 @@
         *effects,
         SetPeers(consensus.hosts),
         LogChange("snapshot_installed", (Label("index", str(event.index)),)),
+        *notify(SnapshotInstalled(), state),
         *committed.apply_committed(state),
     ]
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -1,8 +1,19 @@
 """Agents' streams, leases and silence on an entry host."""
 
+import copy
+
 import pytest
 
-from crocuswell_core.commands import ChangeAccepted, ChangeConfiguration, SubmitRequest
+from crocuswell_core.commands import (
+    CancelRequests,
+    ChangeAccepted,
+    ChangeConfiguration,
+    Command,
+    LogEntry,
+    Proposal,
+    SubmitRequest,
+)
+from crocuswell_core.committed import apply_entry
 from crocuswell_core.configuration import Configuration, Limits, Workspace
 from crocuswell_core.effects import CloseAgentStream, Halt, SendPeer, SetReady
 from crocuswell_core.events import (
@@ -10,6 +21,7 @@
     AgentStreamClosed,
     EntryStopRequested,
     PeerMessageReceived,
+    SnapshotReceived,
 )
 from crocuswell_core.messages import (
     DrainNotice,
@@ -19,11 +31,12 @@
     Liveness,
     LivenessReply,
     Orders,
+    StartTask,
     TimeoutNow,
     Welcome,
     WorkerLiveness,
 )
-from crocuswell_core.records import JobSpec, WorkerMode
+from crocuswell_core.records import JobSpec, RequestPhase, WorkerMode
 from crocuswell_core.replies import RequestView
 from crocuswell_core.state import Role
 from tests.clusters import gang
@@ -60,6 +73,41 @@
     assert confirmed[-1] >= 1
 
 
+def install_snapshot(host: Host, *commands: Command) -> None:
+    """Replace the state by one in which these commands were applied."""
+    consensus = host.state.consensus
+    cluster = copy.deepcopy(host.state.cluster)
+    term, index = consensus.term + 1, consensus.commit_index
+    for command in commands:
+        index += 1
+        entry = LogEntry(term, index, host.now_ms, Proposal("", "", command))
+        apply_entry(cluster, entry)
+    membership = (consensus.hosts, consensus.voters)
+    host.post(SnapshotReceived("e2", term, index, term, *membership, cluster, 1))
+
+
+def test_orders_of_entries_skipped_by_a_snapshot_reach_the_agent() -> None:
+    """Guards against a gang that waits for ever for a start not sent."""
+    host = welcomed_host()
+    install_snapshot(host, SubmitRequest("q1", "quotes", JobSpec()))
+    welcome = next(m for m in host.sent(1) if type(m) is Welcome)
+    assert [type(order) for order in welcome.orders] == [StartTask]
+
+
+def test_outcome_in_a_snapshot_answers_the_read_that_waits() -> None:
+    """Guards against a read that waits to its limit for a known outcome."""
+    host = welcomed_host()
+    for id_ in ("q1", "q2"):
+        host.command(SubmitRequest(id_, "quotes", JobSpec(shape=gang(8))), key=id_)
+    host.effects.clear()
+    call_id = host.call(GetRequest("q2", "quotes", wait_ms=60_000))
+    assert host.answers() == {}
+    install_snapshot(host, CancelRequests("quotes", ("q2",)))
+    reply = host.answers()[call_id]
+    assert isinstance(reply, RequestView)
+    assert reply.request.phase is RequestPhase.DONE
+
+
 def test_second_stream_of_a_worker_replaces_the_first() -> None:
     host = welcomed_host()
     host.hello(7)
