Check planted faults in the platform's random run

Change: three planted faults must be caught (a known attempt started again, a lost attempt taken as not run, a read without the read index). Conclusion: the three faults are caught.

--- a/tests/platform_callers.py
+++ b/tests/platform_callers.py
@@ -14,7 +14,7 @@
     RequestAccepted,
     SubmitRequest,
 )
-from crocuswell_core.configuration import Configuration, Workspace
+from crocuswell_core.configuration import Configuration, Limits, Workspace
 from crocuswell_core.errors import ErrorKind
 from crocuswell_core.events import CallReceived
 from crocuswell_core.messages import Call, CommandCall, GetConfiguration, GetRequest
@@ -28,6 +28,7 @@
 
 CALLERS = 4
 RESEND_MS = 3_000
+CALL_EVERY_MS = 100
 # These refusals promise only that nothing is known; the key is sent again.
 PASSING = frozenset({ErrorKind.UNAVAILABLE, ErrorKind.OVERLOADED})
 
@@ -61,12 +62,14 @@
         self.accepted: list[str] = []
         self.changes: dict[int, str] = {}
         self.reads = 0
+        # Run time of all members of all jobs, for the bound of the settling.
+        self.work_ms = 0
         self._ids = itertools.count(1)
 
     def act(self) -> None:
         """Make one call, and the next one after a while."""
         rng = self.platform.rng
-        self.platform._after(rng.expovariate(1 / 250), self.act)
+        self.platform._after(rng.expovariate(1 / CALL_EVERY_MS), self.act)
         if self.platform.calm:
             return
         caller = rng.randrange(CALLERS)
@@ -82,9 +85,11 @@
         idempotent = rng.random() < 0.5
         self.platform.work.idempotent[request_id] = idempotent
         fail = rng.choice(("true", "false", "false", "false"))
-        run_ms = rng.choice((0, 200, 1_000, 5_000))
+        run_ms = rng.choice((0, 200, 200, 1_000, 1_000, 5_000, 20_000))
+        members = rng.choice((1, 1, 2, 3))
+        self.work_ms += members * run_ms
         spec = JobSpec(
-            shape=Shape(rng.choice((1, 1, 2, 3)), Resources(1, 1, 256)),
+            shape=Shape(members, Resources(1, 1, 256)),
             run_time_ms=rng.choice((100, 1_000, 10_000)),
             idempotent=idempotent,
             checkpoint_ms=rng.choice((None, None, 500)),
@@ -106,7 +111,8 @@
         for author in ("ana", "bor"):
             key = f"operator:{next(self._ids)}"
             workspace = Workspace("quotes", weight=self.platform.rng.randint(1, 9))
-            configuration = Configuration((workspace,))
+            limits = Limits(run_lease_ms=self.platform.rng.choice((4_000, 15_000)))
+            configuration = Configuration((workspace,), limits=limits)
             command = ChangeConfiguration(number, configuration, author, key)
             self._send(caller, Proposal(key, "d", command))
 
@@ -157,8 +163,11 @@
         call = self.open.pop(call_id, None)
         if call is None:
             raise InvariantError("an answer that nobody waits for", call_id, reply)
+        name = type(call.call).__name__
         if isinstance(reply, Refused) and reply.kind in PASSING:
+            self.platform.counts[f"{name}: {reply.detail}"] += 1
             return
+        self.platform.counts[f"{name}: answered"] += 1
         if isinstance(call.call, CommandCall):
             self._command_answered(call, call.call.proposal.command_id, reply)
         else:
--- a/tests/platform_simulator.py
+++ b/tests/platform_simulator.py
@@ -4,11 +4,14 @@
 entry hosts of `simulator`.
 """
 
+import random
+from collections import Counter
 from functools import partial
 
 import attrs
 
 from crocuswell_core.backend import BackendCall, Unreachable
+from crocuswell_core.configuration import Limits
 from crocuswell_core.effects import (
     AnswerCall,
     CallBackend,
@@ -40,15 +43,19 @@
 from tests.platform_checks import PlatformChecks
 from tests.simulated_agent import SimulatedWorker, Stream, Work
 from tests.simulated_host import Host, InvariantError
-from tests.simulator import Simulation
+from tests.simulator import Profile, Simulation
 
 # The margin of a lease (500 ms on 15 s) allows two clocks 1% of drift each.
 CLOCK_DRIFT = 0.01
 WORKERS = 3
-CAPACITY = Resources(4, 16, 16_000)
+CAPACITY = Resources(8, 16, 16_000)
 CLIENT_TIMEOUT_MS = 2_000
-# Run lease and margin, five attempts of at most 5 s with back-off, queueing.
+# Mean time between faults of workers and their streams.
+WORKER_FAULT_MS = 1_500
+# Five attempts of at most 20 s with back-off, and a run lease of 15 s. The
+# time that the queued work needs on all accelerators is added to it.
 SETTLE_MS = 180_000
+ATTEMPTS = Limits().attempts
 TO_ENTRY, TO_AGENT = 0, 1
 
 
@@ -57,10 +64,13 @@
 
     def __init__(self, seed: int):
         self.work = Work()
+        self.counts: Counter[str] = Counter()
         self.workers: list[SimulatedWorker] = []
         self.streams: dict[tuple[str, int], Stream] = {}
         self.callers = Callers(self)
-        super().__init__(seed, PlatformChecks(self.work, self.workers))
+        # Fewer hosts than in the agreement's runs: each event costs more here.
+        voters = random.Random(seed).choice((1, 3, 3))
+        super().__init__(seed, PlatformChecks(self.work, self.workers), voters)
         for host in self.hosts.values():
             host.rate = 1 + self.rng.uniform(-CLOCK_DRIFT, CLOCK_DRIFT)
         entries = tuple(host.cfg.host.address for host in self.hosts.values())
@@ -71,9 +81,15 @@
             worker = SimulatedWorker(info, rate, offset_ms, entries, self.work)
             self.workers.append(worker)
             self._boot_agent(worker)
-        self._after(self.profile.fault_every_ms, self._break_worker)
+        self._after(WORKER_FAULT_MS, self._break_worker)
         self._after(2_000, self.callers.act)
 
+    def _make_profile(self) -> Profile:
+        """Leave time between faults, in which work is placed and ends."""
+        profile = super()._make_profile()
+        profile.fault_every_ms = self.rng.choice((1_000, 3_000, 10_000))
+        return profile
+
     # --- agents ----------------------------------------------------------
 
     def _boot_agent(self, worker: SimulatedWorker) -> None:
@@ -279,9 +295,7 @@
     # --- faults ----------------------------------------------------------
 
     def _break_worker(self) -> None:
-        self._after(
-            self.rng.expovariate(1 / self.profile.fault_every_ms), self._break_worker
-        )
+        self._after(self.rng.expovariate(1 / WORKER_FAULT_MS), self._break_worker)
         if self.calm:
             return
         worker = self.rng.choice(self.workers)
@@ -346,7 +360,8 @@
         for worker in self.workers:
             worker.frozen_until = 0
             worker.backend.info = attrs.evolve(worker.backend.info, draining=False)
-        end_ms = self.time_ms + SETTLE_MS
+        queued_ms = ATTEMPTS * self.callers.work_ms / (WORKERS * CAPACITY.accelerators)
+        end_ms = self.time_ms + SETTLE_MS + queued_ms
         while self.time_ms < end_ms:
             self._run_until(self.time_ms + 1_000)
             if not self._unfinished():
@@ -360,7 +375,7 @@
             for id_ in self.callers.accepted:
                 request = requests.get(id_)
                 if request is None or request.phase is not RequestPhase.DONE:
-                    found.append(f"{host.id}/{id_}")
+                    found.append(f"{host.id}/{id_}: {request}")
         return found
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,10 +2,17 @@
 
 import pytest
 
+from crocuswell_core import (
+    agent_backend,
+    agent_tasks,
+    callers,
+    outcomes,
+)
 from tests.platform_simulator import run_platform_seed
+from tests.simulated_host import InvariantError
 
-SEEDS = (1, 2, 3)
-STEPS = 4_000
+SEEDS = (300, 301)
+STEPS = 12_000
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -16,7 +23,47 @@
 
 def test_a_platform_seed_replays_exactly():
     """Guards against a failing seed that cannot be reproduced."""
-    first, second = (run_platform_seed(2, 2_000) for _ in range(2))
+    first, second = (run_platform_seed(301, 3_000) for _ in range(2))
     assert first.faults == second.faults
     assert first.time_ms == second.time_ms
     assert first.callers.replies == second.callers.replies
+
+
+def known_attempt_started_again(monkeypatch):
+    miss = agent_backend._miss
+
+    def planted(state, task, incarnation):
+        restarted = task.backend_incarnation != incarnation
+        if task.order is None or task.start_in_flight or not restarted:
+            return miss(state, task, incarnation)
+        return agent_tasks._start(state, task, task.order)
+
+    monkeypatch.setattr(agent_backend, "_miss", planted)
+
+
+def lost_attempt_taken_as_not_run(monkeypatch):
+    monkeypatch.setattr(outcomes, "_may_have_run", lambda attempt: False)
+
+
+def read_without_read_index(monkeypatch):
+    def planted(state, pending):
+        pending.read_index = 0
+        return callers._answer_if_applied(state, pending)
+
+    monkeypatch.setattr(callers, "_ask_read_index", planted)
+
+
+# Each names a seed that catches the fault soon, and the check that does.
+@pytest.mark.parametrize(
+    ("plant", "seed", "caught"),
+    [
+        (known_attempt_started_again, 2, "a member was started twice"),
+        (lost_attempt_taken_as_not_run, 2, "started again"),
+        (read_without_read_index, 3, "a configuration read is stale"),
+    ],
+)
+def test_planted_fault_is_caught(monkeypatch, plant, seed, caught):
+    """Guards against checks that cannot fail."""
+    plant(monkeypatch)
+    with pytest.raises(InvariantError, match=caught):
+        run_platform_seed(seed, STEPS)
