--- a/bench/agent_memory.py
+++ b/bench/agent_memory.py
@@ -20,9 +20,7 @@
 import attrs
 import yaml
 
-from crocuswell_core.effects import Count
-from crocuswell_core.events import AgentMessageReceived, AgentStreamClosed, Event
-from crocuswell_core.messages import (
+from crocuswell_core.agent_messages import (
     AgentHeartbeat,
     AgentMessage,
     EntryHeartbeat,
@@ -33,6 +31,8 @@
     StartTask,
     Welcome,
 )
+from crocuswell_core.effects import Count
+from crocuswell_core.events import AgentMessageReceived, AgentStreamClosed, Event
 from crocuswell_core.records import AttemptId
 from crocuswell_core.resources import CONNECTIONS_PER_WORKER, Resources
 from crocuswell_daemon.agent_streams import AgentListener
--- a/bench/agent_stubs.py
+++ b/bench/agent_stubs.py
@@ -11,13 +11,7 @@
 
 import attrs
 
-from crocuswell_core.events import (
-    EntryMessageReceived,
-    EntryStreamClosed,
-    EntryStreamOpened,
-    Event,
-)
-from crocuswell_core.messages import (
+from crocuswell_core.agent_messages import (
     AgentHeartbeat,
     AgentMessage,
     EntryHeartbeat,
@@ -25,6 +19,12 @@
     Hello,
     Welcome,
 )
+from crocuswell_core.events import (
+    EntryMessageReceived,
+    EntryStreamClosed,
+    EntryStreamOpened,
+    Event,
+)
 from crocuswell_core.records import WorkerInfo
 from crocuswell_core.resources import Resources
 from crocuswell_daemon.entry_stream import EntryLink
--- a/bench/fake_workers.py
+++ b/bench/fake_workers.py
@@ -8,6 +8,8 @@
 
 from crocuswell_core import reducer  # noqa: F401  (registers the handlers)
 from crocuswell_core.agenda import next_due_ms
+from crocuswell_core.agent_messages import Order, ReserveTask, StartTask, StopTask
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.commands import (
     AdvanceTime,
     AnnounceWorker,
@@ -32,9 +34,7 @@
     OrderWorker,
     RequestEnded,
 )
-from crocuswell_core.messages import Order, ReserveTask, StartTask, StopTask
 from crocuswell_core.records import AttemptId, WorkerInfo
-from crocuswell_core.state import ClusterState
 
 # Time in ms for an order or a report to arrive.
 DELAY_MS = 5
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -6,6 +6,7 @@
 
 from bench.fake_workers import Apply, Fail, SetFaulty, World
 from bench.traces import HORIZON_MS, Arrival, JobClass, Trace
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.commands import (
     CancelRequests,
     ChangeConfiguration,
@@ -15,7 +16,6 @@
 from crocuswell_core.policies import StandingPolicy
 from crocuswell_core.records import Outcome, Request
 from crocuswell_core.resources import Adjacency, Shape
-from crocuswell_core.state import ClusterState
 
 # Time in ms from claim to start that a guarantee promises.
 CLAIM_LIMIT_MS = 2_200
--- a/bench/scaling.py
+++ b/bench/scaling.py
@@ -7,6 +7,7 @@
 import attrs
 
 from bench.fake_workers import World
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.commands import (
     AnnounceWorker,
     CancelRequests,
@@ -22,7 +23,6 @@
 from crocuswell_core.invariants import check_all
 from crocuswell_core.records import AttemptPhase, JobSpec, WorkerInfo
 from crocuswell_core.resources import Adjacency, Resources, Shape
-from crocuswell_core.state import ClusterState
 
 SIZES = (10, 80, 640)
 WORKSPACES = 23
--- a/packages/cli/crocuswell_cli/declarations.py
+++ b/packages/cli/crocuswell_cli/declarations.py
@@ -16,6 +16,7 @@
     read_folder,
 )
 from crocuswell_core import reducer  # noqa: F401  (registers the handlers)
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.commands import (
     AnnounceWorker,
     ChangeConfiguration,
@@ -27,7 +28,6 @@
 from crocuswell_core.configuration import Configuration, find_problem
 from crocuswell_core.records import WorkerInfo
 from crocuswell_core.resources import SLOTS_PER_WORKER, Resources
-from crocuswell_core.state import ClusterState
 
 SCHEMA_DIALECT = "https://json-schema.org/draft/2020-12/schema"
 
--- a/packages/core/crocuswell_core/agenda.py
+++ b/packages/core/crocuswell_core/agenda.py
@@ -3,8 +3,11 @@
 import heapq
 from collections.abc import Iterator
 
+from crocuswell_core.cluster_state import ClusterState
+from crocuswell_core.consensus_state import Role
+from crocuswell_core.due import Due, DueItem
 from crocuswell_core.effects import Effect, StartTimer
-from crocuswell_core.state import ClusterState, Due, DueItem, EntryState, Role
+from crocuswell_core.entry_state import EntryState
 from crocuswell_core.timers import ClusterTimer
 
 
--- a/packages/core/crocuswell_core/agent.py
+++ b/packages/core/crocuswell_core/agent.py
@@ -2,6 +2,14 @@
 
 from crocuswell_core import agent_leases, agent_stream
 from crocuswell_core.agent_backend import describe, handle_reply
+from crocuswell_core.agent_messages import (
+    EntryHeartbeat,
+    Goodbye,
+    Orders,
+    ReportAck,
+    StopTask,
+    Welcome,
+)
 from crocuswell_core.agent_reports import (
     all_tasks,
     count,
@@ -10,6 +18,7 @@
     find_task,
     flush_reports,
 )
+from crocuswell_core.agent_state import AgentState, AgentTask, TaskPhase
 from crocuswell_core.agent_tasks import (
     conclude_unstarted,
     follow_order,
@@ -39,15 +48,6 @@
     EntryStreamClosed,
     EntryStreamOpened,
 )
-from crocuswell_core.messages import (
-    EntryHeartbeat,
-    Goodbye,
-    Orders,
-    ReportAck,
-    StopTask,
-    Welcome,
-)
-from crocuswell_core.state import AgentState, AgentTask, TaskPhase
 from crocuswell_core.timers import AgentTimer, PollTimer
 
 # --- events --------------------------------------------------------------
--- a/packages/core/crocuswell_core/agent_backend.py
+++ b/packages/core/crocuswell_core/agent_backend.py
@@ -3,6 +3,7 @@
 from functools import singledispatch
 
 from crocuswell_core.agent_leases import backend_lease_until_ms
+from crocuswell_core.agent_messages import DrainNotice
 from crocuswell_core.agent_reports import (
     add_task,
     all_tasks,
@@ -10,6 +11,7 @@
     ended_unrun,
     find_task,
 )
+from crocuswell_core.agent_state import AgentState, AgentTask, TaskPhase
 from crocuswell_core.agent_stream import (
     has_stream,
     plan_connect,
@@ -46,8 +48,6 @@
     TaskStopped,
 )
 from crocuswell_core.effects import CallBackend, Effect, Label, LogChange, SendEntry
-from crocuswell_core.messages import DrainNotice
-from crocuswell_core.state import AgentState, AgentTask, TaskPhase
 
 RUNNING = "running"
 FINISHED = "finished"
--- /dev/null
+++ b/packages/core/crocuswell_core/agent_messages.py
@@ -0,0 +1,189 @@
+"""Messages between an agent and an entry host."""
+
+import attrs
+
+from crocuswell_core.commands import (
+    Report,
+)
+from crocuswell_core.records import AttemptId, WorkerInfo
+from crocuswell_core.resources import Resources
+
+
+@attrs.frozen
+class Hello:
+    """First message on a stream.
+
+    Attributes
+    ----------
+    sequence : int
+        Counts as a heartbeat; `Welcome.confirmed` may echo it.
+    """
+
+    info: WorkerInfo
+    incarnation: str
+    backend_incarnation: str
+    attempts: tuple[AttemptId, ...]
+    sequence: int = 0
+
+
+@attrs.frozen
+class TaskUsage:
+    """Resources that the backend server reports for a task, with a lag."""
+
+    attempt: AttemptId
+    rank: int
+    used: Resources
+
+
+@attrs.frozen
+class CounterValue:
+    """Value of one of the agent's counters."""
+
+    name: str
+    value: int
+
+
+@attrs.frozen
+class AgentHeartbeat:
+    """Sent each second; `sequence` is echoed to extend the leases.
+
+    Attributes
+    ----------
+    number : int
+        Configuration number that the agent holds.
+    """
+
+    sequence: int
+    number: int
+    usage: tuple[TaskUsage, ...] = ()
+    counters: tuple[CounterValue, ...] = ()
+
+
+@attrs.frozen
+class SendReports:
+    """Reports not yet acknowledged, oldest first.
+
+    Attributes
+    ----------
+    first_sequence : int
+        Sequence number of the first report in `reports`.
+    """
+
+    first_sequence: int
+    reports: tuple[Report, ...]
+
+
+@attrs.frozen
+class DrainNotice:
+    """The backend server changed whether it is leaving."""
+
+    draining: bool
+
+
+AgentMessage = Hello | AgentHeartbeat | SendReports | DrainNotice
+
+
+@attrs.frozen
+class ReserveTask:
+    """Hold room for a gang member until started, stopped or fenced."""
+
+    attempt: AttemptId
+    rank: int
+    resources: Resources
+    accelerators: tuple[int, ...]
+
+
+@attrs.frozen
+class StartTask:
+    """Start a member; refused if its epoch is old or it was started.
+
+    Attributes
+    ----------
+    checkpoint : bytes or None
+        Token of the checkpoint to resume from.
+    checkpoint_ms : int or None
+        Time in ms to write a checkpoint, None if the task cannot.
+    """
+
+    attempt: AttemptId
+    rank: int
+    members: int
+    resources: Resources
+    accelerators: tuple[int, ...]
+    payload: bytes
+    idempotent: bool
+    run_time_ms: int
+    checkpoint: bytes | None = None
+    checkpoint_ms: int | None = None
+
+
+@attrs.frozen
+class StopTask:
+    """Stop a member; with `checkpoint_ms` set, write a checkpoint first."""
+
+    attempt: AttemptId
+    rank: int
+    checkpoint_ms: int | None
+
+
+Order = ReserveTask | StartTask | StopTask
+
+
+@attrs.frozen
+class Welcome:
+    """Answer to `Hello`: the full set of wanted members.
+
+    Attributes
+    ----------
+    run_lease_ms : int
+        Run lease in ms, counted from the sending of the heartbeat that
+        is being answered.
+    acknowledged : int
+        Highest report sequence of this incarnation that is committed.
+    confirmed : int
+        As in `EntryHeartbeat`; 0 extends no lease.
+    """
+
+    orders: tuple[Order, ...]
+    number: int
+    run_lease_ms: int
+    acknowledged: int
+    confirmed: int = 0
+
+
+@attrs.frozen
+class EntryHeartbeat:
+    """Sent each second and in answer to heartbeats.
+
+    Attributes
+    ----------
+    confirmed : int
+        Highest agent sequence for which the leader confirmed liveness;
+        the agent's leases run from the time it sent that heartbeat.
+    """
+
+    confirmed: int
+    number: int
+    run_lease_ms: int
+
+
+@attrs.frozen
+class Orders:
+    """Changes to the wanted set of members."""
+
+    orders: tuple[Order, ...]
+
+
+@attrs.frozen
+class ReportAck:
+    """Reports up to `sequence` are committed."""
+
+    sequence: int
+
+
+@attrs.frozen
+class Goodbye:
+    """The entry host is stopping; connect to another one."""
+
+
+EntryMessage = Welcome | EntryHeartbeat | Orders | ReportAck | Goodbye
--- a/packages/core/crocuswell_core/agent_reports.py
+++ b/packages/core/crocuswell_core/agent_reports.py
@@ -1,5 +1,7 @@
 """Reports of an agent: kept in order until they are acknowledged."""
 
+from crocuswell_core.agent_messages import SendReports
+from crocuswell_core.agent_state import AgentState, AgentTask
 from crocuswell_core.commands import (
     Report,
     TaskFailed,
@@ -10,9 +12,7 @@
     TaskStopped,
 )
 from crocuswell_core.effects import Effect, SendEntry
-from crocuswell_core.messages import SendReports
 from crocuswell_core.records import AttemptId
-from crocuswell_core.state import AgentState, AgentTask
 
 # Bounds the memory for ended attempts; orders for older ones are refused
 # by the backend server, which remembers attempts for longer.
--- a/packages/core/crocuswell_core/agent_tasks.py
+++ b/packages/core/crocuswell_core/agent_tasks.py
@@ -9,6 +9,7 @@
     quick_checkpoint_ms,
     stop_due_ms,
 )
+from crocuswell_core.agent_messages import Order, ReserveTask, StartTask, StopTask
 from crocuswell_core.agent_reports import (
     add_report,
     add_task,
@@ -21,12 +22,11 @@
     refuse_unknown,
     remember_end,
 )
+from crocuswell_core.agent_state import AgentState, AgentTask, TaskPhase
 from crocuswell_core.backend import StartOnBackend, StopOnBackend
 from crocuswell_core.commands import Report, TaskLost, TaskRefused, TaskReserved
 from crocuswell_core.effects import CallBackend, Effect, StartTimer
-from crocuswell_core.messages import Order, ReserveTask, StartTask, StopTask
 from crocuswell_core.resources import NOTHING, Resources
-from crocuswell_core.state import AgentState, AgentTask, TaskPhase
 from crocuswell_core.timers import PollTimer
 
 # A backend server that has not answered for so long may be leaving
--- a/packages/core/crocuswell_core/attempts.py
+++ b/packages/core/crocuswell_core/attempts.py
@@ -10,6 +10,8 @@
 import attrs
 
 from crocuswell_core.agenda import add_due
+from crocuswell_core.agent_messages import Order, ReserveTask, StartTask, StopTask
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.commands import (
     Report,
     TaskFailed,
@@ -19,6 +21,7 @@
     TaskReserved,
     TaskStopped,
 )
+from crocuswell_core.due import ReservationDue
 from crocuswell_core.effects import ClusterEffect, Count, OrderWorker
 from crocuswell_core.forecast import expected_run_ms
 from crocuswell_core.index import (
@@ -30,7 +33,6 @@
     refresh_worker,
     remove_attempt,
 )
-from crocuswell_core.messages import Order, ReserveTask, StartTask, StopTask
 from crocuswell_core.outcomes import finish_attempt, resolve_unknown
 from crocuswell_core.records import (
     ENDED_MEMBER_PHASES,
@@ -45,7 +47,6 @@
     StopReason,
 )
 from crocuswell_core.rooms import set_member_phase, take_room
-from crocuswell_core.state import ClusterState, ReservationDue
 
 # Time in ms for all agents of a gang to confirm. An agent confirms within two
 # message delays; the rest of the 2,200 ms from claim to start is for a second
--- a/packages/core/crocuswell_core/borrowing.py
+++ b/packages/core/crocuswell_core/borrowing.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.forecast import expected_run_ms
 from crocuswell_core.index import index_of, need_of
 from crocuswell_core.placement import find_offers
@@ -11,7 +12,6 @@
 from crocuswell_core.reservations import respect_reservations
 from crocuswell_core.scoring import choose_best_fit, choose_by_shapes
 from crocuswell_core.spaces import Need
-from crocuswell_core.state import ClusterState
 
 
 @attrs.define
--- a/packages/core/crocuswell_core/callers.py
+++ b/packages/core/crocuswell_core/callers.py
@@ -8,7 +8,19 @@
 from functools import singledispatch
 
 from crocuswell_core import election, replication
+from crocuswell_core.calls import (
+    CommandCall,
+    ExplainRequest,
+    GetConfiguration,
+    GetHistory,
+    GetMembers,
+    GetRequest,
+    GetWorkers,
+    ListRequests,
+    ReadCall,
+)
 from crocuswell_core.commands import AdvanceTime, Proposal, Refused
+from crocuswell_core.consensus_state import Role
 from crocuswell_core.dispatch import (
     answer_read,
     handle,
@@ -27,25 +39,13 @@
     SetReady,
     StartTimer,
 )
+from crocuswell_core.entry_state import EntryState, PendingCall, PendingProposal
 from crocuswell_core.errors import ErrorKind
 from crocuswell_core.events import CallAbandoned, CallReceived
-from crocuswell_core.messages import (
-    CommandCall,
-    ExplainRequest,
-    GetConfiguration,
-    GetHistory,
-    GetMembers,
-    GetRequest,
-    GetWorkers,
-    ListRequests,
-    ReadCall,
-    ReadIndexReply,
-    ReadIndexRequest,
-)
 from crocuswell_core.notices import CommandApplied, EntriesApplied
+from crocuswell_core.peer_messages import ReadIndexReply, ReadIndexRequest
 from crocuswell_core.records import RequestPhase
 from crocuswell_core.replies import ReadReply, RequestView
-from crocuswell_core.state import EntryState, PendingCall, PendingProposal, Role
 from crocuswell_core.timers import CallTimer, ClusterTimer, RetryTimer
 
 UNAVAILABLE_RETRY_MS = 1_000
--- /dev/null
+++ b/packages/core/crocuswell_core/calls.py
@@ -0,0 +1,81 @@
+"""Calls of callers and operators on an entry host."""
+
+import attrs
+
+from crocuswell_core.commands import (
+    Proposal,
+)
+
+
+@attrs.frozen
+class CommandCall:
+    """A call that changes state; answered once it is applied here."""
+
+    proposal: Proposal
+
+
+@attrs.frozen
+class GetRequest:
+    """Read a request, waiting up to `wait_ms` for its outcome.
+
+    Attributes
+    ----------
+    workspace : str
+        Workspace of the caller; empty for an operator.
+    """
+
+    request_id: str
+    workspace: str = ""
+    wait_ms: int = 0
+
+
+@attrs.frozen
+class ListRequests:
+    """Read the requests of a workspace, newest first."""
+
+    workspace: str
+    limit: int = 100
+
+
+@attrs.frozen
+class GetConfiguration:
+    """Read the newest accepted configuration."""
+
+
+@attrs.frozen
+class GetHistory:
+    """Read the newest configuration changes."""
+
+    limit: int = 20
+
+
+@attrs.frozen
+class GetWorkers:
+    """Read all workers with what they hold."""
+
+
+@attrs.frozen
+class GetMembers:
+    """Read the control group as this host sees it."""
+
+
+@attrs.frozen
+class ExplainRequest:
+    """Ask why a request waits or why it was placed where it is."""
+
+    request_id: str
+    workspace: str = ""
+
+
+ReadCall = (
+    GetRequest
+    | ListRequests
+    | GetConfiguration
+    | GetHistory
+    | GetWorkers
+    | GetMembers
+    | ExplainRequest
+)
+
+
+Call = CommandCall | ReadCall
--- a/packages/core/crocuswell_core/changes.py
+++ b/packages/core/crocuswell_core/changes.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.commands import (
     ChangeAccepted,
     ChangeConfiguration,
@@ -19,7 +20,6 @@
 from crocuswell_core.dispatch import apply_command
 from crocuswell_core.effects import Applied, Label, LogChange
 from crocuswell_core.errors import ErrorKind
-from crocuswell_core.state import ClusterState
 
 HISTORY_LENGTH = 200
 
--- a/packages/core/crocuswell_core/committed.py
+++ b/packages/core/crocuswell_core/committed.py
@@ -3,8 +3,11 @@
 from functools import singledispatch
 
 from crocuswell_core.agenda import add_due, start_cluster_timer
+from crocuswell_core.cluster_state import AnsweredCommand, ClusterState
 from crocuswell_core.commands import CommandReply, LogEntry, Refused
+from crocuswell_core.consensus_state import Role
 from crocuswell_core.dispatch import apply_command, notify, pass_on
+from crocuswell_core.due import AnswerDue
 from crocuswell_core.effects import (
     Applied,
     Count,
@@ -12,19 +15,13 @@
     LogChange,
     Observe,
 )
+from crocuswell_core.entry_state import EntryState
 from crocuswell_core.errors import PROMISES, ErrorKind
 from crocuswell_core.index import index_of
 from crocuswell_core.invariants import check_sample
 from crocuswell_core.notices import CommandApplied, EntriesApplied
 from crocuswell_core.outcomes import RECORD_RETENTION_MS
 from crocuswell_core.scheduling import schedule
-from crocuswell_core.state import (
-    AnswerDue,
-    AnsweredCommand,
-    ClusterState,
-    EntryState,
-    Role,
-)
 
 # Command ids with these prefixes come from callers and operators, who may send
 # a command again; its first answer is kept for them.
--- a/packages/core/crocuswell_core/consensus_log.py
+++ b/packages/core/crocuswell_core/consensus_log.py
@@ -1,7 +1,7 @@
 """Reading and changing the replicated log in memory."""
 
 from crocuswell_core.commands import LogEntry
-from crocuswell_core.state import ConsensusState
+from crocuswell_core.consensus_state import ConsensusState
 
 
 def last_index(consensus: ConsensusState) -> int:
--- a/packages/core/crocuswell_core/consolidation.py
+++ b/packages/core/crocuswell_core/consolidation.py
@@ -4,6 +4,7 @@
 
 from crocuswell_core.attempts import place_request, stop_attempt
 from crocuswell_core.borrowing import find_workers
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.effects import ClusterEffect, Count
 from crocuswell_core.index import RECLAIM_STOP_MS, index_of
 from crocuswell_core.records import (
@@ -15,7 +16,6 @@
 )
 from crocuswell_core.resources import Adjacency, Shape
 from crocuswell_core.spaces import SchedulingIndex
-from crocuswell_core.state import ClusterState
 
 # Least time in ms between two moves: the jobs of one must have found their
 # new room before the next is chosen.
--- a/packages/core/crocuswell_core/dispatch.py
+++ b/packages/core/crocuswell_core/dispatch.py
@@ -6,19 +6,17 @@
 
 from functools import singledispatch
 
+from crocuswell_core.agent_messages import AgentMessage, EntryMessage
+from crocuswell_core.agent_state import AgentState
+from crocuswell_core.calls import Call, ReadCall
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.commands import Command, LogEntry
 from crocuswell_core.effects import Applied, ClusterEffect, Effect
+from crocuswell_core.entry_state import EntryState
 from crocuswell_core.events import Event
-from crocuswell_core.messages import (
-    AgentMessage,
-    Call,
-    EntryMessage,
-    PeerMessage,
-    ReadCall,
-)
 from crocuswell_core.notices import Notice
+from crocuswell_core.peer_messages import PeerMessage
 from crocuswell_core.replies import ReadReply
-from crocuswell_core.state import AgentState, ClusterState, EntryState
 from crocuswell_core.timers import Timer
 
 
--- a/packages/core/crocuswell_core/effects.py
+++ b/packages/core/crocuswell_core/effects.py
@@ -9,10 +9,11 @@
 
 import attrs
 
+from crocuswell_core.agent_messages import AgentMessage, EntryMessage, Order
 from crocuswell_core.backend import BackendCall
 from crocuswell_core.commands import CommandReply, EntryHost, LogEntry
 from crocuswell_core.errors import ErrorKind
-from crocuswell_core.messages import AgentMessage, EntryMessage, Order, PeerMessage
+from crocuswell_core.peer_messages import PeerMessage
 from crocuswell_core.replies import ReadReply
 from crocuswell_core.timers import Timer
 
--- a/packages/core/crocuswell_core/events.py
+++ b/packages/core/crocuswell_core/events.py
@@ -2,9 +2,11 @@
 
 import attrs
 
+from crocuswell_core.agent_messages import AgentMessage, EntryMessage
 from crocuswell_core.backend import BackendCall, BackendReply
+from crocuswell_core.calls import Call
 from crocuswell_core.commands import EntryHost, LogEntry
-from crocuswell_core.messages import AgentMessage, Call, EntryMessage, PeerMessage
+from crocuswell_core.peer_messages import PeerMessage
 from crocuswell_core.timers import Timer
 
 
--- a/packages/core/crocuswell_core/fleet.py
+++ b/packages/core/crocuswell_core/fleet.py
@@ -3,6 +3,7 @@
 import attrs
 
 from crocuswell_core.attempts import lose_member, stop_attempt
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.commands import (
     AnnounceWorker,
     DeclareSilent,
@@ -34,7 +35,6 @@
     takes_work,
 )
 from crocuswell_core.rooms import members_on, new_room, set_member_phase
-from crocuswell_core.state import ClusterState
 
 OPERATOR_MODES = frozenset(
     {WorkerMode.ACTIVE, WorkerMode.DRAINING, WorkerMode.QUARANTINED}
--- a/packages/core/crocuswell_core/guarantees.py
+++ b/packages/core/crocuswell_core/guarantees.py
@@ -9,6 +9,7 @@
 
 from crocuswell_core.attempts import place_request, stop_attempt
 from crocuswell_core.borrowing import find_workers
+from crocuswell_core.cluster_state import ClusterState, Hold, PlannedShape
 from crocuswell_core.effects import ClusterEffect, Count, Label
 from crocuswell_core.fairness import lane_order
 from crocuswell_core.forecast import expected_run_ms
@@ -34,7 +35,6 @@
 from crocuswell_core.resources import Resources, Shape
 from crocuswell_core.scoring import choose_by_shapes
 from crocuswell_core.spaces import Need, Quantity, WorkerSpace
-from crocuswell_core.state import ClusterState, Hold, PlannedShape
 
 
 def update_plan(cluster: ClusterState) -> None:
--- a/packages/core/crocuswell_core/index.py
+++ b/packages/core/crocuswell_core/index.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from crocuswell_core.cluster_state import ClusterState, Hold, PlannedShape
 from crocuswell_core.configuration import Workspace
 from crocuswell_core.records import (
     ENDED_MEMBER_PHASES,
@@ -26,7 +27,6 @@
     Usage,
     WorkerSpace,
 )
-from crocuswell_core.state import ClusterState, Hold, PlannedShape
 
 # Time in ms in which a borrower must be able to leave. The target from claim
 # to start is 2,200 ms; the rest covers orders, reports and the start itself.
--- a/packages/core/crocuswell_core/invariants.py
+++ b/packages/core/crocuswell_core/invariants.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.index import index_of, is_movable, is_usable, total_of
 from crocuswell_core.records import (
     ENDED_MEMBER_PHASES,
@@ -23,7 +24,6 @@
 )
 from crocuswell_core.resources import SLOTS_PER_WORKER, Adjacency, Resources
 from crocuswell_core.spaces import Quantity
-from crocuswell_core.state import ClusterState
 
 Key = TypeVar("Key")
 
--- a/packages/core/crocuswell_core/leadership.py
+++ b/packages/core/crocuswell_core/leadership.py
@@ -1,6 +1,7 @@
 """Terms, the leader that this host follows, and the leader's lease."""
 
 from crocuswell_core import consensus_log, members
+from crocuswell_core.consensus_state import PeerProgress, Role
 from crocuswell_core.dispatch import notify
 from crocuswell_core.effects import (
     CancelTimer,
@@ -11,8 +12,8 @@
     StartTimer,
     TermRecord,
 )
+from crocuswell_core.entry_state import EntryState
 from crocuswell_core.notices import LeadershipGained, LeadershipLost
-from crocuswell_core.state import EntryState, PeerProgress, Role
 from crocuswell_core.timers import ElectionTimer, LeaderTimer
 
 
--- a/packages/core/crocuswell_core/liveness.py
+++ b/packages/core/crocuswell_core/liveness.py
@@ -25,8 +25,9 @@
     SendPeer,
     StartTimer,
 )
-from crocuswell_core.messages import Liveness, LivenessReply, WorkerLiveness
+from crocuswell_core.entry_state import AgentSession, EntryState, HeardHost, HeardWorker
 from crocuswell_core.notices import LeadershipGained, LeadershipLost
+from crocuswell_core.peer_messages import Liveness, LivenessReply, WorkerLiveness
 from crocuswell_core.records import WorkerMode
 from crocuswell_core.sessions import (
     announce_session,
@@ -35,12 +36,6 @@
     send_heartbeat,
     session_of,
 )
-from crocuswell_core.state import (
-    AgentSession,
-    EntryState,
-    HeardHost,
-    HeardWorker,
-)
 from crocuswell_core.timers import LivenessTimer
 
 # Liveness messages without an answer are forgotten after this many newer ones.
--- a/packages/core/crocuswell_core/members.py
+++ b/packages/core/crocuswell_core/members.py
@@ -2,15 +2,12 @@
 
 from collections import Counter
 
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.commands import ChangeMembers, Done, EntryHost, LogEntry
+from crocuswell_core.consensus_state import ConsensusState, Membership
 from crocuswell_core.dispatch import apply_command
 from crocuswell_core.effects import Applied
-from crocuswell_core.state import (
-    ClusterState,
-    ConsensusState,
-    EntryState,
-    Membership,
-)
+from crocuswell_core.entry_state import EntryState
 
 
 @apply_command.register
--- a/packages/core/crocuswell_core/outcomes.py
+++ b/packages/core/crocuswell_core/outcomes.py
@@ -6,6 +6,7 @@
 import attrs
 
 from crocuswell_core.agenda import add_due
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.commands import (
     Report,
     TaskFailed,
@@ -13,6 +14,7 @@
     TaskRefused,
     TaskStopped,
 )
+from crocuswell_core.due import RecordDue, ResultDue, RetryDue
 from crocuswell_core.effects import (
     ClusterEffect,
     Count,
@@ -34,7 +36,6 @@
     RequestPhase,
     StopReason,
 )
-from crocuswell_core.state import ClusterState, RecordDue, ResultDue, RetryDue
 
 RETRY_BASE_MS = 200
 RETRY_LIMIT_MS = 30_000
--- a/packages/core/crocuswell_core/reducer.py
+++ b/packages/core/crocuswell_core/reducer.py
@@ -17,10 +17,11 @@
     sessions,
     views,
 )
+from crocuswell_core.agent_state import AgentState
 from crocuswell_core.dispatch import handle
 from crocuswell_core.effects import Effect
+from crocuswell_core.entry_state import EntryState
 from crocuswell_core.events import Event
-from crocuswell_core.state import AgentState, EntryState
 
 State = TypeVar("State", EntryState, AgentState)
 
--- a/packages/core/crocuswell_core/replication.py
+++ b/packages/core/crocuswell_core/replication.py
@@ -8,6 +8,7 @@
     snapshots,
 )
 from crocuswell_core.commands import ChangeMembers, LogEntry, Proposal
+from crocuswell_core.consensus_state import PeerProgress, Role
 from crocuswell_core.dispatch import handle, handle_peer, handle_timer
 from crocuswell_core.effects import (
     Effect,
@@ -19,9 +20,9 @@
     SetPeers,
     StartTimer,
 )
+from crocuswell_core.entry_state import EntryState
 from crocuswell_core.events import EntriesSynced, PeerMessageReceived
-from crocuswell_core.messages import Append, AppendReply, Forward, TimeoutNow
-from crocuswell_core.state import EntryState, PeerProgress, Role
+from crocuswell_core.peer_messages import Append, AppendReply, Forward, TimeoutNow
 from crocuswell_core.timers import LeaderTimer
 
 # --- proposals -----------------------------------------------------------
--- a/packages/core/crocuswell_core/requests.py
+++ b/packages/core/crocuswell_core/requests.py
@@ -11,6 +11,7 @@
     release_unconfirmed,
     stop_attempt,
 )
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.commands import (
     AdvanceTime,
     CancelRequests,
@@ -25,6 +26,16 @@
 )
 from crocuswell_core.configuration import Workspace
 from crocuswell_core.dispatch import apply_command
+from crocuswell_core.due import (
+    AnswerDue,
+    DeadlineDue,
+    Due,
+    ProbeDue,
+    RecordDue,
+    ReservationDue,
+    ResultDue,
+    RetryDue,
+)
 from crocuswell_core.effects import (
     Applied,
     ClusterEffect,
@@ -49,17 +60,6 @@
 from crocuswell_core.resources import LARGEST_GANG, Resources
 from crocuswell_core.scoring import note_shape
 from crocuswell_core.spaces import Usage
-from crocuswell_core.state import (
-    AnswerDue,
-    ClusterState,
-    DeadlineDue,
-    Due,
-    ProbeDue,
-    RecordDue,
-    ReservationDue,
-    ResultDue,
-    RetryDue,
-)
 
 OVERLOAD_RETRY_MS = 2_000
 
--- a/packages/core/crocuswell_core/rooms.py
+++ b/packages/core/crocuswell_core/rooms.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from crocuswell_core.cluster_state import ClusterState, WorkerRoom
 from crocuswell_core.index import remove_member
 from crocuswell_core.records import (
     ENDED_MEMBER_PHASES,
@@ -14,7 +15,6 @@
     WorkerInfo,
 )
 from crocuswell_core.resources import Resources
-from crocuswell_core.state import ClusterState, WorkerRoom
 
 
 def new_room(info: WorkerInfo) -> WorkerRoom:
--- a/packages/core/crocuswell_core/scheduling.py
+++ b/packages/core/crocuswell_core/scheduling.py
@@ -7,6 +7,7 @@
 
 from crocuswell_core.attempts import place_request
 from crocuswell_core.borrowing import Tries, find_workers, reserve_would_shrink
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.consolidation import consolidate, resume_moved
 from crocuswell_core.effects import ClusterEffect
 from crocuswell_core.fairness import dominant_share, lane_order
@@ -23,7 +24,6 @@
 )
 from crocuswell_core.short_work import make_way
 from crocuswell_core.spaces import Lane
-from crocuswell_core.state import ClusterState
 
 # Most searches for room that may fail in one pass although room is free; it
 # bounds the cost of a pass when the free room is reserved.
--- a/packages/core/crocuswell_core/sessions.py
+++ b/packages/core/crocuswell_core/sessions.py
@@ -2,12 +2,25 @@
 
 import attrs
 
+from crocuswell_core.agent_messages import (
+    AgentHeartbeat,
+    DrainNotice,
+    EntryHeartbeat,
+    Goodbye,
+    Hello,
+    Order,
+    Orders,
+    ReportAck,
+    SendReports,
+    Welcome,
+)
 from crocuswell_core.attempts import wanted_order
 from crocuswell_core.callers import (
     answer_ended_waits,
     proposal_key,
     submit_proposal,
 )
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.commands import AnnounceWorker, Command, Proposal, RecordReports
 from crocuswell_core.dispatch import handle, handle_agent, handle_timer, notify, pass_on
 from crocuswell_core.effects import (
@@ -21,23 +34,11 @@
     StartTimer,
     WorkerAnnounced,
 )
+from crocuswell_core.entry_state import AgentSession, EntryState
 from crocuswell_core.events import AgentMessageReceived, AgentStreamClosed
-from crocuswell_core.messages import (
-    AgentHeartbeat,
-    DrainNotice,
-    EntryHeartbeat,
-    Goodbye,
-    Hello,
-    Order,
-    Orders,
-    ReportAck,
-    SendReports,
-    Welcome,
-)
 from crocuswell_core.notices import SnapshotInstalled
 from crocuswell_core.records import WorkerMode
 from crocuswell_core.rooms import members_on
-from crocuswell_core.state import AgentSession, ClusterState, EntryState
 from crocuswell_core.timers import LivenessTimer, SessionTimer
 from crocuswell_core.usage import check_usage
 
--- a/packages/core/crocuswell_core/short_work.py
+++ b/packages/core/crocuswell_core/short_work.py
@@ -4,12 +4,12 @@
 from itertools import islice
 
 from crocuswell_core.attempts import stop_attempt
+from crocuswell_core.cluster_state import ClusterState, Reservation
 from crocuswell_core.effects import ClusterEffect, Count
 from crocuswell_core.forecast import expected_run_ms
 from crocuswell_core.index import RECLAIM_STOP_MS, index_of, need_of
 from crocuswell_core.quotas import within_quota
 from crocuswell_core.records import Attempt, AttemptPhase, Request, StopReason
-from crocuswell_core.state import ClusterState, Reservation
 
 # Longest expected run time in ms of work that others make way for.
 SHORT_MS = 90_000
--- a/packages/core/crocuswell_core/snapshots.py
+++ b/packages/core/crocuswell_core/snapshots.py
@@ -3,6 +3,8 @@
 from typing import cast
 
 from crocuswell_core import committed, consensus_log, leadership, members
+from crocuswell_core.cluster_state import ClusterState
+from crocuswell_core.consensus_state import Membership, PeerProgress
 from crocuswell_core.dispatch import handle, notify
 from crocuswell_core.effects import (
     Effect,
@@ -15,10 +17,10 @@
     SendSnapshot,
     SetPeers,
 )
+from crocuswell_core.entry_state import EntryState
 from crocuswell_core.events import SnapshotReceived
-from crocuswell_core.messages import AppendReply
 from crocuswell_core.notices import SnapshotInstalled
-from crocuswell_core.state import ClusterState, EntryState, Membership, PeerProgress
+from crocuswell_core.peer_messages import AppendReply
 
 # A snapshot in transit is not sent again within this time: at the target
 # size it is some megabytes, far more than a heartbeat.
--- a/packages/core/crocuswell_core/views.py
+++ b/packages/core/crocuswell_core/views.py
@@ -3,10 +3,7 @@
 from collections.abc import Iterator
 from itertools import islice
 
-from crocuswell_core.commands import Refused
-from crocuswell_core.dispatch import answer_read
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.messages import (
+from crocuswell_core.calls import (
     ExplainRequest,
     GetConfiguration,
     GetHistory,
@@ -15,6 +12,11 @@
     GetWorkers,
     ListRequests,
 )
+from crocuswell_core.cluster_state import ClusterState
+from crocuswell_core.commands import Refused
+from crocuswell_core.dispatch import answer_read
+from crocuswell_core.entry_state import EntryState
+from crocuswell_core.errors import ErrorKind
 from crocuswell_core.records import AttemptId, Request
 from crocuswell_core.replies import (
     ConfigurationView,
@@ -29,7 +31,6 @@
 )
 from crocuswell_core.resources import NOTHING
 from crocuswell_core.scheduling import explain_waiting
-from crocuswell_core.state import ClusterState, EntryState
 
 
 @answer_read.register
--- a/packages/daemon/crocuswell_daemon/agent_streams.py
+++ b/packages/daemon/crocuswell_daemon/agent_streams.py
@@ -9,13 +9,13 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
+from crocuswell_core.agent_messages import EntryMessage
 from crocuswell_core.effects import Count, Label
 from crocuswell_core.events import (
     AgentMessageReceived,
     AgentStreamClosed,
     Event,
 )
-from crocuswell_core.messages import EntryMessage
 from crocuswell_daemon.listener import StreamListener
 from crocuswell_daemon.streams import (
     AGENT_STREAM_PATH,
--- a/packages/daemon/crocuswell_daemon/entry_stream.py
+++ b/packages/daemon/crocuswell_daemon/entry_stream.py
@@ -9,13 +9,13 @@
 from collections.abc import Callable
 from typing import Any, Self
 
+from crocuswell_core.agent_messages import AgentMessage
 from crocuswell_core.events import (
     EntryMessageReceived,
     EntryStreamClosed,
     EntryStreamOpened,
     Event,
 )
-from crocuswell_core.messages import AgentMessage
 from crocuswell_daemon.streams import (
     AGENT_STREAM_PATH,
     Decode,
--- a/packages/daemon/crocuswell_daemon/http_api.py
+++ b/packages/daemon/crocuswell_daemon/http_api.py
@@ -17,11 +17,11 @@
 import attrs
 from result import is_err
 
+from crocuswell_core.calls import Call, GetRequest
 from crocuswell_core.commands import CommandReply, Refused, RequestAccepted
 from crocuswell_core.effects import Count, Label
 from crocuswell_core.errors import ErrorKind
 from crocuswell_core.events import CallAbandoned, CallReceived, Event
-from crocuswell_core.messages import Call, GetRequest
 from crocuswell_core.replies import ReadReply, RequestView
 from crocuswell_daemon.http_calls import (
     Change,
--- a/packages/daemon/crocuswell_daemon/http_calls.py
+++ b/packages/daemon/crocuswell_daemon/http_calls.py
@@ -9,17 +9,7 @@
 import attrs
 from result import Err, Ok, Result, is_err
 
-from crocuswell_core.commands import (
-    CancelRequests,
-    ChangeConfiguration,
-    Command,
-    Proposal,
-    SetWorkerMode,
-    SubmitRequest,
-    SwitchPreset,
-)
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.messages import (
+from crocuswell_core.calls import (
     CommandCall,
     ExplainRequest,
     GetConfiguration,
@@ -30,6 +20,16 @@
     ListRequests,
     ReadCall,
 )
+from crocuswell_core.commands import (
+    CancelRequests,
+    ChangeConfiguration,
+    Command,
+    Proposal,
+    SetWorkerMode,
+    SubmitRequest,
+    SwitchPreset,
+)
+from crocuswell_core.errors import ErrorKind
 from crocuswell_daemon.http_bodies import (
     parse_cancel,
     parse_configuration,
--- a/packages/daemon/crocuswell_daemon/interpreter.py
+++ b/packages/daemon/crocuswell_daemon/interpreter.py
@@ -7,9 +7,10 @@
 import attrs
 
 from crocuswell_core import effects as fx
+from crocuswell_core.agent_messages import AgentMessage, EntryMessage
 from crocuswell_core.backend import BackendCall
 from crocuswell_core.commands import CommandReply, EntryHost
-from crocuswell_core.messages import AgentMessage, EntryMessage, PeerMessage
+from crocuswell_core.peer_messages import PeerMessage
 from crocuswell_core.replies import ReadReply
 from crocuswell_core.timers import Timer
 
--- a/packages/daemon/crocuswell_daemon/roles.py
+++ b/packages/daemon/crocuswell_daemon/roles.py
@@ -2,8 +2,9 @@
 
 import attrs
 
+from crocuswell_core.agent_state import AgentConfig
 from crocuswell_core.commands import EntryHost
-from crocuswell_core.state import AgentConfig, EntryConfig
+from crocuswell_core.entry_state import EntryConfig
 
 FIXED_KEYS = frozenset({"host", "hosts", "voters", "seed", "entries", "incarnation"})
 
--- a/packages/daemon/crocuswell_daemon/snapshots.py
+++ b/packages/daemon/crocuswell_daemon/snapshots.py
@@ -15,7 +15,7 @@
     SnapshotRecord,
 )
 from crocuswell_core.events import Event, PeerMessageReceived, SnapshotReceived
-from crocuswell_core.messages import InstallSnapshot
+from crocuswell_core.peer_messages import InstallSnapshot
 from crocuswell_daemon import wire
 
 
--- a/tests/agent_world.py
+++ b/tests/agent_world.py
@@ -15,6 +15,23 @@
 import attrs
 
 from crocuswell_core.agent_invariants import check_agent
+from crocuswell_core.agent_messages import (
+    AgentHeartbeat,
+    AgentMessage,
+    EntryHeartbeat,
+    EntryMessage,
+    Goodbye,
+    Hello,
+    Order,
+    Orders,
+    ReportAck,
+    ReserveTask,
+    SendReports,
+    StartTask,
+    StopTask,
+    Welcome,
+)
+from crocuswell_core.agent_state import AgentConfig, AgentState
 from crocuswell_core.backend import (
     BackendCall,
     BackendReply,
@@ -47,26 +64,9 @@
     Event,
     TimerFired,
 )
-from crocuswell_core.messages import (
-    AgentHeartbeat,
-    AgentMessage,
-    EntryHeartbeat,
-    EntryMessage,
-    Goodbye,
-    Hello,
-    Order,
-    Orders,
-    ReportAck,
-    ReserveTask,
-    SendReports,
-    StartTask,
-    StopTask,
-    Welcome,
-)
 from crocuswell_core.records import AttemptId, WorkerInfo
 from crocuswell_core.reducer import reduce
 from crocuswell_core.resources import Resources
-from crocuswell_core.state import AgentConfig, AgentState
 from crocuswell_core.timers import Timer
 from standins.backend_tasks import Backend, advance, result_of, running, serve
 
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -6,6 +6,18 @@
 import attrs
 
 from crocuswell_core.agent_invariants import check_agent
+from crocuswell_core.agent_messages import (
+    AgentMessage,
+    EntryHeartbeat,
+    EntryMessage,
+    Order,
+    Orders,
+    ReserveTask,
+    SendReports,
+    StartTask,
+    Welcome,
+)
+from crocuswell_core.agent_state import AgentConfig, AgentState
 from crocuswell_core.backend import (
     Accepted,
     BackendCall,
@@ -31,21 +43,9 @@
     Event,
     TimerFired,
 )
-from crocuswell_core.messages import (
-    AgentMessage,
-    EntryHeartbeat,
-    EntryMessage,
-    Order,
-    Orders,
-    ReserveTask,
-    SendReports,
-    StartTask,
-    Welcome,
-)
 from crocuswell_core.records import AttemptId, WorkerInfo
 from crocuswell_core.reducer import reduce
 from crocuswell_core.resources import NOTHING, Resources
-from crocuswell_core.state import AgentConfig, AgentState
 from crocuswell_core.timers import Timer
 
 ENTRIES = ("a:1", "b:1", "c:1")
--- a/tests/clusters.py
+++ b/tests/clusters.py
@@ -5,6 +5,8 @@
 import attrs
 
 from crocuswell_core import reducer  # noqa: F401  (registers the handlers)
+from crocuswell_core.agent_messages import Order
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.commands import (
     AdvanceTime,
     AnnounceWorker,
@@ -20,7 +22,6 @@
 from crocuswell_core.committed import apply_entry
 from crocuswell_core.configuration import Configuration, Workspace
 from crocuswell_core.effects import ClusterEffect, OrderWorker
-from crocuswell_core.messages import Order
 from crocuswell_core.records import (
     Attempt,
     AttemptId,
@@ -30,7 +31,6 @@
     WorkerInfo,
 )
 from crocuswell_core.resources import Adjacency, Resources, Shape
-from crocuswell_core.state import ClusterState
 
 CAPACITY = Resources(8, 128, 262_144)
 
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -5,7 +5,10 @@
 
 import attrs
 
+from crocuswell_core.agent_messages import AgentHeartbeat, Hello
+from crocuswell_core.calls import Call, CommandCall
 from crocuswell_core.commands import Command, EntryHost, Proposal
+from crocuswell_core.consensus_state import Role
 from crocuswell_core.effects import (
     AnswerCall,
     Effect,
@@ -14,6 +17,7 @@
     SendAgent,
     StartTimer,
 )
+from crocuswell_core.entry_state import EntryConfig, EntryState
 from crocuswell_core.events import (
     AgentMessageReceived,
     CallReceived,
@@ -23,10 +27,8 @@
     Event,
     TimerFired,
 )
-from crocuswell_core.messages import AgentHeartbeat, Call, CommandCall, Hello
 from crocuswell_core.records import WorkerInfo
 from crocuswell_core.reducer import reduce
-from crocuswell_core.state import EntryConfig, EntryState, Role
 from crocuswell_core.timers import Timer
 from tests.clusters import CAPACITY
 
--- a/tests/http_fake.py
+++ b/tests/http_fake.py
@@ -11,9 +11,9 @@
 import attrs
 import urllib3
 
+from crocuswell_core.calls import Call
 from crocuswell_core.effects import Count
 from crocuswell_core.events import CallReceived, Event
-from crocuswell_core.messages import Call
 from crocuswell_core.records import (
     JobSpec,
     Outcome,
--- a/tests/platform_callers.py
+++ b/tests/platform_callers.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from crocuswell_core.calls import Call, CommandCall, GetConfiguration, GetRequest
 from crocuswell_core.commands import (
     CancelRequests,
     ChangeAccepted,
@@ -17,7 +18,6 @@
 from crocuswell_core.configuration import Configuration, Limits, Workspace
 from crocuswell_core.errors import ErrorKind
 from crocuswell_core.events import CallReceived
-from crocuswell_core.messages import Call, CommandCall, GetConfiguration, GetRequest
 from crocuswell_core.records import JobSpec, Outcome, RequestPhase
 from crocuswell_core.replies import ConfigurationView, RequestView
 from crocuswell_core.resources import Resources, Shape
--- a/tests/simulated_agent.py
+++ b/tests/simulated_agent.py
@@ -5,6 +5,7 @@
 import attrs
 
 from crocuswell_core.agent_invariants import check_agent
+from crocuswell_core.agent_state import AgentConfig, AgentState
 from crocuswell_core.backend import (
     Accepted,
     BackendCall,
@@ -18,7 +19,6 @@
 from crocuswell_core.events import AgentBooted, ClockAdvanced, Event
 from crocuswell_core.records import AttemptId, WorkerInfo
 from crocuswell_core.reducer import reduce
-from crocuswell_core.state import AgentConfig, AgentState
 from crocuswell_core.timers import Timer
 from standins.backend_tasks import Backend, serve
 from tests.simulated_host import InvariantError
--- a/tests/simulated_host.py
+++ b/tests/simulated_host.py
@@ -16,11 +16,11 @@
     SaveSnapshot,
     TermRecord,
 )
+from crocuswell_core.entry_state import EntryConfig, EntryState
 from crocuswell_core.events import (
     EntryBooted,
     Event,
 )
-from crocuswell_core.state import EntryConfig, EntryState
 from crocuswell_core.timers import Timer
 
 Action = Callable[[EntryState], list[Effect]]
--- a/tests/simulator.py
+++ b/tests/simulator.py
@@ -21,6 +21,7 @@
     EntryHost,
     Proposal,
 )
+from crocuswell_core.consensus_state import Role
 from crocuswell_core.effects import (
     CancelTimer,
     Effect,
@@ -31,6 +32,7 @@
     SendSnapshot,
     StartTimer,
 )
+from crocuswell_core.entry_state import EntryConfig, EntryState
 from crocuswell_core.events import (
     ClockAdvanced,
     EntriesSynced,
@@ -40,7 +42,6 @@
     TimerFired,
 )
 from crocuswell_core.reducer import reduce
-from crocuswell_core.state import EntryConfig, EntryState, Role
 from crocuswell_core.timers import ElectionTimer, LeaderTimer, Timer
 from tests.simulated_host import Action, Disk, Host, InvariantError
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from crocuswell_core.agent_messages import Order, ReportAck, SendReports, StopTask
 from crocuswell_core.backend import (
     Accepted,
     BackendReply,
@@ -25,12 +26,6 @@
     TaskStopped,
 )
 from crocuswell_core.events import BackendReplied, EntryStreamClosed
-from crocuswell_core.messages import (
-    Order,
-    ReportAck,
-    SendReports,
-    StopTask,
-)
 from crocuswell_core.resources import Resources
 from tests.agents import (
     INFO,
--- a/tests/test_agent_leases.py
+++ b/tests/test_agent_leases.py
@@ -6,6 +6,17 @@
 import attrs
 import pytest
 
+from crocuswell_core.agent_messages import (
+    AgentHeartbeat,
+    DrainNotice,
+    EntryHeartbeat,
+    Goodbye,
+    Hello,
+    ReportAck,
+    SendReports,
+    Welcome,
+)
+from crocuswell_core.agent_state import AgentConfig, AgentState
 from crocuswell_core.backend import Accepted, StartOnBackend, StopOnBackend
 from crocuswell_core.commands import TaskRefused, TaskReserved
 from crocuswell_core.effects import CloseEntryStream, Halt, OpenEntryStream
@@ -16,18 +27,7 @@
     EntryStreamClosed,
     EntryStreamOpened,
 )
-from crocuswell_core.messages import (
-    AgentHeartbeat,
-    DrainNotice,
-    EntryHeartbeat,
-    Goodbye,
-    Hello,
-    ReportAck,
-    SendReports,
-    Welcome,
-)
 from crocuswell_core.resources import NOTHING, Resources
-from crocuswell_core.state import AgentConfig, AgentState
 from crocuswell_daemon.wire import encode
 from tests.agents import (
     ENTRIES,
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -14,12 +14,14 @@
     LogEntry,
     Proposal,
 )
+from crocuswell_core.consensus_state import Role
 from crocuswell_core.effects import (
     EntriesRecord,
     Persist,
     SendPeer,
     TermRecord,
 )
+from crocuswell_core.entry_state import EntryConfig, EntryState
 from crocuswell_core.events import (
     ClockAdvanced,
     EntriesSynced,
@@ -27,7 +29,7 @@
     PeerMessageReceived,
     TimerFired,
 )
-from crocuswell_core.messages import (
+from crocuswell_core.peer_messages import (
     Append,
     AppendReply,
     Forward,
@@ -35,7 +37,6 @@
     VoteRequest,
 )
 from crocuswell_core.reducer import reduce
-from crocuswell_core.state import EntryConfig, EntryState, Role
 from crocuswell_core.timers import ElectionTimer, LeaderTimer
 
 HOSTS = tuple(EntryHost(id_, f"{id_}:1", f"domain-{id_}") for id_ in "abc")
--- a/tests/test_agreement_faults.py
+++ b/tests/test_agreement_faults.py
@@ -16,9 +16,9 @@
     replication,
     snapshots,
 )
+from crocuswell_core.consensus_state import ConsensusState
 from crocuswell_core.effects import Persist
-from crocuswell_core.messages import VoteReply
-from crocuswell_core.state import ConsensusState
+from crocuswell_core.peer_messages import VoteReply
 from tests.agreement_checks import run_seed
 from tests.simulated_host import InvariantError
 
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -11,6 +11,16 @@
 import attrs
 import pytest
 
+from crocuswell_core.calls import (
+    CommandCall,
+    ExplainRequest,
+    GetConfiguration,
+    GetHistory,
+    GetMembers,
+    GetRequest,
+    GetWorkers,
+    ListRequests,
+)
 from crocuswell_core.commands import (
     CancelRequests,
     ChangeAccepted,
@@ -32,16 +42,6 @@
     Workspace,
 )
 from crocuswell_core.errors import PROMISES, ErrorKind
-from crocuswell_core.messages import (
-    CommandCall,
-    ExplainRequest,
-    GetConfiguration,
-    GetHistory,
-    GetMembers,
-    GetRequest,
-    GetWorkers,
-    ListRequests,
-)
 from crocuswell_core.records import (
     Attempt,
     AttemptId,
--- a/tests/test_http_limits.py
+++ b/tests/test_http_limits.py
@@ -10,6 +10,7 @@
 import attrs
 import pytest
 
+from crocuswell_core.calls import GetRequest
 from crocuswell_core.commands import (
     Refused,
     RequestAccepted,
@@ -17,9 +18,6 @@
 from crocuswell_core.effects import Count
 from crocuswell_core.errors import ErrorKind
 from crocuswell_core.events import CallAbandoned
-from crocuswell_core.messages import (
-    GetRequest,
-)
 from crocuswell_core.replies import (
     RequestView,
 )
--- a/tests/test_interpreter.py
+++ b/tests/test_interpreter.py
@@ -6,8 +6,9 @@
 import pytest
 
 from crocuswell_core import backend, effects as fx
+from crocuswell_core.agent_messages import Goodbye
 from crocuswell_core.commands import Done, EntryHost
-from crocuswell_core.messages import Goodbye, TimeoutNow
+from crocuswell_core.peer_messages import TimeoutNow
 from crocuswell_core.timers import ElectionTimer
 from crocuswell_daemon.interpreter import (
     AgentParts,
--- a/tests/test_own_claims.py
+++ b/tests/test_own_claims.py
@@ -1,8 +1,8 @@
 """Claims of one workspace beside its own earlier requests."""
 
+from crocuswell_core.agent_messages import StopTask
 from crocuswell_core.commands import TaskReserved
 from crocuswell_core.configuration import Workspace
-from crocuswell_core.messages import StopTask
 from crocuswell_core.records import AttemptId, JobSpec
 from crocuswell_core.resources import Adjacency
 from tests.clusters import Cluster, gang
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -19,7 +19,7 @@
 from crocuswell_core.events import (
     PeerMessageReceived,
 )
-from crocuswell_core.messages import (
+from crocuswell_core.peer_messages import (
     Append,
     InstallSnapshot,
     PeerMessage,
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from crocuswell_core.agent_messages import ReserveTask, StartTask, StopTask
 from crocuswell_core.commands import (
     CancelRequests,
     DeclareSilent,
@@ -20,7 +21,6 @@
 )
 from crocuswell_core.configuration import Workspace
 from crocuswell_core.errors import ErrorKind
-from crocuswell_core.messages import ReserveTask, StartTask, StopTask
 from crocuswell_core.records import AttemptId, JobSpec, Outcome, WorkerMode
 from crocuswell_core.resources import Adjacency, Resources, Shape
 from tests.clusters import Cluster, gang, small_cluster
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -9,6 +9,7 @@
 import pytest
 
 from crocuswell_core import effects as fx
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.commands import AdvanceTime, LogEntry, Proposal
 from crocuswell_core.errors import ErrorKind
 from crocuswell_core.events import (
@@ -21,8 +22,7 @@
     PeerMessageReceived,
     SnapshotReceived,
 )
-from crocuswell_core.messages import InstallSnapshot, TimeoutNow
-from crocuswell_core.state import ClusterState
+from crocuswell_core.peer_messages import InstallSnapshot, TimeoutNow
 from crocuswell_daemon import wire
 from crocuswell_daemon.frames import StorageError
 from crocuswell_daemon.runtime import BATCH_EVENTS, Runtime
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from crocuswell_core.agent_messages import StopTask, TaskUsage
 from crocuswell_core.commands import (
     ChangeConfiguration,
     Refused,
@@ -16,7 +17,6 @@
 from crocuswell_core.configuration import Configuration, Preset, Workspace
 from crocuswell_core.errors import ErrorKind
 from crocuswell_core.invariants import InvariantViolation, check_all
-from crocuswell_core.messages import StopTask, TaskUsage
 from crocuswell_core.records import (
     AttemptId,
     JobSpec,
--- a/tests/test_scheduling_random.py
+++ b/tests/test_scheduling_random.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bench.fake_workers import Apply, Fail, SetFaulty, World
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.commands import (
     CancelRequests,
     ChangeConfiguration,
@@ -22,7 +23,6 @@
     WorkerMode,
 )
 from crocuswell_core.resources import Adjacency, Resources, Shape
-from crocuswell_core.state import ClusterState
 
 CAPACITY = Resources(8, 32, 65_536)
 PRESETS = (
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -4,6 +4,15 @@
 
 import pytest
 
+from crocuswell_core.agent_messages import (
+    DrainNotice,
+    EntryHeartbeat,
+    Goodbye,
+    Orders,
+    StartTask,
+    Welcome,
+)
+from crocuswell_core.calls import GetRequest
 from crocuswell_core.commands import (
     CancelRequests,
     ChangeAccepted,
@@ -15,6 +24,7 @@
 )
 from crocuswell_core.committed import apply_entry
 from crocuswell_core.configuration import Configuration, Limits, Workspace
+from crocuswell_core.consensus_state import Role
 from crocuswell_core.effects import CloseAgentStream, Halt, SendPeer, SetReady
 from crocuswell_core.events import (
     AgentMessageReceived,
@@ -23,22 +33,14 @@
     PeerMessageReceived,
     SnapshotReceived,
 )
-from crocuswell_core.messages import (
-    DrainNotice,
-    EntryHeartbeat,
-    GetRequest,
-    Goodbye,
+from crocuswell_core.peer_messages import (
     Liveness,
     LivenessReply,
-    Orders,
-    StartTask,
     TimeoutNow,
-    Welcome,
     WorkerLiveness,
 )
 from crocuswell_core.records import JobSpec, RequestPhase, WorkerMode
 from crocuswell_core.replies import RequestView
-from crocuswell_core.state import Role
 from tests.clusters import gang
 from tests.hosts import Host, leading_host
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from crocuswell_core.cluster_state import ClusterState
 from crocuswell_core.commands import (
     AdvanceTime,
     EntryHost,
@@ -16,7 +17,6 @@
 from crocuswell_core.effects import EntriesRecord, SnapshotRecord, TermRecord
 from crocuswell_core.errors import ErrorKind
 from crocuswell_core.events import EntryBooted
-from crocuswell_core.state import ClusterState
 from crocuswell_daemon import wire
 from crocuswell_daemon.storage import Storage, StorageError, SystemDisk
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -15,6 +15,7 @@
 import pytest
 from grpclib.protocol import H2Protocol
 
+from crocuswell_core.agent_messages import DrainNotice, Goodbye, ReportAck
 from crocuswell_core.events import (
     AgentMessageReceived,
     AgentStreamClosed,
@@ -23,11 +24,6 @@
     EntryStreamOpened,
     Event,
 )
-from crocuswell_core.messages import (
-    DrainNotice,
-    Goodbye,
-    ReportAck,
-)
 from crocuswell_daemon import agent_streams, listener
 from crocuswell_daemon.agent_streams import AgentListener
 from crocuswell_daemon.entry_stream import EntryLink
