--- a/packages/core/crocuswell_core/guarantees.py
+++ b/packages/core/crocuswell_core/guarantees.py
@@ -257,9 +257,12 @@
         # A part of a shape would break it up, and what can be moved fits in
         # gaps of planned room as well, so other room goes first.
         workers = find_workers(cluster, request)
-        # On its own planned room it must count as the claim, or the next
-        # request of the workspace would claim that room and evict it.
-        if workers and not set(workers).intersection(hold.workers):
+        # A whole shape on its own planned room must count as the claim, or the
+        # next request of the workspace would claim that room and evict it.
+        own = whole and not set(workers or ()).isdisjoint(hold.workers)
+        if own and _is_free(cluster, hold):
+            return place_request(cluster, request, hold.workers, hold.guarantee)
+        if workers:
             return place_request(cluster, request, workers)
     hold = _plan_on_free_room(cluster, request, hold)
     if _is_free(cluster, hold):
