--- a/packages/cli/crocuswell_cli/burn.py
+++ b/packages/cli/crocuswell_cli/burn.py
@@ -173,7 +173,7 @@
         f'<text x="0" y="{y + 13}">{w.window}</text>'
         f'<rect x="40" y="{y}" width="{_width(w.rate)}" height="16" '
         f'class="{"over" if w.rate > 1 else "under"}"/>'
-        f'<text x="{_width(w.rate) + 46}" y="{y + 13}">{w.rate:.2f}x '
+        f'<text x="{_label_x(w.rate)}" y="{y + 13}">{w.rate:.2f}x '
         f"({w.bad} of {w.total} bad)</text>"
         for w, y in zip(burn.windows, range(0, 90, 24), strict=False)
     )
@@ -191,6 +191,11 @@
     return round(min(rate, FULL_BAR_RATE) / FULL_BAR_RATE * 260) + 1
 
 
+def _label_x(rate: float) -> int:
+    # Right of the bar and of the line that marks a rate of 1.
+    return max(_width(rate), _width(1.0)) + 46
+
+
 def _by_rack(fleet: Sequence[dict[str, Any]]) -> dict[str, list[dict[str, Any]]]:
     racks: dict[str, list[dict[str, Any]]] = {}
     for worker in fleet:
