Join two handlers of reports; print the agent's figures in make bench

Change: one handler with a table; make bench runs the agent's bench first. Conclusion: no behaviour changed.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 	$(BIN)/python -m scripts.soak --platform --seed $(SEED) --steps $(STEPS)
 
 bench: setup
+	$(BIN)/python bench/agent_memory.py
 	$(BIN)/python -m bench
 
 bench-ablations: setup
--- a/packages/core/crocuswell_core/attempts.py
+++ b/packages/core/crocuswell_core/attempts.py
@@ -61,6 +61,12 @@
 }
 
 
+ENDED_BY = {
+    TaskFailed: MemberPhase.FAILED,
+    TaskRefused: MemberPhase.REFUSED,
+}
+
+
 def place_request(
     cluster: ClusterState,
     request: Request,
@@ -235,20 +241,13 @@
     return _end(cluster, attempt, report.rank, MemberPhase.FINISHED)
 
 
-@_apply_report.register
-def _(
-    report: TaskFailed, cluster: ClusterState, attempt: Attempt
-) -> list[ClusterEffect]:
-    attempt = attrs.evolve(attempt, detail=attempt.detail or report.detail)
-    return _end(cluster, attempt, report.rank, MemberPhase.FAILED)
-
-
-@_apply_report.register
+@_apply_report.register(TaskFailed)
+@_apply_report.register(TaskRefused)
 def _(
-    report: TaskRefused, cluster: ClusterState, attempt: Attempt
+    report: TaskFailed | TaskRefused, cluster: ClusterState, attempt: Attempt
 ) -> list[ClusterEffect]:
     attempt = attrs.evolve(attempt, detail=attempt.detail or report.detail)
-    return _end(cluster, attempt, report.rank, MemberPhase.REFUSED)
+    return _end(cluster, attempt, report.rank, ENDED_BY[type(report)])
 
 
 @_apply_report.register
