Count doubled starts in one place; drop a setting that nothing reads

Cause: read-through. The demo and the failure scripts each counted doubled starts; the tour joined and split its endpoints; a declaration file was read twice; AgentConfig.tick_ms had no reader since the agent's timer follows what is due. Change: Platform.count_doubled serves both scripts; the rest is removed. Conclusion: behaviour is the same, except that tick_ms in agent settings is now an unknown key.

--- a/packages/cli/crocuswell_cli/documents.py
+++ b/packages/cli/crocuswell_cli/documents.py
@@ -90,8 +90,9 @@
 
 def _read_file(path: Path, documents: Documents) -> None:
     try:
-        node = yaml.compose(path.read_text(encoding="utf-8"), yaml.SafeLoader)
-        value = yaml.safe_load(path.read_text(encoding="utf-8"))
+        text = path.read_text(encoding="utf-8")
+        node = yaml.compose(text, yaml.SafeLoader)
+        value = yaml.safe_load(text)
     except yaml.YAMLError as exc:
         mark = getattr(exc, "problem_mark", None)
         line = mark.line + 1 if mark else 0
--- a/packages/core/crocuswell_core/agent_state.py
+++ b/packages/core/crocuswell_core/agent_state.py
@@ -27,7 +27,6 @@
     seed: int = 0
     heartbeat_ms: int = 1_000
     silence_ms: int = 2_500
-    tick_ms: int = 250
     poll_ms: int = 250
     admission_lease_ms: int = 5_000
     backoff_min_ms: int = 100
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -64,7 +64,7 @@
         run_requests(hosts, platform, requests, tally, kill_leader=kill_leader)
         # Only one leader is killed: two of three voters must remain.
         kill_leader = False
-    tally.doubled += count_doubled(hosts, platform)
+    tally.doubled += platform.count_doubled(hosts.backends())
     return tally
 
 
@@ -119,14 +119,5 @@
     hosts.entries.remove(entry)
 
 
-def count_doubled(hosts: LocalHosts, platform: Platform) -> int:
-    """Count non-idempotent requests that the stand-ins started twice."""
-    starts: dict[str, int] = {}
-    for worker in hosts.workers:
-        for key, count in platform.standin_starts(worker.backend).items():
-            starts[key] = starts.get(key, 0) + count
-    return sum(1 for count in starts.values() if count > 1)
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/scripts/failures.py
+++ b/scripts/failures.py
@@ -167,7 +167,7 @@
                 time.sleep(BEFORE_S)
                 SCENARIOS[name](scene)
                 time.sleep(AFTER_S)
-            doubled = count_doubled(scene)
+            doubled = platform.count_doubled(hosts.backends())
             for relay in relays:
                 relay.close()
             stop_all(hosts)
@@ -183,15 +183,6 @@
     ]
 
 
-def count_doubled(scene: Scene) -> int:
-    """Count non-idempotent requests that were started more than once."""
-    starts: dict[str, int] = {}
-    for worker in scene.hosts.workers:
-        for key, count in scene.platform.standin_starts(worker.backend).items():
-            starts[key] = starts.get(key, 0) + count
-    return sum(1 for count in starts.values() if count > 1)
-
-
 def report(name: str, result: LoadResult, doubled: int) -> bool:
     """Print one line and tell whether the target was met."""
     gap_s = result.longest_gap_s()
--- a/scripts/local_hosts.py
+++ b/scripts/local_hosts.py
@@ -113,6 +113,10 @@
         """Return the callers' addresses of all entry hosts."""
         return [entry.callers for entry in self.entries]
 
+    def backends(self) -> list[str]:
+        """Return the addresses of all stand-in backend servers."""
+        return [worker.backend for worker in self.workers]
+
     def processes(self) -> list[Process]:
         """Return all processes, those that depend on others first."""
         agents = [worker.agent_process for worker in self.workers]
--- a/scripts/platform_calls.py
+++ b/scripts/platform_calls.py
@@ -174,6 +174,14 @@
         views = self.call("GET", "/v1/workers").json()["workers"]
         return dict(next(view for view in views if view["worker"] == name))
 
+    def count_doubled(self, backends: list[str]) -> int:
+        """Count non-idempotent requests that were started more than once."""
+        starts: dict[str, int] = {}
+        for backend in backends:
+            for key, count in self.standin_starts(backend).items():
+                starts[key] = starts.get(key, 0) + count
+        return sum(1 for count in starts.values() if count > 1)
+
     def standin_starts(self, backend: str) -> dict[str, int]:
         """Return how often a stand-in started each marked request."""
         answer = self.pool.request("GET", f"http://{backend}/control", timeout=5)
--- a/scripts/tour.py
+++ b/scripts/tour.py
@@ -48,7 +48,7 @@
 
     def run(self, command: str, expected: int = 0) -> str:
         """Run a command and add it with its output to the page."""
-        endpoints = ",".join(self.hosts.endpoints()).split(",")
+        endpoints = self.hosts.endpoints()
         options = [part for e in endpoints for part in ("--endpoint", e)]
         args = shlex.split(command)
         done = subprocess.run(
