--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,7 +17,7 @@
 from bench.replay import Result, run
 from bench.scaling import SIZES, Cost, measure_cost
 from bench.traces import BRACKETWORKS, DEPLOYMENTS, SKUPNI_TISK, make_trace
-from crocuswell_core.policies import StandingPolicy
+from crocuswell_core.policy.policies import StandingPolicy
 
 FINAL_SEEDS = tuple(range(101, 111))
 ABLATION_SEEDS = tuple(range(101, 105))
--- a/bench/agent_memory.py
+++ b/bench/agent_memory.py
@@ -20,7 +20,7 @@
 import attrs
 import yaml
 
-from crocuswell_core.agent_messages import (
+from crocuswell_core.agent.agent_messages import (
     AgentHeartbeat,
     AgentMessage,
     EntryHeartbeat,
@@ -31,10 +31,14 @@
     StartTask,
     Welcome,
 )
-from crocuswell_core.effects import Count
-from crocuswell_core.events import AgentMessageReceived, AgentStreamClosed, Event
-from crocuswell_core.records import AttemptId
-from crocuswell_core.resources import CONNECTIONS_PER_WORKER, Resources
+from crocuswell_core.cluster.records import AttemptId
+from crocuswell_core.cluster.resources import CONNECTIONS_PER_WORKER, Resources
+from crocuswell_core.runtime.effects import Count
+from crocuswell_core.runtime.events import (
+    AgentMessageReceived,
+    AgentStreamClosed,
+    Event,
+)
 from crocuswell_daemon.agent_streams import AgentListener
 from crocuswell_daemon.wire import decode, encode
 
--- a/bench/agent_stubs.py
+++ b/bench/agent_stubs.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from crocuswell_core.agent_messages import (
+from crocuswell_core.agent.agent_messages import (
     AgentHeartbeat,
     AgentMessage,
     EntryHeartbeat,
@@ -19,14 +19,14 @@
     Hello,
     Welcome,
 )
-from crocuswell_core.events import (
+from crocuswell_core.cluster.records import WorkerInfo
+from crocuswell_core.cluster.resources import Resources
+from crocuswell_core.runtime.events import (
     EntryMessageReceived,
     EntryStreamClosed,
     EntryStreamOpened,
     Event,
 )
-from crocuswell_core.records import WorkerInfo
-from crocuswell_core.resources import Resources
 from crocuswell_daemon.entry_stream import EntryLink
 from crocuswell_daemon.wire import decode, encode
 
--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -2,13 +2,13 @@
 
 import attrs
 
-from crocuswell_core.attempts import place_request
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.effects import ClusterEffect
-from crocuswell_core.index import index_of
-from crocuswell_core.placement import first_fit
-from crocuswell_core.policies import StandingPolicy
-from crocuswell_core.scheduling import run_pass
+from crocuswell_core.cluster.attempts import place_request
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.index import index_of
+from crocuswell_core.policy.placement import first_fit
+from crocuswell_core.policy.policies import StandingPolicy
+from crocuswell_core.policy.scheduling import run_pass
+from crocuswell_core.runtime.effects import ClusterEffect
 
 
 @attrs.frozen
--- a/bench/fake_workers.py
+++ b/bench/fake_workers.py
@@ -6,11 +6,11 @@
 
 import attrs
 
-from crocuswell_core import reducer  # noqa: F401  (registers the handlers)
-from crocuswell_core.agenda import next_due_ms
-from crocuswell_core.agent_messages import Order, ReserveTask, StartTask, StopTask
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import (
+from crocuswell_core.agent.agent_messages import Order, ReserveTask, StartTask, StopTask
+from crocuswell_core.agreement.committed import apply_entry
+from crocuswell_core.cluster.agenda import next_due_ms
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import (
     AdvanceTime,
     AnnounceWorker,
     Command,
@@ -27,14 +27,14 @@
     TaskReserved,
     TaskStopped,
 )
-from crocuswell_core.committed import apply_entry
-from crocuswell_core.effects import (
+from crocuswell_core.cluster.records import AttemptId, WorkerInfo
+from crocuswell_core.runtime import reducer  # noqa: F401  (registers the handlers)
+from crocuswell_core.runtime.effects import (
     ClusterEffect,
     Count,
     OrderWorker,
     RequestEnded,
 )
-from crocuswell_core.records import AttemptId, WorkerInfo
 
 # Time in ms for an order or a report to arrive.
 DELAY_MS = 5
--- a/bench/group_commit.py
+++ b/bench/group_commit.py
@@ -14,14 +14,14 @@
 
 import attrs
 
-from crocuswell_core import effects as fx
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.commands import (
     LogEntry,
     Proposal,
     SubmitRequest,
 )
-from crocuswell_core.events import CallAbandoned, Event
-from crocuswell_core.records import JobSpec
+from crocuswell_core.cluster.records import JobSpec
+from crocuswell_core.runtime import effects as fx
+from crocuswell_core.runtime.events import CallAbandoned, Event
 from crocuswell_daemon.runtime import Runtime
 from crocuswell_daemon.storage import Storage, SystemDisk
 
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -6,16 +6,16 @@
 
 from bench.fake_workers import Apply, Fail, SetFaulty, World
 from bench.traces import HORIZON_MS, Arrival, JobClass, Trace
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import (
     CancelRequests,
     ChangeConfiguration,
     RequestAccepted,
     SubmitRequest,
 )
-from crocuswell_core.policies import StandingPolicy
-from crocuswell_core.records import Outcome, Request
-from crocuswell_core.resources import Adjacency, Shape
+from crocuswell_core.cluster.records import Outcome, Request
+from crocuswell_core.cluster.resources import Adjacency, Shape
+from crocuswell_core.policy.policies import StandingPolicy
 
 # Time in ms from claim to start that a guarantee promises.
 CLAIM_LIMIT_MS = 2_200
--- a/bench/scaling.py
+++ b/bench/scaling.py
@@ -7,8 +7,8 @@
 import attrs
 
 from bench.fake_workers import World
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import (
     AnnounceWorker,
     CancelRequests,
     ChangeConfiguration,
@@ -19,10 +19,10 @@
     SuspectWorker,
     TaskFinished,
 )
-from crocuswell_core.configuration import Configuration, Preset, Workspace
-from crocuswell_core.invariants import check_all
-from crocuswell_core.records import AttemptPhase, JobSpec, WorkerInfo
-from crocuswell_core.resources import Adjacency, Resources, Shape
+from crocuswell_core.cluster.configuration import Configuration, Preset, Workspace
+from crocuswell_core.cluster.invariants import check_all
+from crocuswell_core.cluster.records import AttemptPhase, JobSpec, WorkerInfo
+from crocuswell_core.cluster.resources import Adjacency, Resources, Shape
 
 SIZES = (10, 80, 640)
 WORKSPACES = 23
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from crocuswell_core.configuration import Configuration, Preset, Workspace
-from crocuswell_core.records import JobSpec, WorkerInfo
-from crocuswell_core.resources import Adjacency, Resources, Shape
+from crocuswell_core.cluster.configuration import Configuration, Preset, Workspace
+from crocuswell_core.cluster.records import JobSpec, WorkerInfo
+from crocuswell_core.cluster.resources import Adjacency, Resources, Shape
 
 MINUTE_MS = 60_000
 HORIZON_MS = 120 * MINUTE_MS
--- a/packages/cli/crocuswell_cli/declarations.py
+++ b/packages/cli/crocuswell_cli/declarations.py
@@ -15,19 +15,19 @@
     KeyPath,
     read_folder,
 )
-from crocuswell_core import reducer  # noqa: F401  (registers the handlers)
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import (
+from crocuswell_core.agreement.committed import apply_entry
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import (
     AnnounceWorker,
     ChangeConfiguration,
     Command,
     LogEntry,
     Proposal,
 )
-from crocuswell_core.committed import apply_entry
-from crocuswell_core.configuration import Configuration, find_problem
-from crocuswell_core.records import WorkerInfo
-from crocuswell_core.resources import SLOTS_PER_WORKER, Resources
+from crocuswell_core.cluster.configuration import Configuration, find_problem
+from crocuswell_core.cluster.records import WorkerInfo
+from crocuswell_core.cluster.resources import SLOTS_PER_WORKER, Resources
+from crocuswell_core.runtime import reducer  # noqa: F401  (registers the handlers)
 
 SCHEMA_DIALECT = "https://json-schema.org/draft/2020-12/schema"
 
--- /dev/null
+++ b/packages/core/crocuswell_core/agent/__init__.py
@@ -0,0 +1,1 @@
+"""An agent: its stream, its tasks, its leases and the backend server."""
--- a/packages/core/crocuswell_core/agent.py
+++ b/packages/core/crocuswell_core/agent/agent.py
@@ -1,8 +1,8 @@
 """The agent's side: events, timers and messages from the entry host."""
 
-from crocuswell_core import agent_leases, agent_stream
-from crocuswell_core.agent_backend import describe, handle_reply
-from crocuswell_core.agent_messages import (
+from crocuswell_core.agent import agent_leases, agent_stream
+from crocuswell_core.agent.agent_backend import describe, handle_reply
+from crocuswell_core.agent.agent_messages import (
     EntryHeartbeat,
     Goodbye,
     Orders,
@@ -10,7 +10,7 @@
     StopTask,
     Welcome,
 )
-from crocuswell_core.agent_reports import (
+from crocuswell_core.agent.agent_reports import (
     all_tasks,
     count,
     drop_acknowledged,
@@ -18,8 +18,8 @@
     find_task,
     flush_reports,
 )
-from crocuswell_core.agent_state import AgentState, AgentTask, TaskPhase
-from crocuswell_core.agent_tasks import (
+from crocuswell_core.agent.agent_state import AgentState, AgentTask, TaskPhase
+from crocuswell_core.agent.agent_tasks import (
     conclude_unstarted,
     follow_order,
     lease_stop_due_ms,
@@ -27,10 +27,10 @@
     stop_for_lease,
     stop_task,
 )
-from crocuswell_core.backend import ForgetOnBackend
-from crocuswell_core.commands import TaskReserved
-from crocuswell_core.dispatch import handle, handle_entry, handle_timer
-from crocuswell_core.effects import (
+from crocuswell_core.agent.backend import ForgetOnBackend
+from crocuswell_core.cluster.commands import TaskReserved
+from crocuswell_core.runtime.dispatch import handle, handle_entry, handle_timer
+from crocuswell_core.runtime.effects import (
     CallBackend,
     ChangeLevel,
     CloseEntryStream,
@@ -40,7 +40,7 @@
     LogChange,
     StartTimer,
 )
-from crocuswell_core.events import (
+from crocuswell_core.runtime.events import (
     AgentBooted,
     AgentStopRequested,
     BackendReplied,
@@ -48,7 +48,7 @@
     EntryStreamClosed,
     EntryStreamOpened,
 )
-from crocuswell_core.timers import AgentTimer, PollTimer
+from crocuswell_core.runtime.timers import AgentTimer, PollTimer
 
 # --- events --------------------------------------------------------------
 
--- a/packages/core/crocuswell_core/agent_backend.py
+++ b/packages/core/crocuswell_core/agent/agent_backend.py
@@ -2,22 +2,22 @@
 
 from functools import singledispatch
 
-from crocuswell_core.agent_leases import backend_lease_until_ms
-from crocuswell_core.agent_messages import DrainNotice
-from crocuswell_core.agent_reports import (
+from crocuswell_core.agent.agent_leases import backend_lease_until_ms
+from crocuswell_core.agent.agent_messages import DrainNotice
+from crocuswell_core.agent.agent_reports import (
     add_task,
     all_tasks,
     count,
     ended_unrun,
     find_task,
 )
-from crocuswell_core.agent_state import AgentState, AgentTask, TaskPhase
-from crocuswell_core.agent_stream import (
+from crocuswell_core.agent.agent_state import AgentState, AgentTask, TaskPhase
+from crocuswell_core.agent.agent_stream import (
     has_stream,
     plan_connect,
     replace_stream,
 )
-from crocuswell_core.agent_tasks import (
+from crocuswell_core.agent.agent_tasks import (
     conclude_unstarted,
     end_task,
     lose_task,
@@ -25,7 +25,7 @@
     send_stop,
     stop_task,
 )
-from crocuswell_core.backend import (
+from crocuswell_core.agent.backend import (
     Accepted,
     BackendCall,
     BackendReply,
@@ -41,13 +41,19 @@
     ThrottleOnBackend,
     Unreachable,
 )
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.commands import (
     TaskFailed,
     TaskFinished,
     TaskRefused,
     TaskStopped,
 )
-from crocuswell_core.effects import CallBackend, Effect, Label, LogChange, SendEntry
+from crocuswell_core.runtime.effects import (
+    CallBackend,
+    Effect,
+    Label,
+    LogChange,
+    SendEntry,
+)
 
 RUNNING = "running"
 FINISHED = "finished"
--- a/packages/core/crocuswell_core/agent_invariants.py
+++ b/packages/core/crocuswell_core/agent/agent_invariants.py
@@ -1,10 +1,10 @@
 """Checks of an agent's state that hold after every event."""
 
-from crocuswell_core.agent_reports import ENDED_ATTEMPTS_KEPT, all_tasks
-from crocuswell_core.agent_state import AgentState, AgentTask, TaskPhase
-from crocuswell_core.agent_tasks import HOLDING_PHASES
-from crocuswell_core.commands import TaskReserved
-from crocuswell_core.resources import NOTHING
+from crocuswell_core.agent.agent_reports import ENDED_ATTEMPTS_KEPT, all_tasks
+from crocuswell_core.agent.agent_state import AgentState, AgentTask, TaskPhase
+from crocuswell_core.agent.agent_tasks import HOLDING_PHASES
+from crocuswell_core.cluster.commands import TaskReserved
+from crocuswell_core.cluster.resources import NOTHING
 
 
 class AgentInvariantError(Exception):
--- a/packages/core/crocuswell_core/agent_leases.py
+++ b/packages/core/crocuswell_core/agent/agent_leases.py
@@ -1,6 +1,6 @@
 """An agent's leases; they run from the sending of a confirmed heartbeat."""
 
-from crocuswell_core.agent_state import AgentState
+from crocuswell_core.agent.agent_state import AgentState
 
 # The backend server's own lease for the tasks ends this much before the
 # run lease, since the task needs time to die.
--- a/packages/core/crocuswell_core/agent_messages.py
+++ b/packages/core/crocuswell_core/agent/agent_messages.py
@@ -2,11 +2,11 @@
 
 import attrs
 
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.commands import (
     Report,
 )
-from crocuswell_core.records import AttemptId, WorkerInfo
-from crocuswell_core.resources import Resources
+from crocuswell_core.cluster.records import AttemptId, WorkerInfo
+from crocuswell_core.cluster.resources import Resources
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/agent_reports.py
+++ b/packages/core/crocuswell_core/agent/agent_reports.py
@@ -1,8 +1,8 @@
 """Reports of an agent: kept in order until they are acknowledged."""
 
-from crocuswell_core.agent_messages import SendReports
-from crocuswell_core.agent_state import AgentState, AgentTask
-from crocuswell_core.commands import (
+from crocuswell_core.agent.agent_messages import SendReports
+from crocuswell_core.agent.agent_state import AgentState, AgentTask
+from crocuswell_core.cluster.commands import (
     Report,
     TaskFailed,
     TaskFinished,
@@ -11,8 +11,8 @@
     TaskReserved,
     TaskStopped,
 )
-from crocuswell_core.effects import Effect, SendEntry
-from crocuswell_core.records import AttemptId
+from crocuswell_core.cluster.records import AttemptId
+from crocuswell_core.runtime.effects import Effect, SendEntry
 
 # Bounds the memory for ended attempts; orders for older ones are refused
 # by the backend server, which remembers attempts for longer.
--- a/packages/core/crocuswell_core/agent_state.py
+++ b/packages/core/crocuswell_core/agent/agent_state.py
@@ -5,11 +5,11 @@
 
 import attrs
 
-from crocuswell_core.agent_messages import StartTask
-from crocuswell_core.backend import BackendTask
-from crocuswell_core.commands import Report
-from crocuswell_core.records import AttemptId, WorkerInfo
-from crocuswell_core.resources import Resources
+from crocuswell_core.agent.agent_messages import StartTask
+from crocuswell_core.agent.backend import BackendTask
+from crocuswell_core.cluster.commands import Report
+from crocuswell_core.cluster.records import AttemptId, WorkerInfo
+from crocuswell_core.cluster.resources import Resources
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/agent_stream.py
+++ b/packages/core/crocuswell_core/agent/agent_stream.py
@@ -1,15 +1,16 @@
 """An agent's stream to an entry host: opening, heartbeats, back-off."""
 
-from crocuswell_core.agent_leases import forget_old_heartbeats
-from crocuswell_core.agent_messages import (
+from crocuswell_core.agent.agent_leases import forget_old_heartbeats
+from crocuswell_core.agent.agent_messages import (
     AgentHeartbeat,
     CounterValue,
     Hello,
     TaskUsage,
 )
-from crocuswell_core.agent_reports import all_tasks, count
-from crocuswell_core.agent_state import AgentState, TaskPhase
-from crocuswell_core.effects import (
+from crocuswell_core.agent.agent_reports import all_tasks, count
+from crocuswell_core.agent.agent_state import AgentState, TaskPhase
+from crocuswell_core.cluster.records import AttemptId
+from crocuswell_core.runtime.effects import (
     ChangeLevel,
     CloseEntryStream,
     Effect,
@@ -18,7 +19,6 @@
     OpenEntryStream,
     SendEntry,
 )
-from crocuswell_core.records import AttemptId
 
 # Usage and counters are spread over several heartbeats, so that each stays
 # below about 300 bytes.
--- a/packages/core/crocuswell_core/agent_tasks.py
+++ b/packages/core/crocuswell_core/agent/agent_tasks.py
@@ -2,15 +2,15 @@
 
 from functools import singledispatch
 
-from crocuswell_core.agent_leases import (
+from crocuswell_core.agent.agent_leases import (
     admission_end_ms,
     backend_lease_until_ms,
     may_admit,
     quick_checkpoint_ms,
     stop_due_ms,
 )
-from crocuswell_core.agent_messages import Order, ReserveTask, StartTask, StopTask
-from crocuswell_core.agent_reports import (
+from crocuswell_core.agent.agent_messages import Order, ReserveTask, StartTask, StopTask
+from crocuswell_core.agent.agent_reports import (
     add_report,
     add_task,
     all_tasks,
@@ -22,12 +22,12 @@
     refuse_unknown,
     remember_end,
 )
-from crocuswell_core.agent_state import AgentState, AgentTask, TaskPhase
-from crocuswell_core.backend import StartOnBackend, StopOnBackend
-from crocuswell_core.commands import Report, TaskLost, TaskRefused, TaskReserved
-from crocuswell_core.effects import CallBackend, Effect, StartTimer
-from crocuswell_core.resources import NOTHING, Resources
-from crocuswell_core.timers import PollTimer
+from crocuswell_core.agent.agent_state import AgentState, AgentTask, TaskPhase
+from crocuswell_core.agent.backend import StartOnBackend, StopOnBackend
+from crocuswell_core.cluster.commands import Report, TaskLost, TaskRefused, TaskReserved
+from crocuswell_core.cluster.resources import NOTHING, Resources
+from crocuswell_core.runtime.effects import CallBackend, Effect, StartTimer
+from crocuswell_core.runtime.timers import PollTimer
 
 # A backend server that has not answered for so long may be leaving
 # without the agent's knowledge; nothing new starts 2 s after it said so.
--- a/packages/core/crocuswell_core/backend.py
+++ b/packages/core/crocuswell_core/agent/backend.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from crocuswell_core.records import AttemptId, WorkerInfo
-from crocuswell_core.resources import NOTHING, Resources
+from crocuswell_core.cluster.records import AttemptId, WorkerInfo
+from crocuswell_core.cluster.resources import NOTHING, Resources
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/core/crocuswell_core/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Agreement: elections, replication, snapshots and membership."""
--- a/packages/core/crocuswell_core/committed.py
+++ b/packages/core/crocuswell_core/agreement/committed.py
@@ -2,26 +2,26 @@
 
 from functools import singledispatch
 
-from crocuswell_core.agenda import add_due, start_cluster_timer
-from crocuswell_core.cluster_state import AnsweredCommand, ClusterState
-from crocuswell_core.commands import CommandReply, LogEntry, Refused
-from crocuswell_core.consensus_state import Role
-from crocuswell_core.dispatch import apply_command, notify, pass_on
-from crocuswell_core.due import AnswerDue
-from crocuswell_core.effects import (
+from crocuswell_core.agreement.consensus_state import Role
+from crocuswell_core.cluster.agenda import add_due, start_cluster_timer
+from crocuswell_core.cluster.cluster_state import AnsweredCommand, ClusterState
+from crocuswell_core.cluster.commands import CommandReply, LogEntry, Refused
+from crocuswell_core.cluster.due import AnswerDue
+from crocuswell_core.cluster.index import index_of
+from crocuswell_core.cluster.invariants import check_sample
+from crocuswell_core.cluster.outcomes import RECORD_RETENTION_MS
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.policy.scheduling import schedule
+from crocuswell_core.runtime.dispatch import apply_command, notify, pass_on
+from crocuswell_core.runtime.effects import (
     Applied,
     Count,
     Effect,
     LogChange,
     Observe,
 )
-from crocuswell_core.entry_state import EntryState
-from crocuswell_core.errors import PROMISES, ErrorKind
-from crocuswell_core.index import index_of
-from crocuswell_core.invariants import check_sample
-from crocuswell_core.notices import CommandApplied, EntriesApplied
-from crocuswell_core.outcomes import RECORD_RETENTION_MS
-from crocuswell_core.scheduling import schedule
+from crocuswell_core.runtime.errors import PROMISES, ErrorKind
+from crocuswell_core.runtime.notices import CommandApplied, EntriesApplied
 
 # Command ids with these prefixes come from callers and operators, who may send
 # a command again; its first answer is kept for them.
--- a/packages/core/crocuswell_core/consensus_log.py
+++ b/packages/core/crocuswell_core/agreement/consensus_log.py
@@ -1,7 +1,7 @@
 """Reading and changing the replicated log in memory."""
 
-from crocuswell_core.commands import LogEntry
-from crocuswell_core.consensus_state import ConsensusState
+from crocuswell_core.agreement.consensus_state import ConsensusState
+from crocuswell_core.cluster.commands import LogEntry
 
 
 def last_index(consensus: ConsensusState) -> int:
--- a/packages/core/crocuswell_core/consensus_state.py
+++ b/packages/core/crocuswell_core/agreement/consensus_state.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from crocuswell_core.commands import EntryHost, LogEntry
+from crocuswell_core.cluster.commands import EntryHost, LogEntry
 
 
 class Role(enum.Enum):
--- a/packages/core/crocuswell_core/election.py
+++ b/packages/core/crocuswell_core/agreement/election.py
@@ -2,18 +2,18 @@
 
 from typing import cast
 
-from crocuswell_core import consensus_log, leadership, members, replication
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import NoOperation, Proposal
-from crocuswell_core.consensus_state import ConsensusState, Membership, Role
-from crocuswell_core.dispatch import handle, handle_peer, handle_timer, notify
-from crocuswell_core.effects import Effect, SendPeer, SetPeers, StartTimer
-from crocuswell_core.entry_state import EntryState
-from crocuswell_core.events import EntryBooted
-from crocuswell_core.leadership import holds_lease
-from crocuswell_core.notices import HostBooted
-from crocuswell_core.peer_messages import TimeoutNow, VoteReply, VoteRequest
-from crocuswell_core.timers import ElectionTimer, LeaderTimer
+from crocuswell_core.agreement import consensus_log, leadership, members, replication
+from crocuswell_core.agreement.consensus_state import ConsensusState, Membership, Role
+from crocuswell_core.agreement.leadership import holds_lease
+from crocuswell_core.agreement.peer_messages import TimeoutNow, VoteReply, VoteRequest
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import NoOperation, Proposal
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.runtime.dispatch import handle, handle_peer, handle_timer, notify
+from crocuswell_core.runtime.effects import Effect, SendPeer, SetPeers, StartTimer
+from crocuswell_core.runtime.events import EntryBooted
+from crocuswell_core.runtime.notices import HostBooted
+from crocuswell_core.runtime.timers import ElectionTimer, LeaderTimer
 
 __all__ = ["holds_lease", "transfer_leadership"]
 
--- a/packages/core/crocuswell_core/leadership.py
+++ b/packages/core/crocuswell_core/agreement/leadership.py
@@ -1,9 +1,10 @@
 """Terms, the leader that this host follows, and the leader's lease."""
 
-from crocuswell_core import consensus_log, members
-from crocuswell_core.consensus_state import PeerProgress, Role
-from crocuswell_core.dispatch import notify
-from crocuswell_core.effects import (
+from crocuswell_core.agreement import consensus_log, members
+from crocuswell_core.agreement.consensus_state import PeerProgress, Role
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.runtime.dispatch import notify
+from crocuswell_core.runtime.effects import (
     CancelTimer,
     Effect,
     Label,
@@ -12,9 +13,8 @@
     StartTimer,
     TermRecord,
 )
-from crocuswell_core.entry_state import EntryState
-from crocuswell_core.notices import LeadershipGained, LeadershipLost
-from crocuswell_core.timers import ElectionTimer, LeaderTimer
+from crocuswell_core.runtime.notices import LeadershipGained, LeadershipLost
+from crocuswell_core.runtime.timers import ElectionTimer, LeaderTimer
 
 
 def holds_lease(state: EntryState) -> bool:
--- a/packages/core/crocuswell_core/replication.py
+++ b/packages/core/crocuswell_core/agreement/replication.py
@@ -1,16 +1,23 @@
 """Log replication: proposals, `Append`, heartbeat rounds, commit."""
 
-from crocuswell_core import (
+from crocuswell_core.agreement import (
     committed,
     consensus_log,
     leadership,
     members,
     snapshots,
 )
-from crocuswell_core.commands import ChangeMembers, LogEntry, Proposal
-from crocuswell_core.consensus_state import PeerProgress, Role
-from crocuswell_core.dispatch import handle, handle_peer, handle_timer
-from crocuswell_core.effects import (
+from crocuswell_core.agreement.consensus_state import PeerProgress, Role
+from crocuswell_core.agreement.peer_messages import (
+    Append,
+    AppendReply,
+    Forward,
+    TimeoutNow,
+)
+from crocuswell_core.cluster.commands import ChangeMembers, LogEntry, Proposal
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.runtime.dispatch import handle, handle_peer, handle_timer
+from crocuswell_core.runtime.effects import (
     Effect,
     EntriesRecord,
     Label,
@@ -20,10 +27,8 @@
     SetPeers,
     StartTimer,
 )
-from crocuswell_core.entry_state import EntryState
-from crocuswell_core.events import EntriesSynced, PeerMessageReceived
-from crocuswell_core.peer_messages import Append, AppendReply, Forward, TimeoutNow
-from crocuswell_core.timers import LeaderTimer
+from crocuswell_core.runtime.events import EntriesSynced, PeerMessageReceived
+from crocuswell_core.runtime.timers import LeaderTimer
 
 # --- proposals -----------------------------------------------------------
 
--- a/packages/core/crocuswell_core/snapshots.py
+++ b/packages/core/crocuswell_core/agreement/snapshots.py
@@ -2,11 +2,13 @@
 
 from typing import cast
 
-from crocuswell_core import committed, consensus_log, leadership, members
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.consensus_state import Membership, PeerProgress
-from crocuswell_core.dispatch import handle, notify
-from crocuswell_core.effects import (
+from crocuswell_core.agreement import committed, consensus_log, leadership, members
+from crocuswell_core.agreement.consensus_state import Membership, PeerProgress
+from crocuswell_core.agreement.peer_messages import AppendReply
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.runtime.dispatch import handle, notify
+from crocuswell_core.runtime.effects import (
     Effect,
     EntriesRecord,
     Label,
@@ -17,10 +19,8 @@
     SendSnapshot,
     SetPeers,
 )
-from crocuswell_core.entry_state import EntryState
-from crocuswell_core.events import SnapshotReceived
-from crocuswell_core.notices import SnapshotInstalled
-from crocuswell_core.peer_messages import AppendReply
+from crocuswell_core.runtime.events import SnapshotReceived
+from crocuswell_core.runtime.notices import SnapshotInstalled
 
 # A snapshot in transit is not sent again within this time: at the target
 # size it is some megabytes, far more than a heartbeat.
--- /dev/null
+++ b/packages/core/crocuswell_core/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Cluster state: records, commands and the handlers that apply them."""
--- a/packages/core/crocuswell_core/agenda.py
+++ b/packages/core/crocuswell_core/cluster/agenda.py
@@ -3,12 +3,12 @@
 import heapq
 from collections.abc import Iterator
 
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.consensus_state import Role
-from crocuswell_core.due import Due, DueItem
-from crocuswell_core.effects import Effect, StartTimer
-from crocuswell_core.entry_state import EntryState
-from crocuswell_core.timers import ClusterTimer
+from crocuswell_core.agreement.consensus_state import Role
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.due import Due, DueItem
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.runtime.effects import Effect, StartTimer
+from crocuswell_core.runtime.timers import ClusterTimer
 
 
 def add_due(cluster: ClusterState, at_ms: int, due: Due) -> None:
--- a/packages/core/crocuswell_core/attempts.py
+++ b/packages/core/crocuswell_core/cluster/attempts.py
@@ -9,10 +9,10 @@
 
 import attrs
 
-from crocuswell_core.agenda import add_due
-from crocuswell_core.agent_messages import Order, ReserveTask, StartTask, StopTask
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import (
+from crocuswell_core.agent.agent_messages import Order, ReserveTask, StartTask, StopTask
+from crocuswell_core.cluster.agenda import add_due
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import (
     Report,
     TaskFailed,
     TaskFinished,
@@ -21,10 +21,8 @@
     TaskReserved,
     TaskStopped,
 )
-from crocuswell_core.due import ReservationDue
-from crocuswell_core.effects import ClusterEffect, Count, OrderWorker
-from crocuswell_core.forecast import expected_run_ms
-from crocuswell_core.index import (
+from crocuswell_core.cluster.due import ReservationDue
+from crocuswell_core.cluster.index import (
     RECLAIM_STOP_MS,
     add_attempt,
     dequeue,
@@ -33,8 +31,8 @@
     refresh_worker,
     remove_attempt,
 )
-from crocuswell_core.outcomes import finish_attempt, resolve_unknown
-from crocuswell_core.records import (
+from crocuswell_core.cluster.outcomes import finish_attempt, resolve_unknown
+from crocuswell_core.cluster.records import (
     ENDED_MEMBER_PHASES,
     Attempt,
     AttemptId,
@@ -46,7 +44,9 @@
     RequestPhase,
     StopReason,
 )
-from crocuswell_core.rooms import set_member_phase, take_room
+from crocuswell_core.cluster.rooms import set_member_phase, take_room
+from crocuswell_core.policy.forecast import expected_run_ms
+from crocuswell_core.runtime.effects import ClusterEffect, Count, OrderWorker
 
 # Time in ms for all agents of a gang to confirm. An agent confirms within two
 # message delays; the rest of the 2,200 ms from claim to start is for a second
--- a/packages/core/crocuswell_core/changes.py
+++ b/packages/core/crocuswell_core/cluster/changes.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import (
     ChangeAccepted,
     ChangeConfiguration,
     ConfirmInForce,
@@ -12,14 +12,14 @@
     Refused,
     SwitchPreset,
 )
-from crocuswell_core.configuration import (
+from crocuswell_core.cluster.configuration import (
     Configuration,
     ConfigurationChange,
     find_problem,
 )
-from crocuswell_core.dispatch import apply_command
-from crocuswell_core.effects import Applied, Label, LogChange
-from crocuswell_core.errors import ErrorKind
+from crocuswell_core.runtime.dispatch import apply_command
+from crocuswell_core.runtime.effects import Applied, Label, LogChange
+from crocuswell_core.runtime.errors import ErrorKind
 
 HISTORY_LENGTH = 200
 
--- a/packages/core/crocuswell_core/cluster_state.py
+++ b/packages/core/crocuswell_core/cluster/cluster_state.py
@@ -2,13 +2,13 @@
 
 import attrs
 
-from crocuswell_core.commands import CommandReply
-from crocuswell_core.configuration import Configuration, ConfigurationChange
-from crocuswell_core.due import DueItem
-from crocuswell_core.policies import StandingPolicy
-from crocuswell_core.records import Attempt, AttemptId, Request, Worker
-from crocuswell_core.resources import Resources, Shape
-from crocuswell_core.spaces import SchedulingIndex
+from crocuswell_core.cluster.commands import CommandReply
+from crocuswell_core.cluster.configuration import Configuration, ConfigurationChange
+from crocuswell_core.cluster.due import DueItem
+from crocuswell_core.cluster.records import Attempt, AttemptId, Request, Worker
+from crocuswell_core.cluster.resources import Resources, Shape
+from crocuswell_core.cluster.spaces import SchedulingIndex
+from crocuswell_core.policy.policies import StandingPolicy
 
 STATE_VERSION = 1
 
--- a/packages/core/crocuswell_core/commands.py
+++ b/packages/core/crocuswell_core/cluster/commands.py
@@ -2,14 +2,14 @@
 
 import attrs
 
-from crocuswell_core.configuration import Configuration
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.records import (
+from crocuswell_core.cluster.configuration import Configuration
+from crocuswell_core.cluster.records import (
     AttemptId,
     JobSpec,
     WorkerInfo,
     WorkerMode,
 )
+from crocuswell_core.runtime.errors import ErrorKind
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/configuration.py
+++ b/packages/core/crocuswell_core/cluster/configuration.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from crocuswell_core.resources import NOTHING, Resources, Shape
+from crocuswell_core.cluster.resources import NOTHING, Resources, Shape
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/due.py
+++ b/packages/core/crocuswell_core/cluster/due.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from crocuswell_core.records import AttemptId
+from crocuswell_core.cluster.records import AttemptId
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/failures.py
+++ b/packages/core/crocuswell_core/cluster/failures.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from crocuswell_core.cluster_state import ClusterState, WorkerHealth
-from crocuswell_core.records import Attempt, MemberPhase, Request
+from crocuswell_core.cluster.cluster_state import ClusterState, WorkerHealth
+from crocuswell_core.cluster.records import Attempt, MemberPhase, Request
 
 # Factor by which earlier ends on a worker count less with each new one; the
 # window is then about ten jobs.
--- a/packages/core/crocuswell_core/fleet.py
+++ b/packages/core/crocuswell_core/cluster/fleet.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from crocuswell_core.attempts import lose_member, stop_attempt
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.attempts import lose_member, stop_attempt
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import (
     AnnounceWorker,
     DeclareSilent,
     Done,
@@ -14,18 +14,8 @@
     SetWorkerMode,
     SuspectWorker,
 )
-from crocuswell_core.dispatch import apply_command
-from crocuswell_core.effects import (
-    Applied,
-    ChangeLevel,
-    ClusterEffect,
-    Label,
-    LogChange,
-    WorkerAnnounced,
-)
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.index import refresh_worker
-from crocuswell_core.records import (
+from crocuswell_core.cluster.index import refresh_worker
+from crocuswell_core.cluster.records import (
     Attempt,
     AttemptPhase,
     MemberPhase,
@@ -34,7 +24,17 @@
     WorkerMode,
     takes_work,
 )
-from crocuswell_core.rooms import members_on, new_room, set_member_phase
+from crocuswell_core.cluster.rooms import members_on, new_room, set_member_phase
+from crocuswell_core.runtime.dispatch import apply_command
+from crocuswell_core.runtime.effects import (
+    Applied,
+    ChangeLevel,
+    ClusterEffect,
+    Label,
+    LogChange,
+    WorkerAnnounced,
+)
+from crocuswell_core.runtime.errors import ErrorKind
 
 OPERATOR_MODES = frozenset(
     {WorkerMode.ACTIVE, WorkerMode.DRAINING, WorkerMode.QUARANTINED}
--- a/packages/core/crocuswell_core/health.py
+++ b/packages/core/crocuswell_core/cluster/health.py
@@ -2,16 +2,22 @@
 
 import attrs
 
-from crocuswell_core.agenda import add_due
-from crocuswell_core.attempts import place_request
-from crocuswell_core.cluster_state import ClusterState, WorkerHealth
-from crocuswell_core.due import ProbeDue
-from crocuswell_core.effects import ChangeLevel, ClusterEffect, Count, Label, LogChange
-from crocuswell_core.failures import DECAY
-from crocuswell_core.index import index_of, refresh_worker
-from crocuswell_core.policies import StandingPolicy
-from crocuswell_core.records import AttemptId, Outcome, Request, WorkerMode
-from crocuswell_core.spaces import Lane
+from crocuswell_core.cluster.agenda import add_due
+from crocuswell_core.cluster.attempts import place_request
+from crocuswell_core.cluster.cluster_state import ClusterState, WorkerHealth
+from crocuswell_core.cluster.due import ProbeDue
+from crocuswell_core.cluster.failures import DECAY
+from crocuswell_core.cluster.index import index_of, refresh_worker
+from crocuswell_core.cluster.records import AttemptId, Outcome, Request, WorkerMode
+from crocuswell_core.cluster.spaces import Lane
+from crocuswell_core.policy.policies import StandingPolicy
+from crocuswell_core.runtime.effects import (
+    ChangeLevel,
+    ClusterEffect,
+    Count,
+    Label,
+    LogChange,
+)
 
 # Decayed number of different jobs that must have failed on a worker, and
 # their share of all jobs that ended there, before it is taken out. Three jobs
--- a/packages/core/crocuswell_core/index.py
+++ b/packages/core/crocuswell_core/cluster/index.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from crocuswell_core.cluster_state import ClusterState, Hold, PlannedShape
-from crocuswell_core.configuration import Workspace
-from crocuswell_core.records import (
+from crocuswell_core.cluster.cluster_state import ClusterState, Hold, PlannedShape
+from crocuswell_core.cluster.configuration import Workspace
+from crocuswell_core.cluster.records import (
     ENDED_MEMBER_PHASES,
     Attempt,
     AttemptPhase,
@@ -18,8 +18,8 @@
     Worker,
     takes_work,
 )
-from crocuswell_core.resources import Adjacency, Resources, Shape
-from crocuswell_core.spaces import (
+from crocuswell_core.cluster.resources import Adjacency, Resources, Shape
+from crocuswell_core.cluster.spaces import (
     Lane,
     Need,
     Quantity,
--- a/packages/core/crocuswell_core/invariants.py
+++ b/packages/core/crocuswell_core/cluster/invariants.py
@@ -10,9 +10,9 @@
 
 import attrs
 
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.index import index_of, is_movable, is_usable, total_of
-from crocuswell_core.records import (
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.index import index_of, is_movable, is_usable, total_of
+from crocuswell_core.cluster.records import (
     ENDED_MEMBER_PHASES,
     Attempt,
     AttemptId,
@@ -22,8 +22,8 @@
     RequestPhase,
     WorkerMode,
 )
-from crocuswell_core.resources import SLOTS_PER_WORKER, Adjacency, Resources
-from crocuswell_core.spaces import Quantity
+from crocuswell_core.cluster.resources import SLOTS_PER_WORKER, Adjacency, Resources
+from crocuswell_core.cluster.spaces import Quantity
 
 Key = TypeVar("Key")
 
--- a/packages/core/crocuswell_core/outcomes.py
+++ b/packages/core/crocuswell_core/cluster/outcomes.py
@@ -5,29 +5,19 @@
 
 import attrs
 
-from crocuswell_core.agenda import add_due
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.agenda import add_due
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import (
     Report,
     TaskFailed,
     TaskFinished,
     TaskRefused,
     TaskStopped,
 )
-from crocuswell_core.due import RecordDue, ResultDue, RetryDue
-from crocuswell_core.effects import (
-    ClusterEffect,
-    Count,
-    Label,
-    LogChange,
-    Observe,
-    RequestEnded,
-)
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.failures import note_failure, note_success
-from crocuswell_core.forecast import observe_run
-from crocuswell_core.index import dequeue, drop_hold, enqueue
-from crocuswell_core.records import (
+from crocuswell_core.cluster.due import RecordDue, ResultDue, RetryDue
+from crocuswell_core.cluster.failures import note_failure, note_success
+from crocuswell_core.cluster.index import dequeue, drop_hold, enqueue
+from crocuswell_core.cluster.records import (
     Attempt,
     MemberPhase,
     Outcome,
@@ -36,6 +26,16 @@
     RequestPhase,
     StopReason,
 )
+from crocuswell_core.policy.forecast import observe_run
+from crocuswell_core.runtime.effects import (
+    ClusterEffect,
+    Count,
+    Label,
+    LogChange,
+    Observe,
+    RequestEnded,
+)
+from crocuswell_core.runtime.errors import ErrorKind
 
 RETRY_BASE_MS = 200
 RETRY_LIMIT_MS = 30_000
--- a/packages/core/crocuswell_core/records.py
+++ b/packages/core/crocuswell_core/cluster/records.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.resources import SLOTS_PER_WORKER, Resources, Shape
+from crocuswell_core.cluster.resources import SLOTS_PER_WORKER, Resources, Shape
+from crocuswell_core.runtime.errors import ErrorKind
 
 
 class Outcome(enum.Enum):
--- a/packages/core/crocuswell_core/requests.py
+++ b/packages/core/crocuswell_core/cluster/requests.py
@@ -5,14 +5,14 @@
 
 import attrs
 
-from crocuswell_core.agenda import add_due, pop_due
-from crocuswell_core.attempts import (
+from crocuswell_core.cluster.agenda import add_due, pop_due
+from crocuswell_core.cluster.attempts import (
     record_report,
     release_unconfirmed,
     stop_attempt,
 )
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import (
     AdvanceTime,
     CancelRequests,
     Done,
@@ -24,9 +24,8 @@
     RequestsCancelled,
     SubmitRequest,
 )
-from crocuswell_core.configuration import Workspace
-from crocuswell_core.dispatch import apply_command
-from crocuswell_core.due import (
+from crocuswell_core.cluster.configuration import Workspace
+from crocuswell_core.cluster.due import (
     AnswerDue,
     DeadlineDue,
     Due,
@@ -36,18 +35,9 @@
     ResultDue,
     RetryDue,
 )
-from crocuswell_core.effects import (
-    Applied,
-    ClusterEffect,
-    Count,
-    Label,
-    ReportsRecorded,
-)
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.index import enqueue, index_of, need_of, refresh_worker
-from crocuswell_core.outcomes import end_request
-from crocuswell_core.placement import can_ever_borrow, can_ever_fit
-from crocuswell_core.records import (
+from crocuswell_core.cluster.index import enqueue, index_of, need_of, refresh_worker
+from crocuswell_core.cluster.outcomes import end_request
+from crocuswell_core.cluster.records import (
     AttemptId,
     AttemptPhase,
     JobSpec,
@@ -57,9 +47,19 @@
     RequestPhase,
     StopReason,
 )
-from crocuswell_core.resources import LARGEST_GANG, Resources
-from crocuswell_core.scoring import note_shape
-from crocuswell_core.spaces import Usage
+from crocuswell_core.cluster.resources import LARGEST_GANG, Resources
+from crocuswell_core.cluster.spaces import Usage
+from crocuswell_core.policy.placement import can_ever_borrow, can_ever_fit
+from crocuswell_core.policy.scoring import note_shape
+from crocuswell_core.runtime.dispatch import apply_command
+from crocuswell_core.runtime.effects import (
+    Applied,
+    ClusterEffect,
+    Count,
+    Label,
+    ReportsRecorded,
+)
+from crocuswell_core.runtime.errors import ErrorKind
 
 OVERLOAD_RETRY_MS = 2_000
 
--- a/packages/core/crocuswell_core/rooms.py
+++ b/packages/core/crocuswell_core/cluster/rooms.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from crocuswell_core.cluster_state import ClusterState, WorkerRoom
-from crocuswell_core.index import remove_member
-from crocuswell_core.records import (
+from crocuswell_core.cluster.cluster_state import ClusterState, WorkerRoom
+from crocuswell_core.cluster.index import remove_member
+from crocuswell_core.cluster.records import (
     ENDED_MEMBER_PHASES,
     Attempt,
     AttemptId,
@@ -14,7 +14,7 @@
     MemberPhase,
     WorkerInfo,
 )
-from crocuswell_core.resources import Resources
+from crocuswell_core.cluster.resources import Resources
 
 
 def new_room(info: WorkerInfo) -> WorkerRoom:
--- a/packages/core/crocuswell_core/spaces.py
+++ b/packages/core/crocuswell_core/cluster/spaces.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from crocuswell_core.configuration import Workspace
-from crocuswell_core.records import AttemptId
-from crocuswell_core.resources import Adjacency, Resources, Shape
+from crocuswell_core.cluster.configuration import Workspace
+from crocuswell_core.cluster.records import AttemptId
+from crocuswell_core.cluster.resources import Adjacency, Resources, Shape
 
 
 @attrs.define
--- a/packages/core/crocuswell_core/usage.py
+++ b/packages/core/crocuswell_core/cluster/usage.py
@@ -1,9 +1,9 @@
 """Usage that workers report, compared with what their leases allow."""
 
-from crocuswell_core.agent_messages import TaskUsage
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.effects import Count, Effect, Label
-from crocuswell_core.records import ENDED_MEMBER_PHASES
+from crocuswell_core.agent.agent_messages import TaskUsage
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.records import ENDED_MEMBER_PHASES
+from crocuswell_core.runtime.effects import Count, Effect, Label
 
 
 def check_usage(
--- /dev/null
+++ b/packages/core/crocuswell_core/entry/__init__.py
@@ -0,0 +1,1 @@
+"""An entry host: calls, reads, agents' sessions and liveness."""
--- a/packages/core/crocuswell_core/callers.py
+++ b/packages/core/crocuswell_core/entry/callers.py
@@ -7,8 +7,12 @@
 
 from functools import singledispatch
 
-from crocuswell_core import election, replication
-from crocuswell_core.calls import (
+from crocuswell_core.agreement import election, replication
+from crocuswell_core.agreement.consensus_state import Role
+from crocuswell_core.agreement.peer_messages import ReadIndexReply, ReadIndexRequest
+from crocuswell_core.cluster.commands import AdvanceTime, Proposal, Refused
+from crocuswell_core.cluster.records import RequestPhase
+from crocuswell_core.entry.calls import (
     CommandCall,
     ExplainRequest,
     GetConfiguration,
@@ -19,9 +23,9 @@
     ListRequests,
     ReadCall,
 )
-from crocuswell_core.commands import AdvanceTime, Proposal, Refused
-from crocuswell_core.consensus_state import Role
-from crocuswell_core.dispatch import (
+from crocuswell_core.entry.entry_state import EntryState, PendingCall, PendingProposal
+from crocuswell_core.entry.replies import ReadReply, RequestView
+from crocuswell_core.runtime.dispatch import (
     answer_read,
     handle,
     handle_call,
@@ -30,7 +34,7 @@
     notify,
     pass_on,
 )
-from crocuswell_core.effects import (
+from crocuswell_core.runtime.effects import (
     AnswerCall,
     CancelTimer,
     Effect,
@@ -39,14 +43,10 @@
     SetReady,
     StartTimer,
 )
-from crocuswell_core.entry_state import EntryState, PendingCall, PendingProposal
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.events import CallAbandoned, CallReceived
-from crocuswell_core.notices import CommandApplied, EntriesApplied
-from crocuswell_core.peer_messages import ReadIndexReply, ReadIndexRequest
-from crocuswell_core.records import RequestPhase
-from crocuswell_core.replies import ReadReply, RequestView
-from crocuswell_core.timers import CallTimer, ClusterTimer, RetryTimer
+from crocuswell_core.runtime.errors import ErrorKind
+from crocuswell_core.runtime.events import CallAbandoned, CallReceived
+from crocuswell_core.runtime.notices import CommandApplied, EntriesApplied
+from crocuswell_core.runtime.timers import CallTimer, ClusterTimer, RetryTimer
 
 UNAVAILABLE_RETRY_MS = 1_000
 
--- a/packages/core/crocuswell_core/calls.py
+++ b/packages/core/crocuswell_core/entry/calls.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.commands import (
     Proposal,
 )
 
--- a/packages/core/crocuswell_core/entry_state.py
+++ b/packages/core/crocuswell_core/entry/entry_state.py
@@ -4,11 +4,11 @@
 
 import attrs
 
-from crocuswell_core.calls import GetRequest, ReadCall
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import EntryHost, Proposal
-from crocuswell_core.consensus_state import ConsensusState
-from crocuswell_core.records import AttemptId, WorkerInfo
+from crocuswell_core.agreement.consensus_state import ConsensusState
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import EntryHost, Proposal
+from crocuswell_core.cluster.records import AttemptId, WorkerInfo
+from crocuswell_core.entry.calls import GetRequest, ReadCall
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/lifecycle.py
+++ b/packages/core/crocuswell_core/entry/lifecycle.py
@@ -3,16 +3,27 @@
 A planned stop cuts off no call in flight and hands leadership over first.
 """
 
-from crocuswell_core import election
-from crocuswell_core.callers import BALANCER_NOTICE_MS, answer_waits
-from crocuswell_core.consensus_state import Role
-from crocuswell_core.dispatch import handle, handle_timer, notify
-from crocuswell_core.effects import Effect, Halt, LogChange, SetReady, StartTimer
-from crocuswell_core.entry_state import EntryState
-from crocuswell_core.events import EntryStopRequested
-from crocuswell_core.notices import HostBooted
-from crocuswell_core.sessions import close_sessions
-from crocuswell_core.timers import LivenessTimer, RetryTimer, SessionTimer, StopTimer
+from crocuswell_core.agreement import election
+from crocuswell_core.agreement.consensus_state import Role
+from crocuswell_core.entry.callers import BALANCER_NOTICE_MS, answer_waits
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.entry.sessions import close_sessions
+from crocuswell_core.runtime.dispatch import handle, handle_timer, notify
+from crocuswell_core.runtime.effects import (
+    Effect,
+    Halt,
+    LogChange,
+    SetReady,
+    StartTimer,
+)
+from crocuswell_core.runtime.events import EntryStopRequested
+from crocuswell_core.runtime.notices import HostBooted
+from crocuswell_core.runtime.timers import (
+    LivenessTimer,
+    RetryTimer,
+    SessionTimer,
+    StopTimer,
+)
 
 STOP_CHECK_MS = 100
 
--- a/packages/core/crocuswell_core/liveness.py
+++ b/packages/core/crocuswell_core/entry/liveness.py
@@ -9,34 +9,43 @@
 
 import attrs
 
-from crocuswell_core import election, replication
-from crocuswell_core.callers import submit_proposal
-from crocuswell_core.commands import (
+from crocuswell_core.agreement import election, replication
+from crocuswell_core.agreement.peer_messages import (
+    Liveness,
+    LivenessReply,
+    WorkerLiveness,
+)
+from crocuswell_core.cluster.commands import (
     Command,
     ConfirmInForce,
     DeclareSilent,
     Proposal,
     SuspectWorker,
 )
-from crocuswell_core.dispatch import handle_peer, handle_timer, notify
-from crocuswell_core.effects import (
-    CloseAgentStream,
-    Effect,
-    SendPeer,
-    StartTimer,
+from crocuswell_core.cluster.records import WorkerMode
+from crocuswell_core.entry.callers import submit_proposal
+from crocuswell_core.entry.entry_state import (
+    AgentSession,
+    EntryState,
+    HeardHost,
+    HeardWorker,
 )
-from crocuswell_core.entry_state import AgentSession, EntryState, HeardHost, HeardWorker
-from crocuswell_core.notices import LeadershipGained, LeadershipLost
-from crocuswell_core.peer_messages import Liveness, LivenessReply, WorkerLiveness
-from crocuswell_core.records import WorkerMode
-from crocuswell_core.sessions import (
+from crocuswell_core.entry.sessions import (
     announce_session,
     confirm_session,
     is_announced,
     send_heartbeat,
     session_of,
 )
-from crocuswell_core.timers import LivenessTimer
+from crocuswell_core.runtime.dispatch import handle_peer, handle_timer, notify
+from crocuswell_core.runtime.effects import (
+    CloseAgentStream,
+    Effect,
+    SendPeer,
+    StartTimer,
+)
+from crocuswell_core.runtime.notices import LeadershipGained, LeadershipLost
+from crocuswell_core.runtime.timers import LivenessTimer
 
 # Liveness messages without an answer are forgotten after this many newer ones.
 LIVENESS_WINDOW = 8
--- a/packages/core/crocuswell_core/replies.py
+++ b/packages/core/crocuswell_core/entry/replies.py
@@ -2,10 +2,10 @@
 
 import attrs
 
-from crocuswell_core.commands import EntryHost, Refused
-from crocuswell_core.configuration import ConfigurationChange
-from crocuswell_core.records import Attempt, Request, Worker
-from crocuswell_core.resources import Resources
+from crocuswell_core.cluster.commands import EntryHost, Refused
+from crocuswell_core.cluster.configuration import ConfigurationChange
+from crocuswell_core.cluster.records import Attempt, Request, Worker
+from crocuswell_core.cluster.resources import Resources
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/sessions.py
+++ b/packages/core/crocuswell_core/entry/sessions.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from crocuswell_core.agent_messages import (
+from crocuswell_core.agent.agent_messages import (
     AgentHeartbeat,
     DrainNotice,
     EntryHeartbeat,
@@ -14,16 +14,31 @@
     SendReports,
     Welcome,
 )
-from crocuswell_core.attempts import wanted_order
-from crocuswell_core.callers import (
+from crocuswell_core.cluster.attempts import wanted_order
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import (
+    AnnounceWorker,
+    Command,
+    Proposal,
+    RecordReports,
+)
+from crocuswell_core.cluster.records import WorkerMode
+from crocuswell_core.cluster.rooms import members_on
+from crocuswell_core.cluster.usage import check_usage
+from crocuswell_core.entry.callers import (
     answer_ended_waits,
     proposal_key,
     submit_proposal,
 )
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import AnnounceWorker, Command, Proposal, RecordReports
-from crocuswell_core.dispatch import handle, handle_agent, handle_timer, notify, pass_on
-from crocuswell_core.effects import (
+from crocuswell_core.entry.entry_state import AgentSession, EntryState
+from crocuswell_core.runtime.dispatch import (
+    handle,
+    handle_agent,
+    handle_timer,
+    notify,
+    pass_on,
+)
+from crocuswell_core.runtime.effects import (
     CloseAgentStream,
     Count,
     Effect,
@@ -34,13 +49,9 @@
     StartTimer,
     WorkerAnnounced,
 )
-from crocuswell_core.entry_state import AgentSession, EntryState
-from crocuswell_core.events import AgentMessageReceived, AgentStreamClosed
-from crocuswell_core.notices import SnapshotInstalled
-from crocuswell_core.records import WorkerMode
-from crocuswell_core.rooms import members_on
-from crocuswell_core.timers import LivenessTimer, SessionTimer
-from crocuswell_core.usage import check_usage
+from crocuswell_core.runtime.events import AgentMessageReceived, AgentStreamClosed
+from crocuswell_core.runtime.notices import SnapshotInstalled
+from crocuswell_core.runtime.timers import LivenessTimer, SessionTimer
 
 
 @handle.register
--- a/packages/core/crocuswell_core/views.py
+++ b/packages/core/crocuswell_core/entry/views.py
@@ -3,7 +3,11 @@
 from collections.abc import Iterator
 from itertools import islice
 
-from crocuswell_core.calls import (
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import Refused
+from crocuswell_core.cluster.records import AttemptId, Request
+from crocuswell_core.cluster.resources import NOTHING
+from crocuswell_core.entry.calls import (
     ExplainRequest,
     GetConfiguration,
     GetHistory,
@@ -12,13 +16,8 @@
     GetWorkers,
     ListRequests,
 )
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import Refused
-from crocuswell_core.dispatch import answer_read
-from crocuswell_core.entry_state import EntryState
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.records import AttemptId, Request
-from crocuswell_core.replies import (
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.entry.replies import (
     ConfigurationView,
     Explanation,
     HistoryView,
@@ -29,8 +28,9 @@
     WorkersView,
     WorkerView,
 )
-from crocuswell_core.resources import NOTHING
-from crocuswell_core.scheduling import explain_waiting
+from crocuswell_core.policy.scheduling import explain_waiting
+from crocuswell_core.runtime.dispatch import answer_read
+from crocuswell_core.runtime.errors import ErrorKind
 
 
 @answer_read.register
--- /dev/null
+++ b/packages/core/crocuswell_core/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Policy: which request starts where, and which one makes room."""
--- a/packages/core/crocuswell_core/borrowing.py
+++ b/packages/core/crocuswell_core/policy/borrowing.py
@@ -2,16 +2,16 @@
 
 import attrs
 
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.forecast import expected_run_ms
-from crocuswell_core.index import index_of, need_of
-from crocuswell_core.placement import find_offers
-from crocuswell_core.policies import StandingPolicy
-from crocuswell_core.quotas import within_quota
-from crocuswell_core.records import Request
-from crocuswell_core.reservations import respect_reservations
-from crocuswell_core.scoring import choose_best_fit, choose_by_shapes
-from crocuswell_core.spaces import Need
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.index import index_of, need_of
+from crocuswell_core.cluster.records import Request
+from crocuswell_core.cluster.spaces import Need
+from crocuswell_core.policy.forecast import expected_run_ms
+from crocuswell_core.policy.placement import find_offers
+from crocuswell_core.policy.policies import StandingPolicy
+from crocuswell_core.policy.quotas import within_quota
+from crocuswell_core.policy.reservations import respect_reservations
+from crocuswell_core.policy.scoring import choose_best_fit, choose_by_shapes
 
 
 @attrs.define
--- a/packages/core/crocuswell_core/consolidation.py
+++ b/packages/core/crocuswell_core/policy/consolidation.py
@@ -2,20 +2,20 @@
 
 import attrs
 
-from crocuswell_core.attempts import place_request, stop_attempt
-from crocuswell_core.borrowing import find_workers
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.effects import ClusterEffect, Count
-from crocuswell_core.index import RECLAIM_STOP_MS, index_of
-from crocuswell_core.records import (
+from crocuswell_core.cluster.attempts import place_request, stop_attempt
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.index import RECLAIM_STOP_MS, index_of
+from crocuswell_core.cluster.records import (
     Attempt,
     AttemptId,
     AttemptPhase,
     RequestPhase,
     StopReason,
 )
-from crocuswell_core.resources import Adjacency, Shape
-from crocuswell_core.spaces import SchedulingIndex
+from crocuswell_core.cluster.resources import Adjacency, Shape
+from crocuswell_core.cluster.spaces import SchedulingIndex
+from crocuswell_core.policy.borrowing import find_workers
+from crocuswell_core.runtime.effects import ClusterEffect, Count
 
 # Least time in ms between two moves: the jobs of one must have found their
 # new room before the next is chosen.
--- a/packages/core/crocuswell_core/fairness.py
+++ b/packages/core/crocuswell_core/policy/fairness.py
@@ -1,8 +1,8 @@
 """Order of borrowers: dominant resource fairness, then age."""
 
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.index import index_of, workspace_of
-from crocuswell_core.spaces import Lane, Quantity, Usage
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.index import index_of, workspace_of
+from crocuswell_core.cluster.spaces import Lane, Quantity, Usage
 
 
 def dominant_share(cluster: ClusterState, workspace: str) -> float:
--- a/packages/core/crocuswell_core/forecast.py
+++ b/packages/core/crocuswell_core/policy/forecast.py
@@ -1,8 +1,8 @@
 """Run times corrected by what was observed for the same class of work."""
 
-from crocuswell_core.cluster_state import ClusterState, RunTimeRecord
-from crocuswell_core.policies import StandingPolicy
-from crocuswell_core.records import Attempt, Request
+from crocuswell_core.cluster.cluster_state import ClusterState, RunTimeRecord
+from crocuswell_core.cluster.records import Attempt, Request
+from crocuswell_core.policy.policies import StandingPolicy
 
 # Weight of the newest observation once the average has settled.
 NEWEST_WEIGHT = 0.1
--- a/packages/core/crocuswell_core/guarantees.py
+++ b/packages/core/crocuswell_core/policy/guarantees.py
@@ -7,13 +7,9 @@
 
 import attrs
 
-from crocuswell_core.attempts import place_request, stop_attempt
-from crocuswell_core.borrowing import find_workers
-from crocuswell_core.cluster_state import ClusterState, Hold, PlannedShape
-from crocuswell_core.effects import ClusterEffect, Count, Label
-from crocuswell_core.fairness import lane_order
-from crocuswell_core.forecast import expected_run_ms
-from crocuswell_core.index import (
+from crocuswell_core.cluster.attempts import place_request, stop_attempt
+from crocuswell_core.cluster.cluster_state import ClusterState, Hold, PlannedShape
+from crocuswell_core.cluster.index import (
     RECLAIM_STOP_MS,
     add_hold,
     drop_planned,
@@ -23,18 +19,22 @@
     refresh_workspaces,
     set_planned,
 )
-from crocuswell_core.placement import find_offers
-from crocuswell_core.quotas import within_quota
-from crocuswell_core.records import (
+from crocuswell_core.cluster.records import (
     ENDED_MEMBER_PHASES,
     Attempt,
     AttemptPhase,
     Request,
     StopReason,
 )
-from crocuswell_core.resources import Resources, Shape
-from crocuswell_core.scoring import choose_by_shapes
-from crocuswell_core.spaces import Need, Quantity, WorkerSpace
+from crocuswell_core.cluster.resources import Resources, Shape
+from crocuswell_core.cluster.spaces import Need, Quantity, WorkerSpace
+from crocuswell_core.policy.borrowing import find_workers
+from crocuswell_core.policy.fairness import lane_order
+from crocuswell_core.policy.forecast import expected_run_ms
+from crocuswell_core.policy.placement import find_offers
+from crocuswell_core.policy.quotas import within_quota
+from crocuswell_core.policy.scoring import choose_by_shapes
+from crocuswell_core.runtime.effects import ClusterEffect, Count, Label
 
 
 def update_plan(cluster: ClusterState) -> None:
--- a/packages/core/crocuswell_core/placement.py
+++ b/packages/core/crocuswell_core/policy/placement.py
@@ -4,10 +4,10 @@
 
 import attrs
 
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.index import index_of, total_of, unit_names
-from crocuswell_core.resources import Adjacency, Shape
-from crocuswell_core.spaces import Need, SchedulingIndex, WorkerSpace
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.index import index_of, total_of, unit_names
+from crocuswell_core.cluster.resources import Adjacency, Shape
+from crocuswell_core.cluster.spaces import Need, SchedulingIndex, WorkerSpace
 
 # Most workers that are scored for one member; in a large fleet the tightest
 # fits come first, so that more candidates change little.
--- a/packages/core/crocuswell_core/quotas.py
+++ b/packages/core/crocuswell_core/policy/quotas.py
@@ -1,10 +1,10 @@
 """Quotas of workspaces."""
 
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.index import index_of, total_of, workspace_of
-from crocuswell_core.records import Request
-from crocuswell_core.resources import LARGEST_GANG
-from crocuswell_core.spaces import Usage
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.index import index_of, total_of, workspace_of
+from crocuswell_core.cluster.records import Request
+from crocuswell_core.cluster.resources import LARGEST_GANG
+from crocuswell_core.cluster.spaces import Usage
 
 
 def within_quota(cluster: ClusterState, request: Request, guaranteed: bool) -> bool:
--- a/packages/core/crocuswell_core/reservations.py
+++ b/packages/core/crocuswell_core/policy/reservations.py
@@ -1,10 +1,10 @@
 """Reserved starts for blocked requests, and backfill around them."""
 
-from crocuswell_core.cluster_state import ClusterState, Reservation
-from crocuswell_core.index import index_of, need_of
-from crocuswell_core.placement import Offer
-from crocuswell_core.records import ENDED_MEMBER_PHASES, AttemptId, Request
-from crocuswell_core.spaces import Need, Quantity
+from crocuswell_core.cluster.cluster_state import ClusterState, Reservation
+from crocuswell_core.cluster.index import index_of, need_of
+from crocuswell_core.cluster.records import ENDED_MEMBER_PHASES, AttemptId, Request
+from crocuswell_core.cluster.spaces import Need, Quantity
+from crocuswell_core.policy.placement import Offer
 
 # Time in ms after its planned start at which a reservation that did not start
 # is planned again: the work it waited for ran longer than expected.
--- a/packages/core/crocuswell_core/scheduling.py
+++ b/packages/core/crocuswell_core/policy/scheduling.py
@@ -5,25 +5,25 @@
 
 import attrs
 
-from crocuswell_core.attempts import place_request
-from crocuswell_core.borrowing import Tries, find_workers, reserve_would_shrink
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.consolidation import consolidate, resume_moved
-from crocuswell_core.effects import ClusterEffect
-from crocuswell_core.fairness import dominant_share, lane_order
-from crocuswell_core.guarantees import serve_claims, update_plan
-from crocuswell_core.health import review_workers
-from crocuswell_core.index import index_of, need_of
-from crocuswell_core.placement import can_ever_borrow, find_offers
-from crocuswell_core.policies import Policy, StandingPolicy
-from crocuswell_core.quotas import within_quota
-from crocuswell_core.records import Request, RequestPhase
-from crocuswell_core.reservations import (
+from crocuswell_core.cluster.attempts import place_request
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.health import review_workers
+from crocuswell_core.cluster.index import index_of, need_of
+from crocuswell_core.cluster.records import Request, RequestPhase
+from crocuswell_core.cluster.spaces import Lane
+from crocuswell_core.policy.borrowing import Tries, find_workers, reserve_would_shrink
+from crocuswell_core.policy.consolidation import consolidate, resume_moved
+from crocuswell_core.policy.fairness import dominant_share, lane_order
+from crocuswell_core.policy.guarantees import serve_claims, update_plan
+from crocuswell_core.policy.placement import can_ever_borrow, find_offers
+from crocuswell_core.policy.policies import Policy, StandingPolicy
+from crocuswell_core.policy.quotas import within_quota
+from crocuswell_core.policy.reservations import (
     drop_stale,
     reserve_start,
 )
-from crocuswell_core.short_work import make_way
-from crocuswell_core.spaces import Lane
+from crocuswell_core.policy.short_work import make_way
+from crocuswell_core.runtime.effects import ClusterEffect
 
 # Most searches for room that may fail in one pass although room is free; it
 # bounds the cost of a pass when the free room is reserved.
--- a/packages/core/crocuswell_core/scoring.py
+++ b/packages/core/crocuswell_core/policy/scoring.py
@@ -2,12 +2,12 @@
 
 import math
 
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.index import index_of
-from crocuswell_core.placement import Offer
-from crocuswell_core.records import Request
-from crocuswell_core.resources import Adjacency, Resources, Shape
-from crocuswell_core.spaces import SchedulingIndex
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.index import index_of
+from crocuswell_core.cluster.records import Request
+from crocuswell_core.cluster.resources import Adjacency, Resources, Shape
+from crocuswell_core.cluster.spaces import SchedulingIndex
+from crocuswell_core.policy.placement import Offer
 
 # Most recent shapes of several accelerators that placement takes into account.
 SHAPE_LIMIT = 8
--- a/packages/core/crocuswell_core/short_work.py
+++ b/packages/core/crocuswell_core/policy/short_work.py
@@ -3,13 +3,13 @@
 from collections.abc import Iterator
 from itertools import islice
 
-from crocuswell_core.attempts import stop_attempt
-from crocuswell_core.cluster_state import ClusterState, Reservation
-from crocuswell_core.effects import ClusterEffect, Count
-from crocuswell_core.forecast import expected_run_ms
-from crocuswell_core.index import RECLAIM_STOP_MS, index_of, need_of
-from crocuswell_core.quotas import within_quota
-from crocuswell_core.records import Attempt, AttemptPhase, Request, StopReason
+from crocuswell_core.cluster.attempts import stop_attempt
+from crocuswell_core.cluster.cluster_state import ClusterState, Reservation
+from crocuswell_core.cluster.index import RECLAIM_STOP_MS, index_of, need_of
+from crocuswell_core.cluster.records import Attempt, AttemptPhase, Request, StopReason
+from crocuswell_core.policy.forecast import expected_run_ms
+from crocuswell_core.policy.quotas import within_quota
+from crocuswell_core.runtime.effects import ClusterEffect, Count
 
 # Longest expected run time in ms of work that others make way for.
 SHORT_MS = 90_000
--- /dev/null
+++ b/packages/core/crocuswell_core/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The reducer and the closed sets of events, effects and timers."""
--- a/packages/core/crocuswell_core/clock.py
+++ b/packages/core/crocuswell_core/runtime/clock.py
@@ -1,11 +1,11 @@
 """Handlers that both roles share: time and the dispatch of timers."""
 
-from crocuswell_core import leadership
-from crocuswell_core.agent_state import AgentState
-from crocuswell_core.dispatch import handle, handle_timer
-from crocuswell_core.effects import Effect
-from crocuswell_core.entry_state import EntryState
-from crocuswell_core.events import ClockAdvanced, TimerFired
+from crocuswell_core.agent.agent_state import AgentState
+from crocuswell_core.agreement import leadership
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.runtime.dispatch import handle, handle_timer
+from crocuswell_core.runtime.effects import Effect
+from crocuswell_core.runtime.events import ClockAdvanced, TimerFired
 
 
 @handle.register
--- a/packages/core/crocuswell_core/dispatch.py
+++ b/packages/core/crocuswell_core/runtime/dispatch.py
@@ -6,18 +6,18 @@
 
 from functools import singledispatch
 
-from crocuswell_core.agent_messages import AgentMessage, EntryMessage
-from crocuswell_core.agent_state import AgentState
-from crocuswell_core.calls import Call, ReadCall
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import Command, LogEntry
-from crocuswell_core.effects import Applied, ClusterEffect, Effect
-from crocuswell_core.entry_state import EntryState
-from crocuswell_core.events import Event
-from crocuswell_core.notices import Notice
-from crocuswell_core.peer_messages import PeerMessage
-from crocuswell_core.replies import ReadReply
-from crocuswell_core.timers import Timer
+from crocuswell_core.agent.agent_messages import AgentMessage, EntryMessage
+from crocuswell_core.agent.agent_state import AgentState
+from crocuswell_core.agreement.peer_messages import PeerMessage
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import Command, LogEntry
+from crocuswell_core.entry.calls import Call, ReadCall
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.entry.replies import ReadReply
+from crocuswell_core.runtime.effects import Applied, ClusterEffect, Effect
+from crocuswell_core.runtime.events import Event
+from crocuswell_core.runtime.notices import Notice
+from crocuswell_core.runtime.timers import Timer
 
 
 @singledispatch
--- a/packages/core/crocuswell_core/effects.py
+++ b/packages/core/crocuswell_core/runtime/effects.py
@@ -9,13 +9,13 @@
 
 import attrs
 
-from crocuswell_core.agent_messages import AgentMessage, EntryMessage, Order
-from crocuswell_core.backend import BackendCall
-from crocuswell_core.commands import CommandReply, EntryHost, LogEntry
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.peer_messages import PeerMessage
-from crocuswell_core.replies import ReadReply
-from crocuswell_core.timers import Timer
+from crocuswell_core.agent.agent_messages import AgentMessage, EntryMessage, Order
+from crocuswell_core.agent.backend import BackendCall
+from crocuswell_core.agreement.peer_messages import PeerMessage
+from crocuswell_core.cluster.commands import CommandReply, EntryHost, LogEntry
+from crocuswell_core.entry.replies import ReadReply
+from crocuswell_core.runtime.errors import ErrorKind
+from crocuswell_core.runtime.timers import Timer
 
 # --- durable state -------------------------------------------------------
 
--- a/packages/core/crocuswell_core/events.py
+++ b/packages/core/crocuswell_core/runtime/events.py
@@ -2,12 +2,12 @@
 
 import attrs
 
-from crocuswell_core.agent_messages import AgentMessage, EntryMessage
-from crocuswell_core.backend import BackendCall, BackendReply
-from crocuswell_core.calls import Call
-from crocuswell_core.commands import EntryHost, LogEntry
-from crocuswell_core.peer_messages import PeerMessage
-from crocuswell_core.timers import Timer
+from crocuswell_core.agent.agent_messages import AgentMessage, EntryMessage
+from crocuswell_core.agent.backend import BackendCall, BackendReply
+from crocuswell_core.agreement.peer_messages import PeerMessage
+from crocuswell_core.cluster.commands import EntryHost, LogEntry
+from crocuswell_core.entry.calls import Call
+from crocuswell_core.runtime.timers import Timer
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/notices.py
+++ b/packages/core/crocuswell_core/runtime/notices.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from crocuswell_core.commands import CommandReply, Proposal
+from crocuswell_core.cluster.commands import CommandReply, Proposal
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/reducer.py
+++ b/packages/core/crocuswell_core/runtime/reducer.py
@@ -2,26 +2,23 @@
 
 from typing import TypeVar
 
-from crocuswell_core import (  # noqa: F401  (the modules register their handlers)
-    agent,
+# The modules register their handlers.
+from crocuswell_core.agent import agent  # noqa: F401
+from crocuswell_core.agent.agent_state import AgentState
+from crocuswell_core.agreement import election, members, replication  # noqa: F401
+from crocuswell_core.cluster import changes, fleet, requests  # noqa: F401
+from crocuswell_core.entry import (  # noqa: F401
     callers,
-    changes,
-    clock,
-    election,
-    fleet,
     lifecycle,
     liveness,
-    members,
-    replication,
-    requests,
     sessions,
     views,
 )
-from crocuswell_core.agent_state import AgentState
-from crocuswell_core.dispatch import handle
-from crocuswell_core.effects import Effect
-from crocuswell_core.entry_state import EntryState
-from crocuswell_core.events import Event
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.runtime import clock  # noqa: F401
+from crocuswell_core.runtime.dispatch import handle
+from crocuswell_core.runtime.effects import Effect
+from crocuswell_core.runtime.events import Event
 
 State = TypeVar("State", EntryState, AgentState)
 
--- a/packages/daemon/crocuswell_daemon/agent_streams.py
+++ b/packages/daemon/crocuswell_daemon/agent_streams.py
@@ -9,9 +9,9 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
-from crocuswell_core.agent_messages import EntryMessage
-from crocuswell_core.effects import Count, Label
-from crocuswell_core.events import (
+from crocuswell_core.agent.agent_messages import EntryMessage
+from crocuswell_core.runtime.effects import Count, Label
+from crocuswell_core.runtime.events import (
     AgentMessageReceived,
     AgentStreamClosed,
     Event,
--- a/packages/daemon/crocuswell_daemon/backend_client.py
+++ b/packages/daemon/crocuswell_daemon/backend_client.py
@@ -23,7 +23,7 @@
     ReadTimeoutError,
 )
 
-from crocuswell_core.backend import (
+from crocuswell_core.agent.backend import (
     Accepted,
     BackendCall,
     BackendReply,
@@ -36,8 +36,8 @@
     ThrottleOnBackend,
     Unreachable,
 )
-from crocuswell_core.events import BackendReplied, Event
-from crocuswell_core.resources import CONNECTIONS_PER_WORKER
+from crocuswell_core.cluster.resources import CONNECTIONS_PER_WORKER
+from crocuswell_core.runtime.events import BackendReplied, Event
 from crocuswell_daemon.backend_json import (
     BadReplyError,
     read_description,
--- a/packages/daemon/crocuswell_daemon/backend_json.py
+++ b/packages/daemon/crocuswell_daemon/backend_json.py
@@ -4,7 +4,7 @@
 import json
 from typing import Any
 
-from crocuswell_core.backend import (
+from crocuswell_core.agent.backend import (
     BackendTask,
     Described,
     Rejected,
@@ -12,8 +12,8 @@
     StopOnBackend,
     ThrottleOnBackend,
 )
-from crocuswell_core.records import AttemptId, WorkerInfo
-from crocuswell_core.resources import Resources
+from crocuswell_core.cluster.records import AttemptId, WorkerInfo
+from crocuswell_core.cluster.resources import Resources
 
 TASK_STATES = frozenset({"running", "finished", "failed", "stopped", "fenced"})
 
--- a/packages/daemon/crocuswell_daemon/counters.py
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from crocuswell_core.effects import Label
+from crocuswell_core.runtime.effects import Label
 
 PREFIX = "crocuswell_"
 
--- a/packages/daemon/crocuswell_daemon/entry_main.py
+++ b/packages/daemon/crocuswell_daemon/entry_main.py
@@ -6,12 +6,12 @@
 from functools import partial
 from pathlib import Path
 
-from crocuswell_core.agent_messages import AgentMessage
-from crocuswell_core.effects import ChangeLevel, Halt, Label, LogChange
-from crocuswell_core.entry_state import EntryState
-from crocuswell_core.events import EntryStopRequested
-from crocuswell_core.peer_messages import PeerMessage
-from crocuswell_core.reducer import reduce
+from crocuswell_core.agent.agent_messages import AgentMessage
+from crocuswell_core.agreement.peer_messages import PeerMessage
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.runtime.effects import ChangeLevel, Halt, Label, LogChange
+from crocuswell_core.runtime.events import EntryStopRequested
+from crocuswell_core.runtime.reducer import reduce
 from crocuswell_daemon import logs, wire
 from crocuswell_daemon.agent_streams import AgentListener
 from crocuswell_daemon.frames import StorageError
--- a/packages/daemon/crocuswell_daemon/entry_stream.py
+++ b/packages/daemon/crocuswell_daemon/entry_stream.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 from typing import Any, Self
 
-from crocuswell_core.agent_messages import AgentMessage
-from crocuswell_core.events import (
+from crocuswell_core.agent.agent_messages import AgentMessage
+from crocuswell_core.runtime.events import (
     EntryMessageReceived,
     EntryStreamClosed,
     EntryStreamOpened,
--- a/packages/daemon/crocuswell_daemon/frames.py
+++ b/packages/daemon/crocuswell_daemon/frames.py
@@ -14,8 +14,8 @@
 
 import msgpack
 
-from crocuswell_core.effects import Record
-from crocuswell_core.errors import ErrorKind
+from crocuswell_core.runtime.effects import Record
+from crocuswell_core.runtime.errors import ErrorKind
 from crocuswell_daemon import wire
 
 # The mark is random for each file: a payload from outside can't contain a
--- a/packages/daemon/crocuswell_daemon/http_api.py
+++ b/packages/daemon/crocuswell_daemon/http_api.py
@@ -17,12 +17,12 @@
 import attrs
 from result import is_err
 
-from crocuswell_core.calls import Call, GetRequest
-from crocuswell_core.commands import CommandReply, Refused, RequestAccepted
-from crocuswell_core.effects import Count, Label
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.events import CallAbandoned, CallReceived, Event
-from crocuswell_core.replies import ReadReply, RequestView
+from crocuswell_core.cluster.commands import CommandReply, Refused, RequestAccepted
+from crocuswell_core.entry.calls import Call, GetRequest
+from crocuswell_core.entry.replies import ReadReply, RequestView
+from crocuswell_core.runtime.effects import Count, Label
+from crocuswell_core.runtime.errors import ErrorKind
+from crocuswell_core.runtime.events import CallAbandoned, CallReceived, Event
 from crocuswell_daemon.http_calls import (
     Change,
     Exchange,
--- a/packages/daemon/crocuswell_daemon/http_bodies.py
+++ b/packages/daemon/crocuswell_daemon/http_bodies.py
@@ -23,15 +23,15 @@
 from cattrs.gen import make_dict_structure_fn
 from result import Err, Ok, Result
 
-from crocuswell_core.configuration import (
+from crocuswell_core.cluster.configuration import (
     Configuration,
     Limits,
     Objective,
     Preset,
     Workspace,
 )
-from crocuswell_core.records import JobSpec, WorkerMode
-from crocuswell_core.resources import Shape
+from crocuswell_core.cluster.records import JobSpec, WorkerMode
+from crocuswell_core.cluster.resources import Shape
 from crocuswell_daemon.problems import Problem, invalid
 
 # Largest integer that every JSON reader and the wire format can hold.
--- a/packages/daemon/crocuswell_daemon/http_calls.py
+++ b/packages/daemon/crocuswell_daemon/http_calls.py
@@ -9,7 +9,16 @@
 import attrs
 from result import Err, Ok, Result, is_err
 
-from crocuswell_core.calls import (
+from crocuswell_core.cluster.commands import (
+    CancelRequests,
+    ChangeConfiguration,
+    Command,
+    Proposal,
+    SetWorkerMode,
+    SubmitRequest,
+    SwitchPreset,
+)
+from crocuswell_core.entry.calls import (
     CommandCall,
     ExplainRequest,
     GetConfiguration,
@@ -20,16 +29,7 @@
     ListRequests,
     ReadCall,
 )
-from crocuswell_core.commands import (
-    CancelRequests,
-    ChangeConfiguration,
-    Command,
-    Proposal,
-    SetWorkerMode,
-    SubmitRequest,
-    SwitchPreset,
-)
-from crocuswell_core.errors import ErrorKind
+from crocuswell_core.runtime.errors import ErrorKind
 from crocuswell_daemon.http_bodies import (
     parse_cancel,
     parse_configuration,
--- a/packages/daemon/crocuswell_daemon/http_replies.py
+++ b/packages/daemon/crocuswell_daemon/http_replies.py
@@ -8,7 +8,7 @@
 import attrs
 import cattrs
 
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.commands import (
     ChangeAccepted,
     CommandReply,
     Done,
@@ -17,10 +17,16 @@
     RequestAccepted,
     RequestsCancelled,
 )
-from crocuswell_core.configuration import Configuration, ConfigurationChange
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.records import Attempt, Member, Outcome, OutcomeRecord, Request
-from crocuswell_core.replies import (
+from crocuswell_core.cluster.configuration import Configuration, ConfigurationChange
+from crocuswell_core.cluster.records import (
+    Attempt,
+    Member,
+    Outcome,
+    OutcomeRecord,
+    Request,
+)
+from crocuswell_core.cluster.resources import Resources
+from crocuswell_core.entry.replies import (
     ConfigurationView,
     Explanation,
     HistoryView,
@@ -31,7 +37,7 @@
     WorkersView,
     WorkerView,
 )
-from crocuswell_core.resources import Resources
+from crocuswell_core.runtime.errors import ErrorKind
 from crocuswell_daemon.http_messages import Header, HttpResponse, json_response
 from crocuswell_daemon.problems import Problem, problem_response, to_problem
 
--- a/packages/daemon/crocuswell_daemon/http_server.py
+++ b/packages/daemon/crocuswell_daemon/http_server.py
@@ -20,7 +20,7 @@
 from cheroot.makefile import StreamReader, StreamWriter
 from cheroot.server import HTTPConnection, HTTPRequest
 
-from crocuswell_core.errors import ErrorKind
+from crocuswell_core.runtime.errors import ErrorKind
 from crocuswell_daemon.http_messages import HttpResponse
 from crocuswell_daemon.problems import Problem, problem_response
 
--- a/packages/daemon/crocuswell_daemon/interpreter.py
+++ b/packages/daemon/crocuswell_daemon/interpreter.py
@@ -6,13 +6,13 @@
 
 import attrs
 
-from crocuswell_core import effects as fx
-from crocuswell_core.agent_messages import AgentMessage, EntryMessage
-from crocuswell_core.backend import BackendCall
-from crocuswell_core.commands import CommandReply, EntryHost
-from crocuswell_core.peer_messages import PeerMessage
-from crocuswell_core.replies import ReadReply
-from crocuswell_core.timers import Timer
+from crocuswell_core.agent.agent_messages import AgentMessage, EntryMessage
+from crocuswell_core.agent.backend import BackendCall
+from crocuswell_core.agreement.peer_messages import PeerMessage
+from crocuswell_core.cluster.commands import CommandReply, EntryHost
+from crocuswell_core.entry.replies import ReadReply
+from crocuswell_core.runtime import effects as fx
+from crocuswell_core.runtime.timers import Timer
 
 
 class Timers(Protocol):
--- a/packages/daemon/crocuswell_daemon/logs.py
+++ b/packages/daemon/crocuswell_daemon/logs.py
@@ -3,7 +3,7 @@
 import logging
 import sys
 
-from crocuswell_core.effects import ChangeLevel, Label, LogChange
+from crocuswell_core.runtime.effects import ChangeLevel, Label, LogChange
 
 LOGGER = logging.getLogger("crocuswell")
 LEVELS = {
--- a/packages/daemon/crocuswell_daemon/metrics.py
+++ b/packages/daemon/crocuswell_daemon/metrics.py
@@ -7,7 +7,7 @@
     generate_latest,
 )
 
-from crocuswell_core.effects import Count, Label
+from crocuswell_core.runtime.effects import Count, Label
 from crocuswell_daemon.counters import (
     METRICS,
     PREFIX,
--- a/packages/daemon/crocuswell_daemon/peers.py
+++ b/packages/daemon/crocuswell_daemon/peers.py
@@ -17,10 +17,10 @@
 import attrs
 from grpclib.encoding.base import CodecBase
 
-from crocuswell_core.commands import EntryHost
-from crocuswell_core.effects import Count, Label
-from crocuswell_core.events import Event, PeerMessageReceived
-from crocuswell_core.peer_messages import Append, PeerMessage
+from crocuswell_core.agreement.peer_messages import Append, PeerMessage
+from crocuswell_core.cluster.commands import EntryHost
+from crocuswell_core.runtime.effects import Count, Label
+from crocuswell_core.runtime.events import Event, PeerMessageReceived
 from crocuswell_daemon.listener import StreamListener
 from crocuswell_daemon.streams import (
     Decode,
--- a/packages/daemon/crocuswell_daemon/problems.py
+++ b/packages/daemon/crocuswell_daemon/problems.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from crocuswell_core.commands import Refused
-from crocuswell_core.errors import PROMISES, ErrorKind
+from crocuswell_core.cluster.commands import Refused
+from crocuswell_core.runtime.errors import PROMISES, ErrorKind
 from crocuswell_daemon.http_messages import Header, HttpResponse, json_response
 
 CONTENT_TYPE = "application/problem+json"
--- a/packages/daemon/crocuswell_daemon/process.py
+++ b/packages/daemon/crocuswell_daemon/process.py
@@ -5,9 +5,9 @@
 import signal
 from collections.abc import Callable
 
-from crocuswell_core.effects import ChangeLevel, Halt, Label, LogChange
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.events import Event
+from crocuswell_core.runtime.effects import ChangeLevel, Halt, Label, LogChange
+from crocuswell_core.runtime.errors import ErrorKind
+from crocuswell_core.runtime.events import Event
 from crocuswell_daemon.logs import LogWriter
 
 EXIT_PLANNED = 0
--- a/packages/daemon/crocuswell_daemon/roles.py
+++ b/packages/daemon/crocuswell_daemon/roles.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from crocuswell_core.agent_state import AgentConfig
-from crocuswell_core.commands import EntryHost
-from crocuswell_core.entry_state import EntryConfig
+from crocuswell_core.agent.agent_state import AgentConfig
+from crocuswell_core.cluster.commands import EntryHost
+from crocuswell_core.entry.entry_state import EntryConfig
 
 FIXED_KEYS = frozenset({"host", "hosts", "voters", "seed", "entries", "incarnation"})
 
--- a/packages/daemon/crocuswell_daemon/runtime.py
+++ b/packages/daemon/crocuswell_daemon/runtime.py
@@ -9,7 +9,7 @@
 from types import TracebackType
 from typing import Any, Protocol
 
-from crocuswell_core.effects import (
+from crocuswell_core.runtime.effects import (
     ChangeLevel,
     Effect,
     EntriesRecord,
@@ -19,8 +19,8 @@
     Persist,
     Record,
 )
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.events import ClockAdvanced, EntriesSynced, Event
+from crocuswell_core.runtime.errors import ErrorKind
+from crocuswell_core.runtime.events import ClockAdvanced, EntriesSynced, Event
 from crocuswell_daemon.frames import StorageError
 from crocuswell_daemon.snapshots import decode_state_in, encode_state_in
 from crocuswell_daemon.wire import CodecError
--- a/packages/daemon/crocuswell_daemon/setting_rules.py
+++ b/packages/daemon/crocuswell_daemon/setting_rules.py
@@ -7,8 +7,8 @@
 
 import attrs
 
-from crocuswell_core.agent_state import AgentConfig
-from crocuswell_core.entry_state import EntryConfig
+from crocuswell_core.agent.agent_state import AgentConfig
+from crocuswell_core.entry.entry_state import EntryConfig
 from crocuswell_daemon.roles import AgentSettings, EntrySettings
 
 HIGHEST_PORT = 65_535
--- a/packages/daemon/crocuswell_daemon/settings.py
+++ b/packages/daemon/crocuswell_daemon/settings.py
@@ -15,9 +15,9 @@
     IterableValidationNote,
 )
 
-from crocuswell_core.agent_state import AgentConfig
-from crocuswell_core.commands import EntryHost
-from crocuswell_core.entry_state import EntryConfig
+from crocuswell_core.agent.agent_state import AgentConfig
+from crocuswell_core.cluster.commands import EntryHost
+from crocuswell_core.entry.entry_state import EntryConfig
 from crocuswell_daemon.host_checks import check_host
 from crocuswell_daemon.roles import (
     AgentSettings,
--- a/packages/daemon/crocuswell_daemon/snapshots.py
+++ b/packages/daemon/crocuswell_daemon/snapshots.py
@@ -6,7 +6,8 @@
 
 from functools import singledispatch
 
-from crocuswell_core.effects import (
+from crocuswell_core.agreement.peer_messages import InstallSnapshot
+from crocuswell_core.runtime.effects import (
     Effect,
     Persist,
     SaveSnapshot,
@@ -14,8 +15,7 @@
     SendSnapshot,
     SnapshotRecord,
 )
-from crocuswell_core.events import Event, PeerMessageReceived, SnapshotReceived
-from crocuswell_core.peer_messages import InstallSnapshot
+from crocuswell_core.runtime.events import Event, PeerMessageReceived, SnapshotReceived
 from crocuswell_daemon import wire
 
 
--- a/packages/daemon/crocuswell_daemon/storage.py
+++ b/packages/daemon/crocuswell_daemon/storage.py
@@ -15,10 +15,15 @@
 
 import attrs
 
-from crocuswell_core.commands import LogEntry
-from crocuswell_core.effects import EntriesRecord, Record, SnapshotRecord, TermRecord
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.events import EntryBooted
+from crocuswell_core.cluster.commands import LogEntry
+from crocuswell_core.runtime.effects import (
+    EntriesRecord,
+    Record,
+    SnapshotRecord,
+    TermRecord,
+)
+from crocuswell_core.runtime.errors import ErrorKind
+from crocuswell_core.runtime.events import EntryBooted
 from crocuswell_daemon import wire
 from crocuswell_daemon.frames import (
     MARK_BYTES,
--- a/packages/daemon/crocuswell_daemon/tags.py
+++ b/packages/daemon/crocuswell_daemon/tags.py
@@ -1,17 +1,17 @@
 """Numbers of the classes that travel between processes or to disk."""
 
-from crocuswell_core import (
-    agent_messages,
+from crocuswell_core.agent import agent_messages
+from crocuswell_core.agreement import peer_messages
+from crocuswell_core.cluster import (
     cluster_state,
     commands,
     configuration,
     due,
-    effects,
-    peer_messages,
-    policies,
     records,
     resources,
 )
+from crocuswell_core.policy import policies
+from crocuswell_core.runtime import effects
 
 # Logs, snapshots and hosts of other versions contain these numbers, so a
 # class is only ever added at the end and a removed one leaves a gap (None).
--- a/packages/daemon/crocuswell_daemon/timer_service.py
+++ b/packages/daemon/crocuswell_daemon/timer_service.py
@@ -5,8 +5,8 @@
 from contextlib import AbstractContextManager
 from types import TracebackType
 
-from crocuswell_core.events import Event, TimerFired
-from crocuswell_core.timers import Timer
+from crocuswell_core.runtime.events import Event, TimerFired
+from crocuswell_core.runtime.timers import Timer
 
 
 class TimerService(AbstractContextManager["TimerService"]):
--- a/packages/daemon/crocuswell_daemon/wire.py
+++ b/packages/daemon/crocuswell_daemon/wire.py
@@ -22,7 +22,7 @@
 import attrs
 import msgpack
 
-from crocuswell_core.cluster_state import STATE_VERSION, ClusterState
+from crocuswell_core.cluster.cluster_state import STATE_VERSION, ClusterState
 from crocuswell_daemon.tags import TAG_OF, TAGGED
 
 _BIG_INT = 1
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -21,7 +21,7 @@
 import attrs
 from cheroot import wsgi
 
-from crocuswell_core.backend import (
+from crocuswell_core.agent.backend import (
     Accepted,
     BackendCall,
     BackendReply,
@@ -36,8 +36,8 @@
     StopOnBackend,
     ThrottleOnBackend,
 )
-from crocuswell_core.records import AttemptId, WorkerInfo
-from crocuswell_core.resources import CONNECTIONS_PER_WORKER, Resources
+from crocuswell_core.cluster.records import AttemptId, WorkerInfo
+from crocuswell_core.cluster.resources import CONNECTIONS_PER_WORKER, Resources
 
 if not __package__:
     # Started as a script, so its folder's parent is not on the path.
--- a/standins/backend_tasks.py
+++ b/standins/backend_tasks.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from crocuswell_core.backend import (
+from crocuswell_core.agent.backend import (
     Accepted,
     BackendCall,
     BackendReply,
@@ -21,8 +21,8 @@
     StopOnBackend,
     ThrottleOnBackend,
 )
-from crocuswell_core.records import AttemptId, WorkerInfo
-from crocuswell_core.resources import NOTHING, Resources
+from crocuswell_core.cluster.records import AttemptId, WorkerInfo
+from crocuswell_core.cluster.resources import NOTHING, Resources
 
 USAGE_LAG_MS = 1_000
 MemberKey = tuple[AttemptId, int]
--- a/tests/agent_world.py
+++ b/tests/agent_world.py
@@ -14,8 +14,8 @@
 
 import attrs
 
-from crocuswell_core.agent_invariants import check_agent
-from crocuswell_core.agent_messages import (
+from crocuswell_core.agent.agent_invariants import check_agent
+from crocuswell_core.agent.agent_messages import (
     AgentHeartbeat,
     AgentMessage,
     EntryHeartbeat,
@@ -31,20 +31,22 @@
     StopTask,
     Welcome,
 )
-from crocuswell_core.agent_state import AgentConfig, AgentState
-from crocuswell_core.backend import (
+from crocuswell_core.agent.agent_state import AgentConfig, AgentState
+from crocuswell_core.agent.backend import (
     BackendCall,
     BackendReply,
     StartOnBackend,
     Unreachable,
 )
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.commands import (
     Report,
     TaskFinished,
     TaskRefused,
     TaskReserved,
 )
-from crocuswell_core.effects import (
+from crocuswell_core.cluster.records import AttemptId, WorkerInfo
+from crocuswell_core.cluster.resources import Resources
+from crocuswell_core.runtime.effects import (
     CallBackend,
     CloseEntryStream,
     Effect,
@@ -53,7 +55,7 @@
     SendEntry,
     StartTimer,
 )
-from crocuswell_core.events import (
+from crocuswell_core.runtime.events import (
     AgentBooted,
     AgentStopRequested,
     BackendReplied,
@@ -64,10 +66,8 @@
     Event,
     TimerFired,
 )
-from crocuswell_core.records import AttemptId, WorkerInfo
-from crocuswell_core.reducer import reduce
-from crocuswell_core.resources import Resources
-from crocuswell_core.timers import Timer
+from crocuswell_core.runtime.reducer import reduce
+from crocuswell_core.runtime.timers import Timer
 from standins.backend_tasks import Backend, advance, result_of, running, serve
 
 RUN_LEASE_MS = 15_000
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from crocuswell_core.agent_invariants import check_agent
-from crocuswell_core.agent_messages import (
+from crocuswell_core.agent.agent_invariants import check_agent
+from crocuswell_core.agent.agent_messages import (
     AgentMessage,
     EntryHeartbeat,
     EntryMessage,
@@ -17,8 +17,8 @@
     StartTask,
     Welcome,
 )
-from crocuswell_core.agent_state import AgentConfig, AgentState
-from crocuswell_core.backend import (
+from crocuswell_core.agent.agent_state import AgentConfig, AgentState
+from crocuswell_core.agent.backend import (
     Accepted,
     BackendCall,
     BackendReply,
@@ -26,15 +26,17 @@
     Describe,
     Described,
 )
-from crocuswell_core.commands import Report
-from crocuswell_core.effects import (
+from crocuswell_core.cluster.commands import Report
+from crocuswell_core.cluster.records import AttemptId, WorkerInfo
+from crocuswell_core.cluster.resources import NOTHING, Resources
+from crocuswell_core.runtime.effects import (
     CallBackend,
     Effect,
     OpenEntryStream,
     SendEntry,
     StartTimer,
 )
-from crocuswell_core.events import (
+from crocuswell_core.runtime.events import (
     AgentBooted,
     BackendReplied,
     ClockAdvanced,
@@ -43,10 +45,8 @@
     Event,
     TimerFired,
 )
-from crocuswell_core.records import AttemptId, WorkerInfo
-from crocuswell_core.reducer import reduce
-from crocuswell_core.resources import NOTHING, Resources
-from crocuswell_core.timers import Timer
+from crocuswell_core.runtime.reducer import reduce
+from crocuswell_core.runtime.timers import Timer
 
 ENTRIES = ("a:1", "b:1", "c:1")
 INFO = WorkerInfo("w1", "r1", "fd-a", Resources(8, 32, 64_000))
--- a/tests/agreement_checks.py
+++ b/tests/agreement_checks.py
@@ -4,17 +4,17 @@
 
 import attrs
 
-from crocuswell_core import consensus_log, election
-from crocuswell_core.commands import LogEntry
-from crocuswell_core.consensus_state import Role
-from crocuswell_core.effects import Effect, SendPeer
-from crocuswell_core.entry_state import EntryState
-from crocuswell_core.events import (
+from crocuswell_core.agreement import consensus_log, election
+from crocuswell_core.agreement.consensus_state import Role
+from crocuswell_core.agreement.peer_messages import Append, VoteReply, VoteRequest
+from crocuswell_core.cluster.commands import LogEntry
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.runtime.effects import Effect, SendPeer
+from crocuswell_core.runtime.events import (
     EntryBooted,
     PeerMessageReceived,
     SnapshotReceived,
 )
-from crocuswell_core.peer_messages import Append, VoteReply, VoteRequest
 from tests.simulated_host import Host, InvariantError
 from tests.simulator import Simulation
 
--- a/tests/clusters.py
+++ b/tests/clusters.py
@@ -4,10 +4,10 @@
 
 import attrs
 
-from crocuswell_core import reducer  # noqa: F401  (registers the handlers)
-from crocuswell_core.agent_messages import Order
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import (
+from crocuswell_core.agent.agent_messages import Order
+from crocuswell_core.agreement.committed import apply_entry
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import (
     AdvanceTime,
     AnnounceWorker,
     ChangeConfiguration,
@@ -19,10 +19,8 @@
     Report,
     SubmitRequest,
 )
-from crocuswell_core.committed import apply_entry
-from crocuswell_core.configuration import Configuration, Workspace
-from crocuswell_core.effects import ClusterEffect, OrderWorker
-from crocuswell_core.records import (
+from crocuswell_core.cluster.configuration import Configuration, Workspace
+from crocuswell_core.cluster.records import (
     Attempt,
     AttemptId,
     JobSpec,
@@ -30,7 +28,9 @@
     Request,
     WorkerInfo,
 )
-from crocuswell_core.resources import Adjacency, Resources, Shape
+from crocuswell_core.cluster.resources import Adjacency, Resources, Shape
+from crocuswell_core.runtime import reducer  # noqa: F401  (registers the handlers)
+from crocuswell_core.runtime.effects import ClusterEffect, OrderWorker
 
 CAPACITY = Resources(8, 128, 262_144)
 
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -5,11 +5,13 @@
 
 import attrs
 
-from crocuswell_core.agent_messages import AgentHeartbeat, Hello
-from crocuswell_core.calls import Call, CommandCall
-from crocuswell_core.commands import Command, EntryHost, Proposal
-from crocuswell_core.consensus_state import Role
-from crocuswell_core.effects import (
+from crocuswell_core.agent.agent_messages import AgentHeartbeat, Hello
+from crocuswell_core.agreement.consensus_state import Role
+from crocuswell_core.cluster.commands import Command, EntryHost, Proposal
+from crocuswell_core.cluster.records import WorkerInfo
+from crocuswell_core.entry.calls import Call, CommandCall
+from crocuswell_core.entry.entry_state import EntryConfig, EntryState
+from crocuswell_core.runtime.effects import (
     AnswerCall,
     Effect,
     EntriesRecord,
@@ -17,8 +19,7 @@
     SendAgent,
     StartTimer,
 )
-from crocuswell_core.entry_state import EntryConfig, EntryState
-from crocuswell_core.events import (
+from crocuswell_core.runtime.events import (
     AgentMessageReceived,
     CallReceived,
     ClockAdvanced,
@@ -27,9 +28,8 @@
     Event,
     TimerFired,
 )
-from crocuswell_core.records import WorkerInfo
-from crocuswell_core.reducer import reduce
-from crocuswell_core.timers import Timer
+from crocuswell_core.runtime.reducer import reduce
+from crocuswell_core.runtime.timers import Timer
 from tests.clusters import CAPACITY
 
 HOST = EntryHost("e1", "127.0.0.1:1", "fd-a")
--- a/tests/http_fake.py
+++ b/tests/http_fake.py
@@ -11,16 +11,16 @@
 import attrs
 import urllib3
 
-from crocuswell_core.calls import Call
-from crocuswell_core.effects import Count
-from crocuswell_core.events import CallReceived, Event
-from crocuswell_core.records import (
+from crocuswell_core.cluster.records import (
     JobSpec,
     Outcome,
     OutcomeRecord,
     Request,
     RequestPhase,
 )
+from crocuswell_core.entry.calls import Call
+from crocuswell_core.runtime.effects import Count
+from crocuswell_core.runtime.events import CallReceived, Event
 from crocuswell_daemon.counters import find_metric
 from crocuswell_daemon.http_api import CallerListener, Reply
 
--- a/tests/platform_callers.py
+++ b/tests/platform_callers.py
@@ -5,8 +5,7 @@
 
 import attrs
 
-from crocuswell_core.calls import Call, CommandCall, GetConfiguration, GetRequest
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.commands import (
     CancelRequests,
     ChangeAccepted,
     ChangeConfiguration,
@@ -15,12 +14,13 @@
     RequestAccepted,
     SubmitRequest,
 )
-from crocuswell_core.configuration import Configuration, Limits, Workspace
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.events import CallReceived
-from crocuswell_core.records import JobSpec, Outcome, RequestPhase
-from crocuswell_core.replies import ConfigurationView, RequestView
-from crocuswell_core.resources import Resources, Shape
+from crocuswell_core.cluster.configuration import Configuration, Limits, Workspace
+from crocuswell_core.cluster.records import JobSpec, Outcome, RequestPhase
+from crocuswell_core.cluster.resources import Resources, Shape
+from crocuswell_core.entry.calls import Call, CommandCall, GetConfiguration, GetRequest
+from crocuswell_core.entry.replies import ConfigurationView, RequestView
+from crocuswell_core.runtime.errors import ErrorKind
+from crocuswell_core.runtime.events import CallReceived
 from tests.simulated_host import Host, InvariantError
 
 if TYPE_CHECKING:
--- a/tests/platform_checks.py
+++ b/tests/platform_checks.py
@@ -1,11 +1,11 @@
 """Invariants of the whole platform, checked after every event."""
 
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.effects import Effect
-from crocuswell_core.entry_state import EntryState
-from crocuswell_core.events import EntryBooted
-from crocuswell_core.invariants import check_all
-from crocuswell_core.records import Outcome, OutcomeRecord, WorkerMode
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.invariants import check_all
+from crocuswell_core.cluster.records import Outcome, OutcomeRecord, WorkerMode
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.runtime.effects import Effect
+from crocuswell_core.runtime.events import EntryBooted
 from standins.backend_tasks import advance, running
 from tests.agreement_checks import Checks
 from tests.simulated_agent import SimulatedWorker, Work
--- a/tests/platform_simulator.py
+++ b/tests/platform_simulator.py
@@ -10,9 +10,11 @@
 
 import attrs
 
-from crocuswell_core.backend import BackendCall, Unreachable
-from crocuswell_core.configuration import Limits
-from crocuswell_core.effects import (
+from crocuswell_core.agent.backend import BackendCall, Unreachable
+from crocuswell_core.cluster.configuration import Limits
+from crocuswell_core.cluster.records import RequestPhase, WorkerInfo
+from crocuswell_core.cluster.resources import Resources
+from crocuswell_core.runtime.effects import (
     AnswerCall,
     CallBackend,
     CloseAgentStream,
@@ -24,7 +26,7 @@
     SendEntry,
     StartTimer,
 )
-from crocuswell_core.events import (
+from crocuswell_core.runtime.events import (
     AgentMessageReceived,
     AgentStopRequested,
     AgentStreamClosed,
@@ -36,9 +38,7 @@
     Event,
     TimerFired,
 )
-from crocuswell_core.records import RequestPhase, WorkerInfo
-from crocuswell_core.resources import Resources
-from crocuswell_core.timers import Timer
+from crocuswell_core.runtime.timers import Timer
 from tests.platform_callers import Callers
 from tests.platform_checks import PlatformChecks
 from tests.simulated_agent import SimulatedWorker, Stream, Work
--- a/tests/simulated_agent.py
+++ b/tests/simulated_agent.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from crocuswell_core.agent_invariants import check_agent
-from crocuswell_core.agent_state import AgentConfig, AgentState
-from crocuswell_core.backend import (
+from crocuswell_core.agent.agent_invariants import check_agent
+from crocuswell_core.agent.agent_state import AgentConfig, AgentState
+from crocuswell_core.agent.backend import (
     Accepted,
     BackendCall,
     BackendReply,
@@ -14,12 +14,12 @@
     ResultFetched,
     StartOnBackend,
 )
-from crocuswell_core.commands import TaskReserved
-from crocuswell_core.effects import Effect
-from crocuswell_core.events import AgentBooted, ClockAdvanced, Event
-from crocuswell_core.records import AttemptId, WorkerInfo
-from crocuswell_core.reducer import reduce
-from crocuswell_core.timers import Timer
+from crocuswell_core.cluster.commands import TaskReserved
+from crocuswell_core.cluster.records import AttemptId, WorkerInfo
+from crocuswell_core.runtime.effects import Effect
+from crocuswell_core.runtime.events import AgentBooted, ClockAdvanced, Event
+from crocuswell_core.runtime.reducer import reduce
+from crocuswell_core.runtime.timers import Timer
 from standins.backend_tasks import Backend, serve
 from tests.simulated_host import InvariantError
 
--- a/tests/simulated_host.py
+++ b/tests/simulated_host.py
@@ -6,22 +6,22 @@
 
 import attrs
 
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.commands import (
     LogEntry,
 )
-from crocuswell_core.effects import (
+from crocuswell_core.entry.entry_state import EntryConfig, EntryState
+from crocuswell_core.runtime.effects import (
     Effect,
     EntriesRecord,
     Persist,
     SaveSnapshot,
     TermRecord,
 )
-from crocuswell_core.entry_state import EntryConfig, EntryState
-from crocuswell_core.events import (
+from crocuswell_core.runtime.events import (
     EntryBooted,
     Event,
 )
-from crocuswell_core.timers import Timer
+from crocuswell_core.runtime.timers import Timer
 
 Action = Callable[[EntryState], list[Effect]]
 Durable = Persist | SaveSnapshot
--- a/tests/simulator.py
+++ b/tests/simulator.py
@@ -14,15 +14,16 @@
 
 import attrs
 
-from crocuswell_core import election, replication
-from crocuswell_core.commands import (
+from crocuswell_core.agreement import election, replication
+from crocuswell_core.agreement.consensus_state import Role
+from crocuswell_core.cluster.commands import (
     AdvanceTime,
     ChangeMembers,
     EntryHost,
     Proposal,
 )
-from crocuswell_core.consensus_state import Role
-from crocuswell_core.effects import (
+from crocuswell_core.entry.entry_state import EntryConfig, EntryState
+from crocuswell_core.runtime.effects import (
     CancelTimer,
     Effect,
     EntriesRecord,
@@ -32,8 +33,7 @@
     SendSnapshot,
     StartTimer,
 )
-from crocuswell_core.entry_state import EntryConfig, EntryState
-from crocuswell_core.events import (
+from crocuswell_core.runtime.events import (
     ClockAdvanced,
     EntriesSynced,
     Event,
@@ -41,8 +41,8 @@
     SnapshotReceived,
     TimerFired,
 )
-from crocuswell_core.reducer import reduce
-from crocuswell_core.timers import ElectionTimer, LeaderTimer, Timer
+from crocuswell_core.runtime.reducer import reduce
+from crocuswell_core.runtime.timers import ElectionTimer, LeaderTimer, Timer
 from tests.simulated_host import Action, Disk, Host, InvariantError
 
 MAX_DRIFT = 0.05
--- a/tests/stream_fake.py
+++ b/tests/stream_fake.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from crocuswell_core.effects import Count, Label
-from crocuswell_core.events import Event
+from crocuswell_core.runtime.effects import Count, Label
+from crocuswell_core.runtime.events import Event
 from crocuswell_daemon.counters import find_metric
 
 OUTER_LIMIT_S = 20.0
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -3,8 +3,8 @@
 import attrs
 import pytest
 
-from crocuswell_core.agent_messages import Order, ReportAck, SendReports, StopTask
-from crocuswell_core.backend import (
+from crocuswell_core.agent.agent_messages import Order, ReportAck, SendReports, StopTask
+from crocuswell_core.agent.backend import (
     Accepted,
     BackendReply,
     Described,
@@ -16,7 +16,7 @@
     StopOnBackend,
     Unreachable,
 )
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.commands import (
     Report,
     TaskFailed,
     TaskFinished,
@@ -25,8 +25,8 @@
     TaskReserved,
     TaskStopped,
 )
-from crocuswell_core.events import BackendReplied, EntryStreamClosed
-from crocuswell_core.resources import Resources
+from crocuswell_core.cluster.resources import Resources
+from crocuswell_core.runtime.events import BackendReplied, EntryStreamClosed
 from tests.agents import (
     INFO,
     Agent,
--- a/tests/test_agent_leases.py
+++ b/tests/test_agent_leases.py
@@ -6,7 +6,7 @@
 import attrs
 import pytest
 
-from crocuswell_core.agent_messages import (
+from crocuswell_core.agent.agent_messages import (
     AgentHeartbeat,
     DrainNotice,
     EntryHeartbeat,
@@ -16,18 +16,18 @@
     SendReports,
     Welcome,
 )
-from crocuswell_core.agent_state import AgentConfig, AgentState
-from crocuswell_core.backend import Accepted, StartOnBackend, StopOnBackend
-from crocuswell_core.commands import TaskRefused, TaskReserved
-from crocuswell_core.effects import CloseEntryStream, Halt, OpenEntryStream
-from crocuswell_core.events import (
+from crocuswell_core.agent.agent_state import AgentConfig, AgentState
+from crocuswell_core.agent.backend import Accepted, StartOnBackend, StopOnBackend
+from crocuswell_core.cluster.commands import TaskRefused, TaskReserved
+from crocuswell_core.cluster.resources import NOTHING, Resources
+from crocuswell_core.runtime.effects import CloseEntryStream, Halt, OpenEntryStream
+from crocuswell_core.runtime.events import (
     AgentBooted,
     AgentStopRequested,
     EntryMessageReceived,
     EntryStreamClosed,
     EntryStreamOpened,
 )
-from crocuswell_core.resources import NOTHING, Resources
 from crocuswell_daemon.wire import encode
 from tests.agents import (
     ENTRIES,
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -6,38 +6,38 @@
 
 import pytest
 
-from crocuswell_core import election, replication, snapshots
-from crocuswell_core.commands import (
+from crocuswell_core.agreement import election, replication, snapshots
+from crocuswell_core.agreement.consensus_state import Role
+from crocuswell_core.agreement.peer_messages import (
+    Append,
+    AppendReply,
+    Forward,
+    VoteReply,
+    VoteRequest,
+)
+from crocuswell_core.cluster.commands import (
     AdvanceTime,
     ChangeMembers,
     EntryHost,
     LogEntry,
     Proposal,
 )
-from crocuswell_core.consensus_state import Role
-from crocuswell_core.effects import (
+from crocuswell_core.entry.entry_state import EntryConfig, EntryState
+from crocuswell_core.runtime.effects import (
     EntriesRecord,
     Persist,
     SendPeer,
     TermRecord,
 )
-from crocuswell_core.entry_state import EntryConfig, EntryState
-from crocuswell_core.events import (
+from crocuswell_core.runtime.events import (
     ClockAdvanced,
     EntriesSynced,
     EntryBooted,
     PeerMessageReceived,
     TimerFired,
 )
-from crocuswell_core.peer_messages import (
-    Append,
-    AppendReply,
-    Forward,
-    VoteReply,
-    VoteRequest,
-)
-from crocuswell_core.reducer import reduce
-from crocuswell_core.timers import ElectionTimer, LeaderTimer
+from crocuswell_core.runtime.reducer import reduce
+from crocuswell_core.runtime.timers import ElectionTimer, LeaderTimer
 
 HOSTS = tuple(EntryHost(id_, f"{id_}:1", f"domain-{id_}") for id_ in "abc")
 SPARES = (
--- a/tests/test_agreement_faults.py
+++ b/tests/test_agreement_faults.py
@@ -8,7 +8,7 @@
 import attrs
 import pytest
 
-from crocuswell_core import (
+from crocuswell_core.agreement import (
     consensus_log,
     election,
     leadership,
@@ -16,9 +16,9 @@
     replication,
     snapshots,
 )
-from crocuswell_core.consensus_state import ConsensusState
-from crocuswell_core.effects import Persist
-from crocuswell_core.peer_messages import VoteReply
+from crocuswell_core.agreement.consensus_state import ConsensusState
+from crocuswell_core.agreement.peer_messages import VoteReply
+from crocuswell_core.runtime.effects import Persist
 from tests.agreement_checks import run_seed
 from tests.simulated_host import InvariantError
 
--- a/tests/test_api_page.py
+++ b/tests/test_api_page.py
@@ -9,7 +9,7 @@
 import pytest
 from result import is_ok
 
-from crocuswell_core.errors import PROMISES, ErrorKind
+from crocuswell_core.runtime.errors import PROMISES, ErrorKind
 from crocuswell_daemon.http_calls import ROUTES, Route, parse_exchange
 from crocuswell_daemon.http_messages import HttpRequest
 from crocuswell_daemon.problems import STATUS
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -9,7 +9,7 @@
 import attrs
 import pytest
 
-from crocuswell_core.backend import (
+from crocuswell_core.agent.backend import (
     Accepted,
     BackendCall,
     BackendReply,
@@ -24,9 +24,9 @@
     ThrottleOnBackend,
     Unreachable,
 )
-from crocuswell_core.events import BackendReplied
-from crocuswell_core.records import AttemptId, WorkerInfo
-from crocuswell_core.resources import Resources
+from crocuswell_core.cluster.records import AttemptId, WorkerInfo
+from crocuswell_core.cluster.resources import Resources
+from crocuswell_core.runtime.events import BackendReplied
 from crocuswell_daemon.backend_client import (
     CONTROL_THREADS,
     RESULT_THREADS,
--- a/tests/test_daemon_process.py
+++ b/tests/test_daemon_process.py
@@ -15,7 +15,7 @@
 import pytest
 import yaml
 
-from crocuswell_core.effects import TermRecord
+from crocuswell_core.runtime.effects import TermRecord
 from crocuswell_daemon.main import LEAN_ENVIRONMENT
 from crocuswell_daemon.storage import Storage
 
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from crocuswell_core.errors import PROMISES, ErrorKind
+from crocuswell_core.runtime.errors import PROMISES, ErrorKind
 
 
 @pytest.mark.parametrize("kind", list(ErrorKind))
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -11,17 +11,7 @@
 import attrs
 import pytest
 
-from crocuswell_core.calls import (
-    CommandCall,
-    ExplainRequest,
-    GetConfiguration,
-    GetHistory,
-    GetMembers,
-    GetRequest,
-    GetWorkers,
-    ListRequests,
-)
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.commands import (
     CancelRequests,
     ChangeAccepted,
     ChangeConfiguration,
@@ -35,14 +25,13 @@
     SubmitRequest,
     SwitchPreset,
 )
-from crocuswell_core.configuration import (
+from crocuswell_core.cluster.configuration import (
     Configuration,
     ConfigurationChange,
     Preset,
     Workspace,
 )
-from crocuswell_core.errors import PROMISES, ErrorKind
-from crocuswell_core.records import (
+from crocuswell_core.cluster.records import (
     Attempt,
     AttemptId,
     AttemptPhase,
@@ -54,7 +43,18 @@
     WorkerInfo,
     WorkerMode,
 )
-from crocuswell_core.replies import (
+from crocuswell_core.cluster.resources import Adjacency, Resources, Shape
+from crocuswell_core.entry.calls import (
+    CommandCall,
+    ExplainRequest,
+    GetConfiguration,
+    GetHistory,
+    GetMembers,
+    GetRequest,
+    GetWorkers,
+    ListRequests,
+)
+from crocuswell_core.entry.replies import (
     ConfigurationView,
     Explanation,
     HistoryView,
@@ -64,7 +64,7 @@
     WorkersView,
     WorkerView,
 )
-from crocuswell_core.resources import Adjacency, Resources, Shape
+from crocuswell_core.runtime.errors import PROMISES, ErrorKind
 from crocuswell_daemon.http_api import (
     Reply,
 )
--- a/tests/test_http_limits.py
+++ b/tests/test_http_limits.py
@@ -10,17 +10,17 @@
 import attrs
 import pytest
 
-from crocuswell_core.calls import GetRequest
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.commands import (
     Refused,
     RequestAccepted,
 )
-from crocuswell_core.effects import Count
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.events import CallAbandoned
-from crocuswell_core.replies import (
+from crocuswell_core.entry.calls import GetRequest
+from crocuswell_core.entry.replies import (
     RequestView,
 )
+from crocuswell_core.runtime.effects import Count
+from crocuswell_core.runtime.errors import ErrorKind
+from crocuswell_core.runtime.events import CallAbandoned
 from crocuswell_daemon import http_api, http_server
 from crocuswell_daemon.http_api import (
     CALLS_LIMIT,
--- a/tests/test_interpreter.py
+++ b/tests/test_interpreter.py
@@ -5,11 +5,12 @@
 
 import pytest
 
-from crocuswell_core import backend, effects as fx
-from crocuswell_core.agent_messages import Goodbye
-from crocuswell_core.commands import Done, EntryHost
-from crocuswell_core.peer_messages import TimeoutNow
-from crocuswell_core.timers import ElectionTimer
+from crocuswell_core.agent import backend
+from crocuswell_core.agent.agent_messages import Goodbye
+from crocuswell_core.agreement.peer_messages import TimeoutNow
+from crocuswell_core.cluster.commands import Done, EntryHost
+from crocuswell_core.runtime import effects as fx
+from crocuswell_core.runtime.timers import ElectionTimer
 from crocuswell_daemon.interpreter import (
     AgentParts,
     EntryParts,
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from crocuswell_core.effects import ChangeLevel, Label, LogChange
+from crocuswell_core.runtime.effects import ChangeLevel, Label, LogChange
 from crocuswell_daemon.logs import LogWriter
 
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -7,7 +7,7 @@
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
-from crocuswell_core.effects import Count, Label
+from crocuswell_core.runtime.effects import Count, Label
 from crocuswell_daemon.counters import (
     METRICS,
     PREFIX,
--- a/tests/test_own_claims.py
+++ b/tests/test_own_claims.py
@@ -1,10 +1,10 @@
 """Claims of one workspace beside its own earlier requests."""
 
-from crocuswell_core.agent_messages import StopTask
-from crocuswell_core.commands import TaskReserved
-from crocuswell_core.configuration import Workspace
-from crocuswell_core.records import AttemptId, JobSpec
-from crocuswell_core.resources import Adjacency
+from crocuswell_core.agent.agent_messages import StopTask
+from crocuswell_core.cluster.commands import TaskReserved
+from crocuswell_core.cluster.configuration import Workspace
+from crocuswell_core.cluster.records import AttemptId, JobSpec
+from crocuswell_core.cluster.resources import Adjacency
 from tests.clusters import Cluster, gang
 
 
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -15,16 +15,16 @@
 import attrs
 import pytest
 
-from crocuswell_core.commands import EntryHost, LogEntry, NoOperation, Proposal
-from crocuswell_core.events import (
-    PeerMessageReceived,
-)
-from crocuswell_core.peer_messages import (
+from crocuswell_core.agreement.peer_messages import (
     Append,
     InstallSnapshot,
     PeerMessage,
     TimeoutNow,
 )
+from crocuswell_core.cluster.commands import EntryHost, LogEntry, NoOperation, Proposal
+from crocuswell_core.runtime.events import (
+    PeerMessageReceived,
+)
 from crocuswell_daemon import peers
 from crocuswell_daemon.peers import PeerCodec, PeerFrame, PeerLinks, PeerOutbox
 from tests.relay import Relay
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,12 +2,9 @@
 
 import pytest
 
-from crocuswell_core import (
-    agent_backend,
-    agent_tasks,
-    callers,
-    outcomes,
-)
+from crocuswell_core.agent import agent_backend, agent_tasks
+from crocuswell_core.cluster import outcomes
+from crocuswell_core.entry import callers
 from tests.platform_simulator import run_platform_seed
 from tests.simulated_host import InvariantError
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from crocuswell_core.agent_messages import ReserveTask, StartTask, StopTask
-from crocuswell_core.commands import (
+from crocuswell_core.agent.agent_messages import ReserveTask, StartTask, StopTask
+from crocuswell_core.cluster.commands import (
     CancelRequests,
     DeclareSilent,
     ModeSet,
@@ -19,10 +19,10 @@
     TaskReserved,
     TaskStopped,
 )
-from crocuswell_core.configuration import Workspace
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.records import AttemptId, JobSpec, Outcome, WorkerMode
-from crocuswell_core.resources import Adjacency, Resources, Shape
+from crocuswell_core.cluster.configuration import Workspace
+from crocuswell_core.cluster.records import AttemptId, JobSpec, Outcome, WorkerMode
+from crocuswell_core.cluster.resources import Adjacency, Resources, Shape
+from crocuswell_core.runtime.errors import ErrorKind
 from tests.clusters import Cluster, gang, small_cluster
 
 SINGLE = JobSpec(shape=gang(1))
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -8,11 +8,12 @@
 import attrs
 import pytest
 
-from crocuswell_core import effects as fx
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import AdvanceTime, LogEntry, Proposal
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.events import (
+from crocuswell_core.agreement.peer_messages import InstallSnapshot, TimeoutNow
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import AdvanceTime, LogEntry, Proposal
+from crocuswell_core.runtime import effects as fx
+from crocuswell_core.runtime.errors import ErrorKind
+from crocuswell_core.runtime.events import (
     AgentStreamClosed,
     CallAbandoned,
     ClockAdvanced,
@@ -22,7 +23,6 @@
     PeerMessageReceived,
     SnapshotReceived,
 )
-from crocuswell_core.peer_messages import InstallSnapshot, TimeoutNow
 from crocuswell_daemon import wire
 from crocuswell_daemon.frames import StorageError
 from crocuswell_daemon.runtime import BATCH_EVENTS, Runtime
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -3,8 +3,8 @@
 import attrs
 import pytest
 
-from crocuswell_core.agent_messages import StopTask, TaskUsage
-from crocuswell_core.commands import (
+from crocuswell_core.agent.agent_messages import StopTask, TaskUsage
+from crocuswell_core.cluster.commands import (
     ChangeConfiguration,
     Refused,
     SetWorkerMode,
@@ -14,18 +14,18 @@
     TaskReserved,
     TaskStopped,
 )
-from crocuswell_core.configuration import Configuration, Preset, Workspace
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.invariants import InvariantViolation, check_all
-from crocuswell_core.records import (
+from crocuswell_core.cluster.configuration import Configuration, Preset, Workspace
+from crocuswell_core.cluster.invariants import InvariantViolation, check_all
+from crocuswell_core.cluster.records import (
     AttemptId,
     JobSpec,
     RequestPhase,
     WorkerMode,
 )
-from crocuswell_core.resources import NOTHING, Adjacency, Resources, Shape
-from crocuswell_core.scheduling import explain_waiting
-from crocuswell_core.usage import check_usage
+from crocuswell_core.cluster.resources import NOTHING, Adjacency, Resources, Shape
+from crocuswell_core.cluster.usage import check_usage
+from crocuswell_core.policy.scheduling import explain_waiting
+from crocuswell_core.runtime.errors import ErrorKind
 from tests.clusters import Cluster, gang
 
 WHOLE = gang(1, 8, Adjacency.WORKER)
--- a/tests/test_scheduling_random.py
+++ b/tests/test_scheduling_random.py
@@ -5,24 +5,24 @@
 import pytest
 
 from bench.fake_workers import Apply, Fail, SetFaulty, World
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import (
     CancelRequests,
     ChangeConfiguration,
     SetWorkerMode,
     SubmitRequest,
     SwitchPreset,
 )
-from crocuswell_core.configuration import Configuration, Preset, Workspace
-from crocuswell_core.invariants import check_all
-from crocuswell_core.records import (
+from crocuswell_core.cluster.configuration import Configuration, Preset, Workspace
+from crocuswell_core.cluster.invariants import check_all
+from crocuswell_core.cluster.records import (
     JobSpec,
     Outcome,
     RequestPhase,
     WorkerInfo,
     WorkerMode,
 )
-from crocuswell_core.resources import Adjacency, Resources, Shape
+from crocuswell_core.cluster.resources import Adjacency, Resources, Shape
 
 CAPACITY = Resources(8, 32, 65_536)
 PRESETS = (
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from crocuswell_core.agent_messages import (
+from crocuswell_core.agent.agent_messages import (
     DrainNotice,
     EntryHeartbeat,
     Goodbye,
@@ -12,8 +12,15 @@
     StartTask,
     Welcome,
 )
-from crocuswell_core.calls import GetRequest
-from crocuswell_core.commands import (
+from crocuswell_core.agreement.committed import apply_entry
+from crocuswell_core.agreement.consensus_state import Role
+from crocuswell_core.agreement.peer_messages import (
+    Liveness,
+    LivenessReply,
+    TimeoutNow,
+    WorkerLiveness,
+)
+from crocuswell_core.cluster.commands import (
     CancelRequests,
     ChangeAccepted,
     ChangeConfiguration,
@@ -22,25 +29,18 @@
     Proposal,
     SubmitRequest,
 )
-from crocuswell_core.committed import apply_entry
-from crocuswell_core.configuration import Configuration, Limits, Workspace
-from crocuswell_core.consensus_state import Role
-from crocuswell_core.effects import CloseAgentStream, Halt, SendPeer, SetReady
-from crocuswell_core.events import (
+from crocuswell_core.cluster.configuration import Configuration, Limits, Workspace
+from crocuswell_core.cluster.records import JobSpec, RequestPhase, WorkerMode
+from crocuswell_core.entry.calls import GetRequest
+from crocuswell_core.entry.replies import RequestView
+from crocuswell_core.runtime.effects import CloseAgentStream, Halt, SendPeer, SetReady
+from crocuswell_core.runtime.events import (
     AgentMessageReceived,
     AgentStreamClosed,
     EntryStopRequested,
     PeerMessageReceived,
     SnapshotReceived,
 )
-from crocuswell_core.peer_messages import (
-    Liveness,
-    LivenessReply,
-    TimeoutNow,
-    WorkerLiveness,
-)
-from crocuswell_core.records import JobSpec, RequestPhase, WorkerMode
-from crocuswell_core.replies import RequestView
 from tests.clusters import gang
 from tests.hosts import Host, leading_host
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,9 +9,9 @@
 import yaml
 from hypothesis import given, settings, strategies as st
 
-from crocuswell_core.agent_state import AgentConfig
-from crocuswell_core.commands import EntryHost
-from crocuswell_core.entry_state import EntryConfig
+from crocuswell_core.agent.agent_state import AgentConfig
+from crocuswell_core.cluster.commands import EntryHost
+from crocuswell_core.entry.entry_state import EntryConfig
 from crocuswell_daemon.agent_main import pack_settings, unpack_settings
 from crocuswell_daemon.roles import AgentSettings, EntrySettings, timing_keys
 from crocuswell_daemon.setting_rules import Mismatch
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -10,7 +10,7 @@
 import pytest
 import urllib3
 
-from crocuswell_core.backend import (
+from crocuswell_core.agent.backend import (
     Accepted,
     Describe,
     Described,
@@ -22,8 +22,8 @@
     StopOnBackend,
     ThrottleOnBackend,
 )
-from crocuswell_core.records import AttemptId, WorkerInfo
-from crocuswell_core.resources import Resources
+from crocuswell_core.cluster.records import AttemptId, WorkerInfo
+from crocuswell_core.cluster.resources import Resources
 from standins.backend_server import Standin
 from standins.backend_tasks import USAGE_LAG_MS, Backend, serve
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -6,17 +6,17 @@
 
 import pytest
 
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import (
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import (
     AdvanceTime,
     EntryHost,
     LogEntry,
     NoOperation,
     Proposal,
 )
-from crocuswell_core.effects import EntriesRecord, SnapshotRecord, TermRecord
-from crocuswell_core.errors import ErrorKind
-from crocuswell_core.events import EntryBooted
+from crocuswell_core.runtime.effects import EntriesRecord, SnapshotRecord, TermRecord
+from crocuswell_core.runtime.errors import ErrorKind
+from crocuswell_core.runtime.events import EntryBooted
 from crocuswell_daemon import wire
 from crocuswell_daemon.storage import Storage, StorageError, SystemDisk
 
--- a/tests/test_storage_random.py
+++ b/tests/test_storage_random.py
@@ -12,9 +12,9 @@
 from hypothesis import HealthCheck, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
-from crocuswell_core.cluster_state import ClusterState
-from crocuswell_core.commands import AdvanceTime, LogEntry, Proposal
-from crocuswell_core.effects import EntriesRecord, SnapshotRecord, TermRecord
+from crocuswell_core.cluster.cluster_state import ClusterState
+from crocuswell_core.cluster.commands import AdvanceTime, LogEntry, Proposal
+from crocuswell_core.runtime.effects import EntriesRecord, SnapshotRecord, TermRecord
 from crocuswell_daemon import wire
 from crocuswell_daemon.storage import Storage, StorageError, SystemDisk
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -15,8 +15,8 @@
 import pytest
 from grpclib.protocol import H2Protocol
 
-from crocuswell_core.agent_messages import DrainNotice, Goodbye, ReportAck
-from crocuswell_core.events import (
+from crocuswell_core.agent.agent_messages import DrainNotice, Goodbye, ReportAck
+from crocuswell_core.runtime.events import (
     AgentMessageReceived,
     AgentStreamClosed,
     EntryMessageReceived,
--- a/tests/test_timer_service.py
+++ b/tests/test_timer_service.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from crocuswell_core.events import Event, TimerFired
-from crocuswell_core.timers import CallTimer, ElectionTimer, Timer
+from crocuswell_core.runtime.events import Event, TimerFired
+from crocuswell_core.runtime.timers import CallTimer, ElectionTimer, Timer
 from crocuswell_daemon.timer_service import TimerService
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,23 +10,27 @@
 import pytest
 from hypothesis import HealthCheck, given, settings, strategies as st
 
-from crocuswell_core import (
-    agent_messages,
-    calls,
-    commands,
-    configuration,
-    peer_messages,
-    records,
-    resources,
+from crocuswell_core.agent import agent_messages
+from crocuswell_core.agent.agent_messages import (
+    AgentHeartbeat,
+    AgentMessage,
+    EntryMessage,
 )
-from crocuswell_core.agent_messages import AgentHeartbeat, AgentMessage, EntryMessage
-from crocuswell_core.cluster_state import ClusterState, WorkerRoom
-from crocuswell_core.commands import AdvanceTime, Command, LogEntry, Proposal
-from crocuswell_core.effects import Record
-from crocuswell_core.peer_messages import Append, PeerMessage, TimeoutNow, VoteReply
-from crocuswell_core.policies import Policy, StandingPolicy
-from crocuswell_core.records import AttemptId, AttemptPhase, JobSpec, WorkerMode
-from crocuswell_core.resources import Resources
+from crocuswell_core.agreement import peer_messages
+from crocuswell_core.agreement.peer_messages import (
+    Append,
+    PeerMessage,
+    TimeoutNow,
+    VoteReply,
+)
+from crocuswell_core.cluster import commands, configuration, records, resources
+from crocuswell_core.cluster.cluster_state import ClusterState, WorkerRoom
+from crocuswell_core.cluster.commands import AdvanceTime, Command, LogEntry, Proposal
+from crocuswell_core.cluster.records import AttemptId, AttemptPhase, JobSpec, WorkerMode
+from crocuswell_core.cluster.resources import Resources
+from crocuswell_core.entry import calls
+from crocuswell_core.policy.policies import Policy, StandingPolicy
+from crocuswell_core.runtime.effects import Record
 from crocuswell_daemon import tags, wire
 from crocuswell_daemon.wire import CodecError
 
