--- a/packages/core/crocuswell_core/dispatching/control.py
+++ b/packages/core/crocuswell_core/dispatching/control.py
@@ -16,11 +16,11 @@
 from crocuswell_core.links.uplink import Uplink
 from crocuswell_core.runtime.dispatch import (
     close_stream,
-    handle,
     handle_timer,
     notify,
     open_stream,
     receive_message,
+    take_seeds,
     tick_uplink,
 )
 from crocuswell_core.runtime.effects import (
@@ -35,7 +35,6 @@
     EntryMessageReceived,
     EntryStreamClosed,
     EntryStreamOpened,
-    SeedsChanged,
 )
 from crocuswell_core.runtime.notices import JobsChanged
 from crocuswell_core.runtime.timers import ControlTimer, UplinkTimer
@@ -93,7 +92,7 @@
     if _is_settled(state):
         return _end_uplink(state)
     if state.uplink is None:
-        state.uplink = Uplink(state.cfg.host.id, state.cfg.seeds)
+        state.uplink = Uplink(state.cfg.host.id, state.seeds or state.cfg.seeds)
         return links.begin(state.uplink, state.now_ms)
     if not state.uplink.is_attached:
         return []
@@ -121,6 +120,13 @@
     return [CancelTimer(UplinkTimer()), CloseEntryStream(stream_id)]
 
 
+@take_seeds.register
+def _(state: EntryState, seeds: tuple[str, ...]) -> None:
+    state.seeds = seeds
+    if state.uplink is not None:
+        state.uplink.seeds = seeds
+
+
 @tick_uplink.register
 def _(state: EntryState) -> list[Effect]:
     if state.uplink is None:
@@ -160,8 +166,3 @@
     elif state.uplink.is_attached:
         effects += links.send(state.uplink, state.now_ms, JoinGroup(state.cfg.host))
     return effects
-
-
-@handle.register
-def _(event: SeedsChanged, state: EntryState) -> list[Effect]:
-    return []
--- a/packages/core/crocuswell_core/entry/entry_state.py
+++ b/packages/core/crocuswell_core/entry/entry_state.py
@@ -204,6 +204,8 @@
         Time in ms of the newest keepalive to clients.
     uplink : Uplink or None
         Stream to the leader while this host is not a member.
+    seeds : tuple of str
+        Seeds of changed settings; empty for those of `cfg`.
     dispatch : DispatchState
         On the leader: workers in reach and decisions under way.
     declared : dict
@@ -238,6 +240,7 @@
     relayed_count: int = 0
     kept_alive_ms: int = 0
     uplink: Uplink | None = None
+    seeds: tuple[str, ...] = ()
     dispatch: DispatchState = attrs.Factory(DispatchState)
     stopping: bool = False
     stopping_since_ms: int = 0
--- a/packages/core/crocuswell_core/front/front.py
+++ b/packages/core/crocuswell_core/front/front.py
@@ -18,6 +18,7 @@
     open_stream,
     receive_call,
     receive_message,
+    take_seeds,
     tick_uplink,
 )
 from crocuswell_core.runtime.effects import (
@@ -39,7 +40,6 @@
     EntryStreamOpened,
     FrontBooted,
     FrontStopRequested,
-    SeedsChanged,
 )
 from crocuswell_core.runtime.timers import FrontTimer
 
@@ -64,6 +64,11 @@
     return [LogChange("stopping"), SetReady(False)]
 
 
+@take_seeds.register
+def _(state: FrontState, seeds: tuple[str, ...]) -> None:
+    state.uplink.seeds = seeds
+
+
 @tick_uplink.register
 def _(state: FrontState) -> list[Effect]:
     return links.tick(state.uplink, state.now_ms)
@@ -188,8 +193,3 @@
     if idle or elapsed_ms >= state.cfg.stop_limit_ms:
         return [Halt()]
     return []
-
-
-@handle.register
-def _(event: SeedsChanged, state: FrontState) -> list[Effect]:
-    return []
--- a/packages/core/crocuswell_core/links/uplink.py
+++ b/packages/core/crocuswell_core/links/uplink.py
@@ -88,11 +88,6 @@
     return [*_open(uplink, now_ms), StartTimer(UplinkTimer(), UPLINK_TICK_MS)]
 
 
-def set_seeds(uplink: Uplink, seeds: tuple[str, ...]) -> None:
-    """Take over changed settings; an open stream stays."""
-    uplink.seeds = seeds
-
-
 def tick(uplink: Uplink, now_ms: int) -> list[Effect]:
     """Replace a silent stream, open a missing one, keep a quiet one alive."""
     effects: list[Effect] = [StartTimer(UplinkTimer(), UPLINK_TICK_MS)]
--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -48,6 +48,7 @@
     open_stream,
     receive_call,
     receive_message,
+    take_seeds,
     tick_uplink,
 )
 from crocuswell_core.runtime.effects import (
@@ -68,7 +69,6 @@
     EntryStreamOpened,
     RunnerBooted,
     RunnerStopRequested,
-    SeedsChanged,
     WorkerReplied,
 )
 from crocuswell_core.runtime.timers import RunnerTimer
@@ -96,9 +96,9 @@
     return [LogChange("stopping")]
 
 
-@handle.register
-def _(event: SeedsChanged, state: RunnerState) -> list[Effect]:
-    return []
+@take_seeds.register
+def _(state: RunnerState, seeds: tuple[str, ...]) -> None:
+    state.uplink.seeds = seeds
 
 
 @tick_uplink.register
--- a/packages/core/crocuswell_core/runtime/clock.py
+++ b/packages/core/crocuswell_core/runtime/clock.py
@@ -10,9 +10,10 @@
     open_stream,
     receive_call,
     receive_message,
+    take_seeds,
     tick_uplink,
 )
-from crocuswell_core.runtime.effects import Effect
+from crocuswell_core.runtime.effects import Effect, Label, LogChange
 from crocuswell_core.runtime.events import (
     CallAbandoned,
     CallReceived,
@@ -20,6 +21,7 @@
     EntryMessageReceived,
     EntryStreamClosed,
     EntryStreamOpened,
+    SeedsChanged,
     TimerFired,
 )
 from crocuswell_core.runtime.timers import UplinkTimer
@@ -42,6 +44,13 @@
     return tick_uplink(state)
 
 
+@handle.register
+def _(event: SeedsChanged, state: State) -> list[Effect]:
+    labels = (Label("seeds", ",".join(event.seeds)),)
+    take_seeds(state, event.seeds)
+    return [LogChange("seeds_changed", labels)]
+
+
 @handle.register
 def _(event: EntryStreamOpened, state: State) -> list[Effect]:
     return open_stream(state, event)
--- a/packages/core/crocuswell_core/runtime/dispatch.py
+++ b/packages/core/crocuswell_core/runtime/dispatch.py
@@ -50,6 +50,12 @@
     return []
 
 
+@singledispatch
+def take_seeds(state: State, seeds: tuple[str, ...]) -> None:
+    """Take over the hosts through which the group is found."""
+    raise NotImplementedError(type(state).__name__)
+
+
 @singledispatch
 def open_stream(state: State, event: EntryStreamOpened) -> list[Effect]:
     """Go on with a stream to a host that is open."""
--- a/packages/daemon/crocuswell_daemon/entry_main.py
+++ b/packages/daemon/crocuswell_daemon/entry_main.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from contextlib import AsyncExitStack
+from contextlib import AbstractAsyncContextManager, AsyncExitStack
 from functools import partial
 from pathlib import Path
 from typing import Protocol, Self
@@ -84,6 +84,8 @@
         `host:port` of the listeners for hosts and for agents or clients.
     callers : callable
         Makes the listener for callers from `post` and the metrics.
+    watch : callable or None
+        Makes what watches the settings while the host runs.
     """
 
     role: str
@@ -93,6 +95,7 @@
     peers: str
     agents: str
     callers: Callable[[Post, Metrics], Callers]
+    watch: Callable[[Post], AbstractAsyncContextManager[object]] | None = None
 
 
 def _control_host(settings: EntrySettings) -> ControlHost:
@@ -159,6 +162,8 @@
         # Its exit waits for threads, and the streams must go on meanwhile.
         stack.push_async_callback(asyncio.to_thread, callers.__exit__)
         parts = EntryParts(timers, metrics, log, peers, agents, callers, entry)
+        if host.watch is not None:
+            await stack.enter_async_context(host.watch(runtime.post))
         post_on_stop_signals(runtime.post, EntryStopRequested())
         log_start(log, host.role)
         return await runtime.run(Interpreter(parts))
