Write structured logs to standard output; trace an id through them

One JSON object a line, a budget for each event, a bounded queue and a thread of its own for writing; a slow or closed reader costs lines, counted, and nothing else. Lines of applied entries carry their place in the log and are written once, by the leader of their term. crocuswell trace puts the lines about an id in order and marks the one that settles its fate. docs/logs.md lists the events; a test compares it with the code.

--- a/packages/cli/crocuswell_cli/main.py
+++ b/packages/cli/crocuswell_cli/main.py
@@ -8,9 +8,10 @@
 from pathlib import Path
 from typing import Annotated, Any
 
+import attrs
 import typer
 
-from crocuswell_cli import burn, declarations, render
+from crocuswell_cli import burn, declarations, render, trace as tracing
 from crocuswell_cli.client import CallError, Client
 from crocuswell_cli.documents import DeclarationError
 
@@ -76,6 +77,30 @@
     raise typer.Exit(code)
 
 
+@app.command()
+def trace(
+    ctx: typer.Context,
+    wanted: Annotated[str, typer.Argument(metavar="ID", help="Id to look for.")],
+    files: Annotated[
+        list[Path] | None, typer.Argument(help="Logs; standard input if none.")
+    ] = None,
+) -> None:
+    """Show what happened to a job, task, worker or catalog version."""
+    lines: list[str] = []
+    try:
+        for path in files or []:
+            lines += path.read_text(encoding="utf-8", errors="replace").splitlines()
+    except OSError as exc:
+        fail(f"{exc.filename}: {exc.strerror}", EXIT_USAGE)
+    if not files:
+        lines = sys.stdin.read().splitlines()
+    found = tracing.build_trace(lines, wanted)
+    document = [attrs.asdict(line) for line in found]
+    ctx.obj.show(document, lambda _: tracing.render_trace(found))
+    if not found:
+        raise typer.Exit(EXIT_REFUSED)
+
+
 def confirm(question: str, yes: bool) -> None:
     """Ask before something that cannot simply be undone."""
     if not yes:
--- a/packages/core/crocuswell_core/agreement/committed.py
+++ b/packages/core/crocuswell_core/agreement/committed.py
@@ -2,6 +2,8 @@
 
 from functools import singledispatch
 
+import attrs
+
 from crocuswell_core.agreement.consensus_state import Role
 from crocuswell_core.cluster.agenda import add_due, start_cluster_timer
 from crocuswell_core.cluster.cluster_state import AnsweredCommand, ClusterState
@@ -17,6 +19,7 @@
     Applied,
     Count,
     Effect,
+    Label,
     LogChange,
     Observe,
 )
@@ -83,7 +86,9 @@
         # An entry of an earlier term was reported by its own leader.
         reported = entry.term == consensus.term
         for effect in applied.effects:
-            if reported or not isinstance(effect, Count | Observe | LogChange):
+            if isinstance(effect, LogChange):
+                effects += pass_on(_with_place(effect, entry), state) * reported
+            elif reported or not isinstance(effect, Count | Observe):
                 effects += pass_on(effect, state)
         effects += notify(CommandApplied(entry.proposal, applied.reply), state)
     effects += notify(EntriesApplied(), state)
@@ -92,6 +97,12 @@
     return effects + start_cluster_timer(state)
 
 
+def _with_place(change: LogChange, entry: LogEntry) -> LogChange:
+    """Add an entry's place in the log, by which lines of hosts are ordered."""
+    place = (Label("log_term", str(entry.term)), Label("log_index", str(entry.index)))
+    return attrs.evolve(change, ids=(*change.ids, *place))
+
+
 @singledispatch
 def _is_final(reply: CommandReply) -> bool:
     """Tell whether a reply stays the answer when the command is resent."""
--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -139,8 +139,9 @@
         Placed tasks with their demand; their room is not free.
     claims : dict
         Free room that is kept for a step, by job id and step.
-    held : bool
-        Whether the rest of the room is kept for a more urgent step.
+    held_ms : int or None
+        Time in ms for which the rest of the room may still be used until
+        a more urgent step needs it; None if no step waits for it.
     room : Room
         What the step that is looked at may use.
     """
@@ -149,12 +150,13 @@
     free: Room
     placed: dict[TaskId, Room] = attrs.Factory(dict)
     claims: dict[StepKey, Room] = attrs.Factory(dict)
-    held: bool = False
+    held_ms: int | None = None
     room: Room = attrs.field(init=False, factory=Room)
 
-    def offer_to(self, key: StepKey) -> None:
+    def offer_to(self, key: StepKey, estimated_ms: int) -> None:
         """Set `room` to what a step may use."""
-        if self.held and key not in self.claims:
+        held_ms = self.held_ms
+        if held_ms is not None and estimated_ms > held_ms and key not in self.claims:
             self.room = Room()
             return
         self.room = self.free
--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -2,29 +2,55 @@
 
 from crocuswell_core.dispatching.dispatch_state import Space
 from crocuswell_core.dispatching.ranking import RankedStep
+from crocuswell_core.entry.entry_state import EntryState
 
 Places = dict[int, Space]
+# Share of the fleet that one step which can wait takes at a time.
+WAVE_SHARE = 0.25
+# Share of the fleet that work which can wait leaves free.
+RESERVED_SHARE = 0.2
 
 
-def choose_places(ranked: RankedStep, spaces: list[Space]) -> Places:
+def choose_places(ranked: RankedStep, spaces: list[Space], limit: int) -> Places:
     """Return a worker for each task to start; empty if none can start.
 
-    A gang is placed as a whole or not at all.
+    A gang is placed as a whole or not at all; of other steps at most `limit`
+    tasks start.
     """
     if not ranked.step.gang:
-        return _place_singles(ranked, spaces)
+        return _place_singles(ranked, spaces, limit)
     if ranked.step.same_rack:
         return _place_in_rack(ranked, spaces)
     return _place_gang(ranked, spaces)
 
 
-def _place_singles(ranked: RankedStep, spaces: list[Space]) -> Places:
+def start_limit(ranked: RankedStep, spaces: list[Space]) -> int:
+    """Return how many tasks of a step may start now.
+
+    Work that can wait leaves some of the fleet free, so that urgent work
+    finds room without evictions; without a gang it also takes only a share
+    of the fleet at a time.
+    """
+    if not ranked.can_wait:
+        return ranked.missing
+    demand = ranked.step.demand
+    fleet = sum(space.view.worker.capacity.copies(demand) for space in spaces)
+    free = sum(space.free.copies(demand) for space in spaces)
+    spare = free - round(fleet * RESERVED_SHARE)
+    if ranked.step.gang:
+        return ranked.missing if spare >= ranked.missing else 0
+    running = ranked.step.count - ranked.missing - ranked.done
+    share = max(1, round(fleet * WAVE_SHARE)) - running
+    return max(0, min(share, spare))
+
+
+def _place_singles(ranked: RankedStep, spaces: list[Space], most: int) -> Places:
     """Place as many tasks as fit, on the fullest workers that hold them."""
     places: Places = {}
     free = {id(space): space.room for space in spaces}
     counts = _counts(ranked, spaces)
     limit = ranked.step.per_worker_limit
-    for index in ranked.waiting:
+    for index in ranked.waiting[:most]:
         failed_on = ranked.job.tasks[ranked.number][index].failed_on
         fitting = [
             space
@@ -139,22 +165,42 @@
     return {}
 
 
-def hold_room(ranked: RankedStep, spaces: list[Space]) -> None:
+def hold_room(state: EntryState, ranked: RankedStep, spaces: list[Space]) -> None:
     """Keep room free of other work for a step that has to wait.
 
     For a gang in one rack that is the rack that is nearest to holding it.
+    Work that ends before the room is complete may use it meanwhile.
     """
     racks = by_rack(spaces)
     if not racks:
         return
     held = min(racks.values(), key=lambda members: _shortfall(ranked, members))
-    chosen = held if ranked.step.gang and ranked.step.same_rack else spaces
+    chosen: list[Space] = []
     missing = ranked.missing
-    for space in sorted(chosen, key=lambda s: -s.room.copies(ranked.step.demand)):
+    group = held if ranked.step.gang and ranked.step.same_rack else spaces
+    for space in sorted(group, key=lambda s: -s.room.copies(ranked.step.demand)):
         if missing <= 0:
-            return
+            break
         missing -= max(1, space.room.copies(ranked.step.demand))
-        space.held = True
+        chosen.append(space)
+    until_ms = max((_remaining_ms(state, space) for space in chosen), default=0)
+    for space in chosen:
+        space.held_ms = (
+            until_ms if space.held_ms is None else min(space.held_ms, until_ms)
+        )
+
+
+def _remaining_ms(state: EntryState, space: Space) -> int:
+    """Return the time in ms until the last run on a worker should end."""
+    jobs = state.cluster.jobs.jobs
+    longest = 0
+    for run, progress in space.view.running.items():
+        job = jobs.get(run.task.job_id)
+        if job is not None:
+            estimated_ms = job.steps[run.task.step].estimated_ms
+            left = (100 - min(100, progress.percent)) / 100
+            longest = max(longest, round(estimated_ms * left))
+    return longest
 
 
 def _shortfall(ranked: RankedStep, spaces: list[Space]) -> tuple[bool, int]:
--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -4,7 +4,7 @@
 from crocuswell_core.cluster.commands import Proposal
 from crocuswell_core.dispatching import health
 from crocuswell_core.dispatching.dispatch_state import Claim, Space, StepKey
-from crocuswell_core.dispatching.packing import choose_places, hold_room
+from crocuswell_core.dispatching.packing import choose_places, hold_room, start_limit
 from crocuswell_core.dispatching.preemption import Eviction, choose_eviction
 from crocuswell_core.dispatching.ranking import RankedStep, rank_steps
 from crocuswell_core.dispatching.worker_views import (
@@ -45,8 +45,11 @@
             break
         usable = [space for space in spaces if _is_usable(space, ranked)]
         for space in usable:
-            space.offer_to(ranked.key)
-        places = choose_places(ranked, usable)
+            space.offer_to(ranked.key, ranked.step.estimated_ms)
+        limit = start_limit(ranked, spaces)
+        if not limit:
+            continue
+        places = choose_places(ranked, usable, limit)
         if places:
             starts += _take(ranked, places)
             _drop_claim(state, ranked, spaces)
@@ -152,7 +155,7 @@
         eviction = None
     if eviction is None:
         if ranked.holds_room:
-            hold_room(ranked, spaces)
+            hold_room(state, ranked, spaces)
         return []
     claim = Claim(ranked.step.demand, eviction.copies, state.now_ms)
     dispatch_of(state).claims[ranked.key] = claim
--- a/packages/core/crocuswell_core/dispatching/ranking.py
+++ b/packages/core/crocuswell_core/dispatching/ranking.py
@@ -12,6 +12,8 @@
 
 # A job that ends after this many times its objective earns nothing.
 WORTHLESS_STRETCH = 3
+# Slack, as a share of the longest chain of work, above which a job can wait.
+WAITING_SLACK = 0.5
 # Urgent work beyond a guarantee is not worth more lost work than this.
 EVICTION_LIMIT_CORE_S = 300.0
 
@@ -30,6 +32,8 @@
         Whether other runs may be stopped for it.
     eviction_limit_core_s : float
         Most core seconds of work that may be thrown away for it.
+    can_wait : bool
+        Whether the job meets its objective if the step starts later.
     holds_room : bool
         Whether room is kept free for it while it waits.
     """
@@ -43,8 +47,15 @@
     priority: int
     may_preempt: bool
     eviction_limit_core_s: float
+    can_wait: bool
     holds_room: bool
 
+    @property
+    def done(self) -> int:
+        """Number of tasks of the step that are done."""
+        tasks = self.job.tasks[self.number]
+        return sum(task.phase is TaskPhase.DONE for task in tasks)
+
     @property
     def key(self) -> StepKey:
         """Job id and number of the step."""
@@ -102,6 +113,7 @@
         WORTHLESS_STRETCH * objective_ms(job, queue)
     )
     urgent = queue.priority == 0
+    slack_ms = due_ms - state.cluster.now_ms - chain_ms(job)
     tier = 0 if urgent and job.owner in guaranteed else 3 if late else 1 + (not urgent)
     for number, step in enumerate(job.steps):
         tasks = job.tasks[number]
@@ -125,6 +137,7 @@
                 eviction_limit_core_s=(
                     math.inf if job.owner in guaranteed else EVICTION_LIMIT_CORE_S
                 ),
+                can_wait=not urgent and slack_ms > chain_ms(job) * WAITING_SLACK,
                 holds_room=step.gang or urgent,
             )
         )
--- a/packages/core/crocuswell_core/front/front.py
+++ b/packages/core/crocuswell_core/front/front.py
@@ -5,8 +5,12 @@
 without an answer nothing is known.
 """
 
+from functools import singledispatch
+
 from crocuswell_core.cluster.commands import Refused
+from crocuswell_core.entry.calls import CommandCall
 from crocuswell_core.front.front_state import FrontState, WaitingCall
+from crocuswell_core.jobs.job_commands import GetJob, JobRead
 from crocuswell_core.links import uplink as links
 from crocuswell_core.links.link_messages import CallAnswered, ForwardCall
 from crocuswell_core.runtime import clock  # noqa: F401  (shared handlers)
@@ -158,8 +162,7 @@
     else:
         kind, detail = ErrorKind.OVERLOADED, "no leader is in reach"
     labels = (
-        Label("call", type(call.call).__name__),
-        Label("call_id", str(call.call_id)),
+        *_call_labels(call.call),
         Label("reason", detail),
         Label("waited_ms", str(state.now_ms - call.received_ms)),
         Label("leader", state.uplink.address),
@@ -171,6 +174,24 @@
     ]
 
 
+@singledispatch
+def _call_labels(call: CommandCall | JobRead) -> tuple[Label, ...]:
+    """Return the labels that name a call in a log line."""
+    return (Label("call", type(call).__name__),)
+
+
+@_call_labels.register
+def _(call: CommandCall) -> tuple[Label, ...]:
+    command = call.proposal.command
+    job_id = getattr(command, "job_id", "")
+    return (Label("call", type(command).__name__), Label("job", job_id))
+
+
+@_call_labels.register
+def _(call: GetJob) -> tuple[Label, ...]:
+    return (Label("call", type(call).__name__), Label("job", call.job_id))
+
+
 def _set_ready(state: FrontState) -> list[Effect]:
     """Take new connections while a leader is in reach or was just now."""
     uplink = state.uplink
--- a/packages/core/crocuswell_core/jobs/job_changes.py
+++ b/packages/core/crocuswell_core/jobs/job_changes.py
@@ -46,7 +46,9 @@
     if held is not None and new.version == held.version:
         if new.document != held.document:
             detail = f"version {new.version} is held with other content"
-            return Applied(Refused(ErrorKind.CONFLICT, detail))
+            labels = (Label("version", str(new.version)), Label("reason", detail))
+            refusal = Refused(ErrorKind.CONFLICT, detail)
+            return Applied(refusal, (LogChange("catalog_refused", labels),))
         return Applied(CatalogHeld(held.version))
     if held is not None and new.version < held.version:
         return Applied(CatalogHeld(held.version))
@@ -82,7 +84,7 @@
     table = cluster.jobs
     name = check_address(cluster, command.address)
     if isinstance(name, Refused):
-        return Applied(name)
+        return Applied(name, (_call_refused(command.job_id, "submit", name),))
     queue = queue_named(table.catalog, name)
     if table.catalog is None or queue is None:
         return Applied(Refused(ErrorKind.NOT_FOUND, f"no queue {name}"))
@@ -114,6 +116,16 @@
     return Applied(JobAccepted(command.job_id), (log,))
 
 
+def _call_refused(job_id: str, call: str, refused: Refused) -> LogChange:
+    labels = (
+        Label("job", job_id),
+        Label("call", call),
+        Label("kind", refused.kind.value),
+        Label("reason", refused.detail),
+    )
+    return LogChange("call_refused", labels)
+
+
 def _forget_old_jobs(cluster: ClusterState) -> None:
     """Drop jobs whose retention is over; the oldest stand first."""
     jobs = cluster.jobs.jobs
@@ -128,7 +140,7 @@
 def _(command: CancelJob, cluster: ClusterState, entry: LogEntry) -> Applied:
     refused = check_address(cluster, command.address)
     if isinstance(refused, Refused):
-        return Applied(refused)
+        return Applied(refused, (_call_refused(command.job_id, "cancel", refused),))
     job = cluster.jobs.jobs.get(command.job_id)
     if job is None:
         return Applied(Refused(ErrorKind.RESULT_EXPIRED, "no such job"))
--- a/packages/daemon/crocuswell_daemon/agent_main.py
+++ b/packages/daemon/crocuswell_daemon/agent_main.py
@@ -50,15 +50,15 @@
 
 def run(settings: AgentSettings) -> int:
     """Run an agent until it is stopped and return the exit status."""
-    logs.configure()
-    # Changes at each start, so that entry hosts tell the runs apart.
-    incarnation = os.urandom(8).hex()
-    log = logs.LogWriter(f"agent-{incarnation}")
-    try:
-        halt = asyncio.run(_serve(settings, incarnation, log))
-    except OSError as exc:
-        halt = halt_at_start(exc)
-    return log_stop(log, halt)
+    with logs.writing():
+        # Changes at each start, so that entry hosts tell the runs apart.
+        incarnation = os.urandom(8).hex()
+        log = logs.LogWriter(f"agent-{incarnation}")
+        try:
+            halt = asyncio.run(_serve(settings, incarnation, log))
+        except OSError as exc:
+            halt = halt_at_start(exc)
+        return log_stop(log, halt)
 
 
 async def _serve(
--- a/packages/daemon/crocuswell_daemon/entry_main.py
+++ b/packages/daemon/crocuswell_daemon/entry_main.py
@@ -45,15 +45,15 @@
 
 def run(settings: EntrySettings) -> int:
     """Run an entry host until it is stopped and return the exit status."""
-    logs.configure()
-    log = logs.LogWriter(settings.id)
-    try:
-        halt = asyncio.run(serve(_control_host(settings), log))
-    except StorageError as exc:
-        halt = Halt(exc.kind, str(exc))
-    except OSError as exc:
-        halt = halt_at_start(exc)
-    return log_stop(log, halt)
+    with logs.writing():
+        log = logs.LogWriter(settings.id)
+        try:
+            halt = asyncio.run(serve(_control_host(settings), log))
+        except StorageError as exc:
+            halt = Halt(exc.kind, str(exc))
+        except OSError as exc:
+            halt = halt_at_start(exc)
+        return log_stop(log, halt)
 
 
 class Callers(Protocol):
--- a/packages/daemon/crocuswell_daemon/logs.py
+++ b/packages/daemon/crocuswell_daemon/logs.py
@@ -1,7 +1,18 @@
-"""Log lines: one for each change of state, as key=value."""
+"""Log lines: one JSON object for each decision or change of state.
 
+Lines leave through a bounded queue and a thread of their own, so that a slow
+or closed reader of standard output loses lines and delays nothing.
+"""
+
+import json
 import logging
+import queue
 import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import TextIO
 
 from crocuswell_core.runtime.effects import ChangeLevel, Label, LogChange
 
@@ -11,6 +22,50 @@
     ChangeLevel.WARNING: logging.WARNING,
     ChangeLevel.ERROR: logging.ERROR,
 }
+# Lines that wait for the reader; about 1 MB.
+QUEUE_LINES = 4_096
+# Lines of one event in one second; the busiest days write a tenth of it.
+EVENT_BUDGET = 200
+# A reader that does not read must not hold up the end of the process.
+STOP_TIME_S = 0.5
+DROPPED = "log_lines_dropped"
+
+
+class LineBudget:
+    """Bounds the lines of each event in each second.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic time in s.
+    """
+
+    def __init__(
+        self, limit: int = EVENT_BUDGET, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._limit = limit
+        self._clock = clock
+        self._second = 0
+        self._counts: dict[str, int] = {}
+        self.dropped = 0
+
+    def permits(self, event: str) -> bool:
+        """Count a line and tell whether it may be written."""
+        second = int(self._clock())
+        if second != self._second:
+            self._second = second
+            self._counts.clear()
+        count = self._counts.get(event, 0) + 1
+        self._counts[event] = count
+        if count > self._limit:
+            self.dropped += 1
+            return False
+        return True
+
+    def take_dropped(self) -> int:
+        """Return the number of lines dropped since the last call."""
+        dropped, self.dropped = self.dropped, 0
+        return dropped
 
 
 class LogWriter:
@@ -22,36 +77,105 @@
         Id of the entry host or agent, in each line.
     """
 
-    def __init__(self, process: str) -> None:
+    def __init__(self, process: str, budget: LineBudget | None = None) -> None:
         self._process = process
+        self._budget = budget or LineBudget()
 
     def write(self, change: LogChange) -> None:
-        """Write one line."""
+        """Write one line, unless the event has used up its budget."""
         level = LEVELS[change.level]
-        if not LOGGER.isEnabledFor(level):
+        if not LOGGER.isEnabledFor(level) or not self._budget.permits(change.change):
             return
-        ids = (Label("process", self._process), *change.ids)
-        LOGGER.log(level, "change=%s %s", _quote(change.change), render(ids))
+        dropped = self._budget.take_dropped()
+        if dropped:
+            count = Label("count", str(dropped))
+            self._emit(logging.WARNING, LogChange(DROPPED, (count,)))
+        self._emit(level, change)
 
+    def _emit(self, level: int, change: LogChange) -> None:
+        fields = {label.name: label.value for label in change.ids}
+        LOGGER.log(
+            level,
+            "%s",
+            change.change,
+            extra={"event": change.change, "process_id": self._process, "ids": fields},
+        )
 
-def render(labels: tuple[Label, ...]) -> str:
-    """Return labels as `name=value`; values with blanks are quoted."""
-    return " ".join(f"{label.name}={_quote(label.value)}" for label in labels)
 
+class JsonFormatter(logging.Formatter):
+    """Formats a record as one JSON object."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line for a record, without its end."""
+        line = {
+            "time": round(record.created, 3),
+            "level": record.levelname.lower(),
+            "event": getattr(record, "event", "message"),
+        }
+        if hasattr(record, "ids"):
+            line["process"] = getattr(record, "process_id", "")
+            line.update(record.ids)
+        else:
+            line["logger"] = record.name
+            line["message"] = record.getMessage()
+        if record.exc_info:
+            line["traceback"] = self.formatException(record.exc_info)
+        return json.dumps(line, ensure_ascii=True)
+
+
+class BoundedHandler(logging.Handler):
+    """Writes records on a thread; drops and counts them while it is behind.
+
+    The handlers of the standard library would bring modules that do not fit
+    into an agent's memory.
+    """
+
+    def __init__(self, stream: TextIO, limit: int = QUEUE_LINES) -> None:
+        super().__init__()
+        self._stream = stream
+        self._lines: queue.Queue[logging.LogRecord | None] = queue.Queue(limit)
+        self._thread = threading.Thread(target=self._run, name="log", daemon=True)
+        self.dropped = 0
+
+    def start(self) -> None:
+        """Begin to write."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Write what waits, unless the reader takes too long."""
+        try:
+            self._lines.put_nowait(None)
+        except queue.Full:
+            return
+        self._thread.join(STOP_TIME_S)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue a record, or count it as dropped."""
+        try:
+            self._lines.put_nowait(record)
+        except queue.Full:
+            self.dropped += 1
 
-def _quote(value: str) -> str:
-    if value.isprintable() and value and not set(value) & set(' "='):
-        return value
-    escaped = "".join(c if c.isprintable() else ascii(c)[1:-1] for c in value)
-    return '"' + escaped.replace('"', "'") + '"'
+    def _run(self) -> None:
+        while (record := self._lines.get()) is not None:
+            try:
+                self._stream.write(self.format(record) + "\n")
+                if self._lines.empty():
+                    self._stream.flush()
+            except (OSError, ValueError):  # the reader is gone
+                self.dropped += 1
 
 
-def configure() -> None:
-    """Write log lines to standard error with time and level."""
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(
-        logging.Formatter("time=%(asctime)s level=%(levelname)s %(message)s")
-    )
+@contextmanager
+def writing() -> Iterator[None]:
+    """Write log lines to standard output until the block ends."""
+    handler = BoundedHandler(sys.stdout)
+    handler.setFormatter(JsonFormatter())
     # Libraries and parts appear from warnings up, changes of state from info.
     logging.basicConfig(handlers=[handler], level=logging.WARNING)
     LOGGER.setLevel(logging.INFO)
+    handler.start()
+    try:
+        yield
+    finally:
+        handler.stop()
