--- a/packages/core/crocuswell_core/dispatching/health.py
+++ b/packages/core/crocuswell_core/dispatching/health.py
@@ -15,6 +15,7 @@
 # A run shows a new percent at least this often, also on a slow worker: the
 # longest work takes a hundredth of its time for each.
 STALL_MS = 2_500
+WHOLE_PERCENT = 100
 # Members of a gang wait for each other before they work.
 GANG_START_MS = 3_500
 
@@ -76,6 +77,9 @@
 
 def _is_stalled(state: EntryState, mark: ProgressMark) -> bool:
     still_ms = state.now_ms - mark.changed_ms
+    if mark.percent >= WHOLE_PERCENT:
+        # The figure is rough: work may go on for a while after it is whole.
+        return False
     if mark.percent == 0:
         return still_ms >= STALL_MS + GANG_START_MS
     return still_ms >= STALL_MS
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -246,6 +246,17 @@
     assert run_of("j") in leader.state.dispatch.stopping
 
 
+def test_run_that_shows_all_of_its_work_is_left_alone() -> None:
+    """Guards against a stop of work that is about to end."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("j", step())
+    for _ in range(12):
+        leader.report(1, W1, running(leader, W1, percent=100))
+        leader.advance(500)
+    assert not leader.state.dispatch.stopping
+
+
 def test_host_that_does_not_lead_redirects_runners() -> None:
     """Guards against leases from a host that was replaced."""
     leader = Leader()
