Relay streams through fronts; give up the runs of workers that left

Runners and fronts now also try the fronts that the leader names; a front passes such a stream on to the leader.

--- a/packages/core/crocuswell_core/dispatching/health.py
+++ b/packages/core/crocuswell_core/dispatching/health.py
@@ -75,6 +75,33 @@
     return effects
 
 
+def evacuate(state: EntryState, view: WorkerView) -> list[Effect]:
+    """Stop resumable runs that a leaving worker would take with it."""
+    if not view.worker.draining:
+        return []
+    effects: list[Effect] = []
+    for run, progress in view.running.items():
+        job = state.cluster.jobs.jobs.get(run.task.job_id)
+        if job is None or run in state.dispatch.stopping:
+            continue
+        step = job.steps[run.task.step]
+        left_ms = step.estimated_ms * (WHOLE_PERCENT - progress.percent) // 100
+        if not step.checkpointing or left_ms <= view.worker.remaining_ms:
+            continue
+        state.dispatch.stopping[run] = state.now_ms
+        labels = (
+            Label("job", run.task.job_id),
+            Label("step", str(run.task.step)),
+            Label("index", str(run.task.index)),
+            Label("run", str(run.number)),
+            Label("worker", view.worker.key),
+            Label("left_ms", str(left_ms)),
+            Label("remaining_ms", str(view.worker.remaining_ms)),
+        )
+        effects.append(LogChange("run_evacuated", labels))
+    return effects
+
+
 def _is_stalled(state: EntryState, mark: ProgressMark) -> bool:
     still_ms = state.now_ms - mark.changed_ms
     if mark.percent >= WHOLE_PERCENT:
--- a/packages/core/crocuswell_core/dispatching/worker_views.py
+++ b/packages/core/crocuswell_core/dispatching/worker_views.py
@@ -60,7 +60,11 @@
     )
     effects.append(SendAgent(stream_id, grant))
     effects += _record_ends(state, view, message)
+    if message.gone and key in table.placed:
+        # What ran there ended with it.
+        effects += _lose(state, key, view, "worker left")
     effects += health.watch_progress(state, view)
+    effects += health.evacuate(state, view)
     effects += give_orders(state, view)
     dispatch_of(state).plan_due = True
     return effects
--- a/packages/core/crocuswell_core/entry/entry_state.py
+++ b/packages/core/crocuswell_core/entry/entry_state.py
@@ -196,6 +196,8 @@
         For each request id the calls that wait for its outcome.
     clients : dict
         Names of the attached fronts, runners and joining hosts by stream.
+    relays : dict
+        Addresses of the clients that relay streams, by their own stream.
     relayed_calls : dict
         For each forwarded call its stream and its id there.
     relayed_count : int
@@ -236,6 +238,7 @@
     cluster_timer_at_ms: int | None = None
     ready: bool = False
     clients: dict[int, str] = attrs.Factory(dict)
+    relays: dict[int, str] = attrs.Factory(dict)
     relayed_calls: dict[int, tuple[int, int]] = attrs.Factory(dict)
     relayed_count: int = 0
     kept_alive_ms: int = 0
--- a/packages/core/crocuswell_core/entry/sessions.py
+++ b/packages/core/crocuswell_core/entry/sessions.py
@@ -33,11 +33,12 @@
 from crocuswell_core.entry.entry_state import AgentSession, EntryState
 from crocuswell_core.links.relay import forget_client
 from crocuswell_core.runtime.dispatch import (
-    handle,
     handle_agent,
     handle_timer,
+    lose_client,
     notify,
     pass_on,
+    receive_client,
 )
 from crocuswell_core.runtime.effects import (
     CloseAgentStream,
@@ -55,16 +56,16 @@
 from crocuswell_core.runtime.timers import LivenessTimer, SessionTimer
 
 
-@handle.register
-def _(event: AgentMessageReceived, state: EntryState) -> list[Effect]:
+@receive_client.register
+def _(state: EntryState, event: AgentMessageReceived) -> list[Effect]:
     worker = state.streams.get(event.stream_id)
     if worker is not None:
         state.sessions[worker].heard_ms = state.now_ms
     return handle_agent(event.message, state, event.stream_id)
 
 
-@handle.register
-def _(event: AgentStreamClosed, state: EntryState) -> list[Effect]:
+@lose_client.register
+def _(state: EntryState, event: AgentStreamClosed) -> list[Effect]:
     session = session_of(state, event.stream_id)
     if session is not None:
         state.lost_sessions.append(session)
--- a/packages/core/crocuswell_core/front/front.py
+++ b/packages/core/crocuswell_core/front/front.py
@@ -10,6 +10,12 @@
 from crocuswell_core.cluster.commands import Refused
 from crocuswell_core.entry.calls import CommandCall
 from crocuswell_core.front.front_state import FrontState, WaitingCall
+from crocuswell_core.front.relaying import (
+    end_relayed,
+    find_relayed,
+    pass_attach,
+    pass_message,
+)
 from crocuswell_core.jobs.job_commands import GetJob, JobRead
 from crocuswell_core.links import uplink as links
 from crocuswell_core.links.link_messages import CallAnswered, ForwardCall
@@ -80,16 +86,25 @@
 
 @open_stream.register
 def _(state: FrontState, event: EntryStreamOpened) -> list[Effect]:
+    relayed = find_relayed(state, event.stream_id)
+    if relayed is not None:
+        return pass_attach(relayed)
     return links.take_opened(state.uplink, state.now_ms, event)
 
 
 @close_stream.register
 def _(state: FrontState, event: EntryStreamClosed) -> list[Effect]:
+    relayed = find_relayed(state, event.stream_id)
+    if relayed is not None:
+        return end_relayed(state, relayed)
     return links.take_closed(state.uplink, state.now_ms, event)
 
 
 @receive_message.register
 def _(state: FrontState, event: EntryMessageReceived) -> list[Effect]:
+    relayed = find_relayed(state, event.stream_id)
+    if relayed is not None:
+        return pass_message(relayed, event.message)  # type: ignore[arg-type]
     was_attached = state.uplink.is_attached
     effects = links.take_message(
         state.uplink,
--- a/packages/core/crocuswell_core/front/front_state.py
+++ b/packages/core/crocuswell_core/front/front_state.py
@@ -6,8 +6,12 @@
 
 from crocuswell_core.entry.calls import CommandCall
 from crocuswell_core.jobs.job_commands import JobRead
+from crocuswell_core.links.link_messages import Attach
 from crocuswell_core.links.uplink import Uplink
 
+# Apart from the ids of the front's own stream.
+FIRST_RELAY_ID = 1_000_000
+
 
 @attrs.frozen
 class FrontConfig:
@@ -58,12 +62,33 @@
     sent_ms: int = 0
 
 
+@attrs.define
+class RelayedStream:
+    """A stream that another process opened to reach the leader.
+
+    Attributes
+    ----------
+    client_id, leader_id : int
+        Ids of its two halves.
+    attach : Attach or None
+        First message, until the half to the leader is open.
+    """
+
+    client_id: int
+    leader_id: int
+    attach: Attach | None = None
+
+
 @attrs.define
 class FrontState:
     """State of a front.
 
     Attributes
     ----------
+    relayed : dict
+        Relayed streams by the id of the client's half.
+    relay_count : int
+        Id of the newest half to the leader.
     stopping_since_ms : int or None
         Time in ms of the stop signal.
     """
@@ -75,4 +100,6 @@
     wall_ms: int = 0
     calls: dict[int, WaitingCall] = attrs.Factory(dict)
     ready: bool = False
+    relayed: dict[int, RelayedStream] = attrs.Factory(dict)
+    relay_count: int = FIRST_RELAY_ID
     stopping_since_ms: int | None = None
--- a/packages/core/crocuswell_core/links/link_messages.py
+++ b/packages/core/crocuswell_core/links/link_messages.py
@@ -28,9 +28,13 @@
     ----------
     sender : str
         Name of the client's process, for logs.
+    relay : str
+        `host:port` at which this client relays the streams of others;
+        empty if it relays none.
     """
 
     sender: str
+    relay: str = ""
 
 
 @attrs.frozen
@@ -103,6 +107,8 @@
         Whether the worker answered the newest call.
     lease_left_ms : int
         Longest time in ms for which runs may go on without a new grant.
+    gone : bool
+        Whether the worker said that it ends and no longer answers.
     absent : tuple of RunId
         Ordered runs that are not there and that the worker refuses now.
     """
@@ -114,6 +120,7 @@
     running: tuple[RunProgress, ...] = ()
     ended: tuple[TaskEnd, ...] = ()
     absent: tuple[RunId, ...] = ()
+    gone: bool = False
 
 
 ClientMessage = Attach | LinkKeepalive | ForwardCall | JoinGroup | WorkerReport
@@ -129,10 +136,13 @@
     ----------
     hosts : tuple of str
         `host:port` of the stream listeners of all hosts.
+    relays : tuple of str
+        `host:port` of the clients that relay streams.
     """
 
     term: int
     hosts: tuple[str, ...]
+    relays: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/links/relay.py
+++ b/packages/core/crocuswell_core/links/relay.py
@@ -43,6 +43,7 @@
     if leader == state.cfg.host.id:
         address = ""
     state.clients.pop(stream_id, None)
+    state.relays.pop(stream_id, None)
     return [
         SendAgent(stream_id, Redirect(address, _addresses(state))),
         CloseAgentStream(stream_id),
@@ -58,8 +59,13 @@
     if not election.holds_lease(state):
         return redirect(state, stream_id)
     state.clients[stream_id] = message.sender
-    attached = Attached(state.consensus.term, _addresses(state))
-    return [SendAgent(stream_id, attached)]
+    news = bool(message.relay) and message.relay not in state.relays.values()
+    if message.relay:
+        state.relays[stream_id] = message.relay
+    relays = tuple(sorted(set(state.relays.values())))
+    attached = Attached(state.consensus.term, _addresses(state), relays)
+    receivers = state.clients if news else (stream_id,)
+    return [SendAgent(id_, attached) for id_ in receivers]
 
 
 @handle_agent.register
@@ -79,6 +85,7 @@
     """Forget a stream that ended, with its calls."""
     if state.clients.pop(stream_id, None) is None:
         return
+    state.relays.pop(stream_id, None)
     for call_id, (owner, _) in list(state.relayed_calls.items()):
         if owner == stream_id:
             del state.relayed_calls[call_id]
--- a/packages/core/crocuswell_core/links/uplink.py
+++ b/packages/core/crocuswell_core/links/uplink.py
@@ -31,7 +31,7 @@
 # A host that knows no leader is asked again after an election's usual time.
 RETRY_MS = 100
 # The first hosts may not be listening yet at a start.
-OPEN_LIMIT_MS = 1_200
+OPEN_LIMIT_MS = 800
 
 
 class UplinkPhase(enum.Enum):
@@ -55,6 +55,10 @@
         `host:port` of the hosts that the settings name.
     hosts : tuple of str
         `host:port` of the hosts that the group named last.
+    relays : tuple of str
+        `host:port` of the clients that relay streams to the leader.
+    relay : str
+        `host:port` at which this process relays; empty for none.
     next_address : str
         Host to open a stream to next; empty takes the next in turn.
     attached_ms, lost_ms : int
@@ -64,6 +68,8 @@
     sender: str
     seeds: tuple[str, ...]
     hosts: tuple[str, ...] = ()
+    relays: tuple[str, ...] = ()
+    relay: str = ""
     next_address: str = ""
     address: str = ""
     turn: int = 0
@@ -119,7 +125,7 @@
         return [CloseEntryStream(event.stream_id)]
     uplink.phase = UplinkPhase.OPEN
     uplink.changed_ms = uplink.heard_ms = now_ms
-    return [SendEntry(uplink.stream_id, Attach(uplink.sender))]
+    return [SendEntry(uplink.stream_id, Attach(uplink.sender, uplink.relay))]
 
 
 def take_closed(uplink: Uplink, now_ms: int, event: EntryStreamClosed) -> list[Effect]:
@@ -145,6 +151,7 @@
 
 def _attach(uplink: Uplink, now_ms: int, message: Attached) -> list[Effect]:
     uplink.hosts = message.hosts
+    uplink.relays = tuple(r for r in message.relays if r != uplink.relay)
     uplink.term = message.term
     if uplink.is_attached:
         return []
@@ -177,11 +184,17 @@
 
 
 def _next_in_turn(uplink: Uplink) -> str:
+    uplink.turn += 1
+    turn = uplink.turn
+    if uplink.relays:
+        # A process that is cut off from the hosts may still reach a relay.
+        turn, is_relay = divmod(turn, 2)
+        if is_relay:
+            return uplink.relays[turn % len(uplink.relays)]
     # Seeds stay among the candidates: a group that was replaced as a whole
     # is found through them only.
     candidates = [*uplink.hosts, *(s for s in uplink.seeds if s not in uplink.hosts)]
-    uplink.turn += 1
-    return candidates[uplink.turn % len(candidates)]
+    return candidates[turn % len(candidates)]
 
 
 def _drop(uplink: Uplink, now_ms: int, detail: str) -> list[Effect]:
--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -188,6 +188,7 @@
 def _(call: WorkerLeaving, state: RunnerState) -> list[Effect]:
     if state.beat is None or state.beat.id != call.id:
         return []
+    state.left = True
     state.beat = attrs.evolve(state.beat, draining=True, remaining_ms=0)
     return [LogChange("worker_leaving", (Label("worker", call.id),)), *_report(state)]
 
@@ -195,6 +196,7 @@
 def _forget_boot(state: RunnerState) -> None:
     """Start anew for another boot: it runs and remembers nothing."""
     state.reachable = False
+    state.left = False
     state.clock = WorkerClock()
     state.lease_until_ms = 0
     state.seen = 0
@@ -523,5 +525,6 @@
         running=tuple(state.running.values()),
         ended=state.ended,
         absent=tuple(state.absent),
+        gone=state.left and not state.reachable,
     )
     return links.send(state.uplink, state.now_ms, report)
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -86,6 +86,8 @@
     ----------
     beat : WorkerBeat or None
         Newest heartbeat of the newest boot.
+    left : bool
+        Whether this boot said that it ends.
     reports : dict
         Times in ms of the reports that were sent, by sequence.
     granted_until_ms : int
@@ -103,6 +105,7 @@
     now_ms: int = 0
     wall_ms: int = 0
     beat: WorkerBeat | None = None
+    left: bool = False
     reachable: bool = False
     clock: WorkerClock = attrs.Factory(WorkerClock)
     sequence: int = 0
--- a/packages/core/crocuswell_core/runtime/clock.py
+++ b/packages/core/crocuswell_core/runtime/clock.py
@@ -6,15 +6,19 @@
     close_stream,
     handle,
     handle_timer,
+    lose_client,
     note_time,
     open_stream,
     receive_call,
+    receive_client,
     receive_message,
     take_seeds,
     tick_uplink,
 )
 from crocuswell_core.runtime.effects import Effect, Label, LogChange
 from crocuswell_core.runtime.events import (
+    AgentMessageReceived,
+    AgentStreamClosed,
     CallAbandoned,
     CallReceived,
     ClockAdvanced,
@@ -66,6 +70,16 @@
     return receive_message(state, event)
 
 
+@handle.register
+def _(event: AgentMessageReceived, state: State) -> list[Effect]:
+    return receive_client(state, event)
+
+
+@handle.register
+def _(event: AgentStreamClosed, state: State) -> list[Effect]:
+    return lose_client(state, event)
+
+
 @handle.register
 def _(event: CallReceived, state: State) -> list[Effect]:
     return receive_call(state, event)
--- a/packages/core/crocuswell_core/runtime/dispatch.py
+++ b/packages/core/crocuswell_core/runtime/dispatch.py
@@ -19,6 +19,8 @@
 from crocuswell_core.runner.runner_state import RunnerState
 from crocuswell_core.runtime.effects import Applied, ClusterEffect, Effect
 from crocuswell_core.runtime.events import (
+    AgentMessageReceived,
+    AgentStreamClosed,
     CallAbandoned,
     CallReceived,
     EntryMessageReceived,
@@ -74,6 +76,18 @@
     raise NotImplementedError(type(state).__name__)
 
 
+@singledispatch
+def receive_client(state: State, event: AgentMessageReceived) -> list[Effect]:
+    """Handle a message on a stream that another process has opened."""
+    raise NotImplementedError(type(state).__name__)
+
+
+@singledispatch
+def lose_client(state: State, event: AgentStreamClosed) -> list[Effect]:
+    """Note that a stream that another process had opened ended."""
+    raise NotImplementedError(type(state).__name__)
+
+
 @singledispatch
 def receive_call(state: State, event: CallReceived) -> list[Effect]:
     """Handle a call that a listener of this process received."""
--- a/packages/daemon/crocuswell_daemon/interpreter.py
+++ b/packages/daemon/crocuswell_daemon/interpreter.py
@@ -126,6 +126,7 @@
 
     entry: EntryStreams
     callers: CallAnswerer
+    agents: AgentSender
 
 
 @attrs.frozen
@@ -206,12 +207,12 @@
 
 
 @carry_out.register
-def _(effect: fx.SendAgent, parts: EntryParts) -> None:
+def _(effect: fx.SendAgent, parts: EntryParts | FrontParts) -> None:
     parts.agents.send(effect.stream_id, effect.message)
 
 
 @carry_out.register
-def _(effect: fx.CloseAgentStream, parts: EntryParts) -> None:
+def _(effect: fx.CloseAgentStream, parts: EntryParts | FrontParts) -> None:
     parts.agents.close_stream(effect.stream_id)
 
 
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -1,6 +1,7 @@
 """The leader's dispatching: plans, claims, leases, lost workers."""
 
 import attrs
+import pytest
 
 from crocuswell_core.jobs.job_commands import CancelJob
 from crocuswell_core.jobs.job_records import EndKind, RunId, RunProgress, TaskId
@@ -257,6 +258,32 @@
     assert not leader.state.dispatch.stopping
 
 
+def test_runs_of_a_worker_that_left_are_given_up_at_once() -> None:
+    """Guards against a wait for the lease of a worker that has ended."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("j", step())
+    leaving = attrs.evolve(W1, draining=True)
+    leader.report(1, leaving, running(leader, W1))
+    assert leader.placed(W1)
+    leader.report(1, leaving, reachable=False, gone=True)
+    assert not leader.placed(W1)
+
+
+@pytest.mark.parametrize(
+    ("checkpointing", "percent", "moved"),
+    [(True, 10, True), (True, 90, False), (False, 10, False)],
+)
+def test_resumable_runs_leave_a_draining_worker(checkpointing, percent, moved) -> None:
+    """Guards against work that a planned end throws away."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("j", step(checkpointing=checkpointing))
+    leaving = attrs.evolve(W1, draining=True, remaining_ms=2_000)
+    leader.report(1, leaving, running(leader, W1, percent))
+    assert (run_of("j") in leader.state.dispatch.stopping) is moved
+
+
 def test_host_that_does_not_lead_redirects_runners() -> None:
     """Guards against leases from a host that was replaced."""
     leader = Leader()
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -7,22 +7,28 @@
 from crocuswell_core.jobs.job_commands import GetJob, JobView
 from crocuswell_core.jobs.job_records import JobPhase
 from crocuswell_core.links.link_messages import (
+    Attach,
     Attached,
     CallAnswered,
     ForwardCall,
+    LeaseGrant,
     Redirect,
+    WorkerReport,
 )
 from crocuswell_core.links.uplink import Uplink
 from crocuswell_core.runtime.effects import (
     AnswerCall,
+    CloseAgentStream,
     Effect,
     Halt,
     OpenEntryStream,
+    SendAgent,
     SendEntry,
     SetReady,
 )
 from crocuswell_core.runtime.errors import PROMISES, ErrorKind
 from crocuswell_core.runtime.events import (
+    AgentMessageReceived,
     CallReceived,
     ClockAdvanced,
     EntryMessageReceived,
@@ -153,6 +159,45 @@
     assert any(isinstance(effect, OpenEntryStream) for effect in effects)
 
 
+def test_front_relays_the_stream_of_a_process_that_is_cut_off() -> None:
+    """Guards against leases that lapse while a front is in reach."""
+    front = Front()
+    front.attach()
+    attach, report = Attach("runner"), WorkerReport(1)
+    effects = front.post(AgentMessageReceived(5, attach))
+    (opened,) = [e for e in effects if isinstance(e, OpenEntryStream)]
+    assert opened.address == front.state.uplink.address
+    half = opened.stream_id
+    assert SendEntry(half, attach) in front.post(EntryStreamOpened(half))
+    effects = front.post(AgentMessageReceived(5, report))
+    assert effects == [SendEntry(half, report)]
+    grant = LeaseGrant(1, 3, 6_000)
+    effects = front.post(EntryMessageReceived(half, grant))
+    assert effects == [SendAgent(5, grant)]
+    assert CloseAgentStream(5) in front.post(EntryStreamClosed(half, "lost"))
+    assert not front.state.relayed
+
+
+def test_front_without_a_leader_relays_nothing() -> None:
+    """Guards against a stream that leads nowhere and looks open."""
+    effects = Front().post(AgentMessageReceived(5, Attach("runner")))
+    assert CloseAgentStream(5) in effects
+
+
+def test_relays_are_tried_beside_the_hosts() -> None:
+    """Guards against a process that only tries hosts it is cut off from."""
+    front = Front()
+    front.post(EntryStreamOpened(front.state.uplink.stream_id))
+    front.receive(Attached(3, SEEDS, ("f2:3",)))
+    tried = set()
+    for _ in range(4):
+        front.lose_leader()
+        front.now_ms += 500
+        effects = front.post(TimerFired(UplinkTimer()))
+        tried.update(e.address for e in effects if isinstance(e, OpenEntryStream))
+    assert tried == {*SEEDS, "f2:3"}
+
+
 def test_front_is_ready_while_a_leader_is_in_reach() -> None:
     """Guards against calls to a front that can answer none."""
     front = Front()
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -25,6 +25,7 @@
     RunsListed,
     RunTaken,
     WorkerBeat,
+    WorkerLeaving,
     WorkerReply,
 )
 from crocuswell_core.runtime.effects import (
@@ -233,6 +234,15 @@
     assert not runner.state.starts
 
 
+def test_worker_that_left_and_no_longer_answers_is_gone(runner: Runner) -> None:
+    """Guards against runs that are called over while they still run."""
+    runner.post(CallReceived(2, WorkerLeaving("w1")))
+    assert not runner.reports[-1].gone
+    runner.tick(600)
+    runner.reply(ListRuns, NoAnswer("refused", sent=False))
+    assert runner.reports[-1].gone
+
+
 def test_list_of_another_boot_is_not_believed(runner: Runner) -> None:
     """Guards against the runs of another boot in a report."""
     runner.tick(600)
