--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -12,7 +12,6 @@
 
     percent: int
     changed_ms: int
-    started_ms: int
 
 
 @attrs.define
@@ -46,7 +45,6 @@
     stopped: set[RunId] = attrs.Factory(set)
     absent: set[RunId] = attrs.Factory(set)
     marks: dict[RunId, ProgressMark] = attrs.Factory(dict)
-    losing_ms: int | None = None
 
 
 @attrs.define
--- a/packages/core/crocuswell_core/dispatching/health.py
+++ b/packages/core/crocuswell_core/dispatching/health.py
@@ -52,7 +52,7 @@
     for run, progress in view.running.items():
         mark = view.marks.get(run)
         if mark is None:
-            mark = ProgressMark(progress.percent, state.now_ms, state.now_ms)
+            mark = ProgressMark(progress.percent, state.now_ms)
         elif mark.percent != progress.percent:
             mark.percent = progress.percent
             mark.changed_ms = state.now_ms
--- a/packages/core/crocuswell_core/front/front_state.py
+++ b/packages/core/crocuswell_core/front/front_state.py
@@ -1,7 +1,5 @@
 """State of a front; written only by the reducer."""
 
-import random
-
 import attrs
 
 from crocuswell_core.entry.calls import CommandCall
@@ -94,7 +92,6 @@
     """
 
     cfg: FrontConfig
-    rng: random.Random
     uplink: Uplink
     now_ms: int = 0
     wall_ms: int = 0
--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -171,7 +171,6 @@
             return []
         urgent = known.draining != call.draining
         state.beat = call
-        state.report_due = state.report_due or urgent
         return _report(state) if urgent else []
     state.beat = call
     _forget_boot(state)
@@ -424,7 +423,6 @@
     if state.ended:
         # The worker answers at once while ends are not yet acknowledged.
         state.list_at_ms += state.cfg.ends_wait_ms
-    state.listed_ms = state.now_ms
     effects += _begin_waiting(state)
     if changed or state.absent:
         effects += _report(state)
@@ -514,7 +512,6 @@
     state.sequence += 1
     state.reported_ms = state.now_ms
     state.reports[state.sequence] = state.now_ms
-    state.report_due = False
     listed = state.clock.read_ms > 0
     worker = _describe(state, state.beat) if state.beat and listed else None
     report = WorkerReport(
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -1,7 +1,6 @@
 """State of a runner; written only by the reducer."""
 
 import enum
-import random
 
 import attrs
 
@@ -100,7 +99,6 @@
     """
 
     cfg: RunnerConfig
-    rng: random.Random
     uplink: Uplink
     now_ms: int = 0
     wall_ms: int = 0
@@ -111,13 +109,11 @@
     sequence: int = 0
     reports: dict[int, int] = attrs.Factory(dict)
     reported_ms: int = 0
-    report_due: bool = True
     fence: int = 0
     granted_until_ms: int = 0
     lease_until_ms: int = 0
     seen: int = 0
     listing: bool = False
-    listed_ms: int = 0
     list_at_ms: int = 0
     running: dict[RunId, RunProgress] = attrs.Factory(dict)
     ended: tuple[TaskEnd, ...] = ()
--- a/packages/daemon/crocuswell_daemon/http_messages.py
+++ b/packages/daemon/crocuswell_daemon/http_messages.py
@@ -26,8 +26,6 @@
         Query without the question mark.
     idempotency_key, if_match, author, note, host, authorization : str or None
         Values of the headers that carry meaning; None if absent.
-    deadline_ms : str or None
-        How long the caller waits, as it was sent.
     fresh_id : str
         Random id for a request that this call might create.
     """
@@ -42,7 +40,6 @@
     note: str | None = None
     host: str | None = None
     authorization: str | None = None
-    deadline_ms: str | None = None
     fresh_id: str = ""
 
 
--- a/packages/daemon/crocuswell_daemon/http_wsgi.py
+++ b/packages/daemon/crocuswell_daemon/http_wsgi.py
@@ -39,7 +39,6 @@
         note=_decode(environ.get("HTTP_X_NOTE")),
         host=environ.get("HTTP_HOST"),
         authorization=environ.get("HTTP_AUTHORIZATION"),
-        deadline_ms=environ.get("HTTP_CROCUSWELL_DEADLINE_MS"),
         fresh_id=secrets.token_hex(REQUEST_ID_BYTES),
     )
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,7 +1,5 @@
 """A front's calls: forwarding, retries and limits."""
 
-import random
-
 from crocuswell_core.cluster.commands import Refused
 from crocuswell_core.front.front_state import FrontConfig, FrontState
 from crocuswell_core.jobs.job_commands import GetJob, JobView
@@ -53,7 +51,7 @@
 
     def __init__(self) -> None:
         cfg = FrontConfig("f1", SEEDS)
-        self.state = FrontState(cfg, random.Random(1), Uplink("f1", SEEDS))
+        self.state = FrontState(cfg, Uplink("f1", SEEDS))
         self.now_ms = 1_000
         self.post(FrontBooted())
 
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -1,7 +1,5 @@
 """A runner: heartbeats, orders, leases and reports."""
 
-import random
-
 import attrs
 import pytest
 
@@ -71,7 +69,7 @@
 
     def __init__(self) -> None:
         cfg = RunnerConfig("m1", ("h1:2",))
-        self.state = RunnerState(cfg, random.Random(1), Uplink("m1", ("h1:2",)))
+        self.state = RunnerState(cfg, Uplink("m1", ("h1:2",)))
         self.now_ms = 1_000
         self.calls: list[BeginRun | EndRun | ListRuns] = []
         self.reports: list[WorkerReport] = []
