Hold no room for a gang that the workers in reach cannot hold

Cause: a gang that needed workers that were away kept all room free, so that nothing else began. The test fails without the change.

--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -175,9 +175,12 @@
     if not racks:
         return
     held = min(racks.values(), key=lambda members: _shortfall(ranked, members))
+    group = held if ranked.step.gang and ranked.step.same_rack else spaces
+    if not _could_hold(ranked, group):
+        # It needs workers that are away; others would wait for nothing.
+        return
     chosen: list[Space] = []
     missing = ranked.missing
-    group = held if ranked.step.gang and ranked.step.same_rack else spaces
     for space in sorted(group, key=lambda s: -s.room.copies(ranked.step.demand)):
         if missing <= 0:
             break
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -144,6 +144,17 @@
     assert jobs == {"first", "short"}
 
 
+def test_gang_that_the_fleet_cannot_hold_keeps_nothing_free() -> None:
+    """Guards against a fleet that stands idle for a gang that cannot start."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.report(2, W2)
+    leader.submit("huge", step(3, accelerators=8, gang=True), queue=TIGHT)
+    leader.submit("small", step(1, gang=True), queue=TIGHT)
+    placed = {**leader.placed(W1), **leader.placed(W2)}
+    assert placed == {TaskId("small", 0, 0): 1}
+
+
 def test_cancelled_job_is_stopped() -> None:
     """Guards against work that goes on after its cancellation."""
     leader = Leader()
