--- a/packages/core/crocuswell_core/dispatching/preemption.py
+++ b/packages/core/crocuswell_core/dispatching/preemption.py
@@ -75,6 +75,7 @@
         before = free[id(space)].copies(demand)
         for victim in chosen.victims:
             free[id(space)] = free[id(space)] + victim.demand
+            offers[id(space)].remove(victim)
             # The members of a gang stop together.
             runs.update(dict.fromkeys(victim.gang))
         needed -= free[id(space)].copies(demand) - before
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -102,6 +102,16 @@
     assert leader.placed(W1) == {TaskId("urgent", 0, 0): 1}
 
 
+def test_room_of_an_evicted_run_counts_once() -> None:
+    """Guards against an eviction that frees half of the room it needs."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("long", step(8), queue=TIGHT)
+    leader.report(1, W1, running(leader, W1))
+    leader.submit("urgent", step(2, accelerators=4, gang=True), queue=URGENT)
+    assert len(leader.state.dispatch.stopping) == 8
+
+
 def test_urgent_work_beyond_its_guarantee_does_not_throw_much_away() -> None:
     """Guards against evictions that cost more than they gain."""
     leader = Leader()
