Stop runs in one place; drop state that was never false

Found on reading the change again. Three places noted a run as no longer wanted and built the same labels, and the runner built them a fourth time: stop_run and member_labels serve them now, with the same events and fields. plan_due was set right before each call of plan and so was always true there.

Behaviour stays as it is.

--- a/packages/core/crocuswell_core/dispatching/control.py
+++ b/packages/core/crocuswell_core/dispatching/control.py
@@ -54,7 +54,6 @@
         effects += watch_leases(state)
         effects += record_checkpoints(state)
         effects += order_all(state)
-        dispatch_of(state).plan_due = True
         return [*effects, *plan(state)]
     if state.clients and state.consensus.role is not Role.LEADER:
         effects += release_clients(state)
@@ -75,7 +74,6 @@
     dispatch = dispatch_of(state)
     if dispatch.plan == state.cluster.jobs.plan:
         dispatch.plan = ""
-    dispatch.plan_due = True
     for key in list(dispatch.losing):
         if key not in state.cluster.jobs.placed:
             del dispatch.losing[key]
--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -104,8 +104,6 @@
         Claims by job id and number of the step.
     recorded_ms : int
         Time in ms at which checkpoints were last proposed.
-    plan_due : bool
-        Whether something changed since the newest plan.
     """
 
     term: int = -1
@@ -119,7 +117,6 @@
     stopping: dict[RunId, int] = attrs.Factory(dict)
     claims: dict["StepKey", Claim] = attrs.Factory(dict)
     recorded_ms: int = 0
-    plan_due: bool = True
 
 
 StepKey = tuple[str, int]
--- a/packages/core/crocuswell_core/dispatching/health.py
+++ b/packages/core/crocuswell_core/dispatching/health.py
@@ -7,6 +7,7 @@
 )
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_records import EndKind, RunId, TaskEnd
+from crocuswell_core.links.run_labels import member_labels
 from crocuswell_core.runtime.effects import Effect, Label, LogChange
 
 # Failures of this many jobs in a row; one alone may be the job's own fault.
@@ -45,6 +46,12 @@
     return record is not None and state.now_ms < record.barred_until_ms
 
 
+def stop_run(event: str, state: EntryState, run: RunId, *labels: Label) -> LogChange:
+    """Note that a run is not wanted any more; return the line that says so."""
+    state.dispatch.stopping[run] = state.now_ms
+    return LogChange(event, (*member_labels(run), *labels))
+
+
 def watch_progress(state: EntryState, view: WorkerView) -> list[Effect]:
     """Stop runs that stand still, so that they go on elsewhere."""
     effects: list[Effect] = []
@@ -59,18 +66,13 @@
         marks[run] = mark
         if run in state.dispatch.stopping or not _is_stalled(state, mark):
             continue
-        state.dispatch.stopping[run] = state.now_ms
         bar(state, view)
         labels = (
-            Label("job", run.task.job_id),
-            Label("step", str(run.task.step)),
-            Label("index", str(run.task.index)),
-            Label("run", str(run.number)),
             Label("worker", view.worker.key),
             Label("percent", str(mark.percent)),
             Label("still_ms", str(state.now_ms - mark.changed_ms)),
         )
-        effects.append(LogChange("run_stalled", labels))
+        effects.append(stop_run("run_stalled", state, run, *labels))
     view.marks = marks
     return effects
 
@@ -88,17 +90,12 @@
         left_ms = step.estimated_ms * (WHOLE_PERCENT - progress.percent) // 100
         if not step.checkpointing or left_ms <= view.worker.remaining_ms:
             continue
-        state.dispatch.stopping[run] = state.now_ms
         labels = (
-            Label("job", run.task.job_id),
-            Label("step", str(run.task.step)),
-            Label("index", str(run.task.index)),
-            Label("run", str(run.number)),
             Label("worker", view.worker.key),
             Label("left_ms", str(left_ms)),
             Label("remaining_ms", str(view.worker.remaining_ms)),
         )
-        effects.append(LogChange("run_evacuated", labels))
+        effects.append(stop_run("run_evacuated", state, run, *labels))
     return effects
 
 
--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -128,10 +128,15 @@
     return _place_gang(ranked, spaces)
 
 
-def _failed_here(ranked: RankedStep, spaces: list[Space]) -> bool:
-    failed_on = {
+def _failed_on(ranked: RankedStep) -> set[str]:
+    """Return the ids of the workers on which runs of the step failed."""
+    return {
         worker for task in ranked.job.tasks[ranked.number] for worker in task.failed_on
     }
+
+
+def _failed_here(ranked: RankedStep, spaces: list[Space]) -> bool:
+    failed_on = _failed_on(ranked)
     return any(space.view.worker.id in failed_on for space in spaces)
 
 
@@ -144,9 +149,7 @@
 
 def _place_gang(ranked: RankedStep, spaces: list[Space]) -> Places:
     """Place all tasks on few workers, the fullest of them first."""
-    failed_on = {
-        worker for task in ranked.job.tasks[ranked.number] for worker in task.failed_on
-    }
+    failed_on = _failed_on(ranked)
     ordered = sorted(
         (space for space in spaces if copies_on(ranked, space)),
         key=lambda s: (
--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -32,9 +32,6 @@
         if state.now_ms - dispatch.planned_at_ms < PROPOSAL_LIMIT_MS:
             return []
         dispatch.plan = ""
-    if not dispatch.plan_due:
-        return []
-    dispatch.plan_due = False
     spaces = collect_spaces(state)
     steps = rank_steps(state)
     _keep_claims(state, steps, spaces)
@@ -166,14 +163,9 @@
 def _evict(state: EntryState, ranked: RankedStep, eviction: Eviction) -> list[Effect]:
     effects: list[Effect] = []
     for run in eviction.runs:
-        state.dispatch.stopping[run] = state.now_ms
         labels = (
-            Label("job", run.task.job_id),
-            Label("step", str(run.task.step)),
-            Label("index", str(run.task.index)),
-            Label("run", str(run.number)),
             Label("for", ranked.job.id),
             Label("lost_core_s", str(round(eviction.cost))),
         )
-        effects.append(LogChange("run_preempted", labels))
+        effects.append(health.stop_run("run_preempted", state, run, *labels))
     return effects
--- a/packages/core/crocuswell_core/dispatching/worker_views.py
+++ b/packages/core/crocuswell_core/dispatching/worker_views.py
@@ -66,7 +66,6 @@
     effects += health.watch_progress(state, view)
     effects += health.evacuate(state, view)
     effects += give_orders(state, view)
-    dispatch_of(state).plan_due = True
     return effects
 
 
--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -9,7 +9,6 @@
 
 import attrs
 
-from crocuswell_core.jobs.job_records import RunId
 from crocuswell_core.links import uplink as links
 from crocuswell_core.links.link_messages import (
     LeaseGrant,
@@ -17,6 +16,7 @@
     WorkerDescription,
     WorkerReport,
 )
+from crocuswell_core.links.run_labels import member_labels
 from crocuswell_core.runner.runner_state import (
     OrderPhase,
     RunnerState,
@@ -361,7 +361,7 @@
     if isinstance(reply, RunTaken):
         del state.starts[call.run]
         return []
-    labels = (*_run_labels(call.run), Label("reply", _reason(reply)))
+    labels = (*member_labels(call.run), Label("reply", _reason(reply)))
     effects: list[Effect] = [LogChange("start_not_taken", labels)]
     if isinstance(reply, RunRefused):
         # An earlier copy of the order may still arrive; the stop makes the
@@ -454,16 +454,6 @@
     return "other_boot" if isinstance(reply, OtherBoot) else type(reply).__name__
 
 
-def _run_labels(run: RunId) -> tuple[Label, ...]:
-    task = run.task
-    return (
-        Label("job", task.job_id),
-        Label("step", str(task.step)),
-        Label("index", str(task.index)),
-        Label("run", str(run.number)),
-    )
-
-
 # --- lists and reports ---------------------------------------------------
 
 
