Serve metrics of control hosts and fronts; name runs in one way

Cause: an on-call engineer had the counts of the product's own requests only. Nothing counted callers' calls, jobs, runs, leases, elections or log syncs, and the programs on the users' platform served no metrics.

Change: counters and histograms where the decisions are made, as effects; a gauge as a new effect (catalog version and age, term, workers by state, dropped log lines). Runners have no metrics library (it takes 3.9 MB); their counts travel in reports and the leader adds them up, as with agents. Log lines of leader and runners now name a run by the same labels. `dispatch.stopping` is a set: its times were never read.

--- a/packages/core/crocuswell_core/agreement/election.py
+++ b/packages/core/crocuswell_core/agreement/election.py
@@ -10,7 +10,13 @@
 from crocuswell_core.cluster.commands import NoOperation, Proposal
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.runtime.dispatch import handle, handle_peer, handle_timer, notify
-from crocuswell_core.runtime.effects import Effect, SendPeer, SetPeers, StartTimer
+from crocuswell_core.runtime.effects import (
+    Count,
+    Effect,
+    SendPeer,
+    SetPeers,
+    StartTimer,
+)
 from crocuswell_core.runtime.events import EntryBooted
 from crocuswell_core.runtime.notices import HostBooted
 from crocuswell_core.runtime.timers import ElectionTimer, LeaderTimer
@@ -95,7 +101,7 @@
     consensus.term += 1
     consensus.voted_for = state.cfg.host.id
     consensus.votes = {state.cfg.host.id: True}
-    effects = leadership.persist_term(state)
+    effects = [*leadership.persist_term(state), Count("elections_total")]
     if _has_majority(consensus):
         return [*effects, *_win(state)]
     return [
--- a/packages/core/crocuswell_core/agreement/leadership.py
+++ b/packages/core/crocuswell_core/agreement/leadership.py
@@ -9,6 +9,7 @@
     Effect,
     Label,
     LogChange,
+    Observe,
     Persist,
     StartTimer,
     TermRecord,
@@ -178,6 +179,7 @@
     return [
         CancelTimer(ElectionTimer()),
         LogChange("leadership_gained", (Label("term", str(consensus.term)),)),
+        Observe("election_seconds", (state.now_ms - consensus.heard_leader_ms) / 1_000),
         *notify(LeadershipGained(), state),
     ]
 
--- a/packages/core/crocuswell_core/agreement/snapshots.py
+++ b/packages/core/crocuswell_core/agreement/snapshots.py
@@ -9,6 +9,7 @@
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.runtime.dispatch import handle, notify
 from crocuswell_core.runtime.effects import (
+    Count,
     Effect,
     EntriesRecord,
     Label,
@@ -50,13 +51,14 @@
     index = consensus.applied_index
     membership = members.membership_at(consensus, index)
     return [
+        Count("snapshots_saved_total"),
         SaveSnapshot(
             index,
             _applied_term(state),
             membership.hosts,
             membership.voters,
             state.cluster,
-        )
+        ),
     ]
 
 
@@ -135,6 +137,7 @@
         *effects,
         SetPeers(consensus.hosts),
         LogChange("snapshot_installed", (Label("index", str(event.index)),)),
+        Count("snapshots_installed_total"),
         *notify(SnapshotInstalled(), state),
         *committed.apply_committed(state),
     ]
--- a/packages/core/crocuswell_core/dispatching/control.py
+++ b/packages/core/crocuswell_core/dispatching/control.py
@@ -2,6 +2,7 @@
 
 from crocuswell_core.agreement import election, members
 from crocuswell_core.agreement.consensus_state import Role
+from crocuswell_core.dispatching.gauges import set_gauges
 from crocuswell_core.dispatching.planner import plan
 from crocuswell_core.dispatching.worker_views import (
     dispatch_of,
@@ -48,7 +49,7 @@
 
 @handle_timer.register
 def _(timer: ControlTimer, state: EntryState) -> list[Effect]:
-    effects: list[Effect] = [StartTimer(timer, CONTROL_TICK_MS)]
+    effects: list[Effect] = [StartTimer(timer, CONTROL_TICK_MS), *set_gauges(state)]
     if election.holds_lease(state):
         effects += _keep_alive(state)
         effects += watch_leases(state)
@@ -77,9 +78,11 @@
     for key in list(dispatch.losing):
         if key not in state.cluster.jobs.placed:
             del dispatch.losing[key]
-    for run in list(dispatch.stopping):
-        if state.cluster.jobs.current_run(run) is None:
-            del dispatch.stopping[run]
+    dispatch.stopping = {
+        run
+        for run in dispatch.stopping
+        if state.cluster.jobs.current_run(run) is not None
+    }
     return [*order_all(state), *plan(state)]
 
 
--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -32,6 +32,8 @@
         Orders sent on this stream.
     marks : dict
         Progress of the listed runs.
+    events : dict
+        Counts of the runner's events on this stream.
     """
 
     worker: WorkerDescription
@@ -45,6 +47,7 @@
     stopped: set[RunId] = attrs.Factory(set)
     absent: set[RunId] = attrs.Factory(set)
     marks: dict[RunId, ProgressMark] = attrs.Factory(dict)
+    events: dict[str, int] = attrs.Factory(dict)
 
 
 @attrs.define
@@ -98,8 +101,8 @@
         Time in ms at which it was proposed.
     plans : int
         Number of plans in this term.
-    stopping : dict
-        Runs that make room for others or stand still, with the time.
+    stopping : set of RunId
+        Runs that make room for others or stand still.
     claims : dict
         Claims by job id and number of the step.
     recorded_ms : int
@@ -114,7 +117,7 @@
     planned_at_ms: int = 0
     plans: int = 0
     losing: dict[str, int] = attrs.Factory(dict)
-    stopping: dict[RunId, int] = attrs.Factory(dict)
+    stopping: set[RunId] = attrs.Factory(set)
     claims: dict["StepKey", Claim] = attrs.Factory(dict)
     recorded_ms: int = 0
 
--- /dev/null
+++ b/packages/core/crocuswell_core/dispatching/gauges.py
@@ -0,0 +1,48 @@
+"""Gauges of a control host: the catalog, its term, and workers in reach."""
+
+from collections import Counter
+
+from crocuswell_core.agreement import election
+from crocuswell_core.dispatching import health
+from crocuswell_core.dispatching.dispatch_state import WorkerView
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.runtime.effects import Effect, Label, SetGauge
+
+GAUGES_MS = 1_000
+WORKER_STATES = ("usable", "barred", "draining", "unreachable")
+
+
+def set_gauges(state: EntryState) -> list[Effect]:
+    """Return the gauges' values, unless they were set just now."""
+    if state.now_ms - state.gauges_ms < GAUGES_MS:
+        return []
+    state.gauges_ms = state.now_ms
+    leads = election.holds_lease(state)
+    table = state.cluster.jobs
+    effects: list[Effect] = [
+        SetGauge("leader", float(leads)),
+        SetGauge("term", state.consensus.term),
+    ]
+    if table.catalog is not None:
+        age_s = (state.cluster.now_ms - table.catalog_ms) / 1_000
+        effects.append(SetGauge("catalog_version", table.catalog.version))
+        effects.append(SetGauge("catalog_age_seconds", age_s))
+    views = state.dispatch.views.values() if leads else ()
+    workers = Counter(_state_of(state, view) for view in views)
+    open_jobs = sum(job.is_open for job in table.jobs.values()) if leads else 0
+    return [
+        *effects,
+        SetGauge("jobs_open", open_jobs),
+        *(
+            SetGauge("workers", workers[name], (Label("state", name),))
+            for name in WORKER_STATES
+        ),
+    ]
+
+
+def _state_of(state: EntryState, view: WorkerView) -> str:
+    if not view.reachable or view.stream_id not in state.clients:
+        return "unreachable"
+    if view.worker.draining:
+        return "draining"
+    return "barred" if health.is_barred(state, view) else "usable"
--- a/packages/core/crocuswell_core/dispatching/health.py
+++ b/packages/core/crocuswell_core/dispatching/health.py
@@ -7,8 +7,8 @@
 )
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_records import EndKind, RunId, TaskEnd
-from crocuswell_core.links.run_labels import member_labels
-from crocuswell_core.runtime.effects import Effect, Label, LogChange
+from crocuswell_core.jobs.run_labels import run_labels
+from crocuswell_core.runtime.effects import Count, Effect, Label, LogChange
 
 # Failures of this many jobs in a row; one alone may be the job's own fault.
 FAILED_JOBS_LIMIT = 2
@@ -46,10 +46,13 @@
     return record is not None and state.now_ms < record.barred_until_ms
 
 
-def stop_run(event: str, state: EntryState, run: RunId, *labels: Label) -> LogChange:
-    """Note that a run is not wanted any more; return the line that says so."""
-    state.dispatch.stopping[run] = state.now_ms
-    return LogChange(event, (*member_labels(run), *labels))
+def stop_run(event: str, state: EntryState, run: RunId, *labels: Label) -> list[Effect]:
+    """Note that a run is not wanted any more; return what reports it."""
+    state.dispatch.stopping.add(run)
+    return [
+        LogChange(event, (*run_labels(run), *labels)),
+        Count("runs_stopped_total", labels=(Label("reason", event),)),
+    ]
 
 
 def watch_progress(state: EntryState, view: WorkerView) -> list[Effect]:
@@ -72,7 +75,7 @@
             Label("percent", str(mark.percent)),
             Label("still_ms", str(state.now_ms - mark.changed_ms)),
         )
-        effects.append(stop_run("run_stalled", state, run, *labels))
+        effects += stop_run("run_stalled", state, run, *labels)
     view.marks = marks
     return effects
 
@@ -95,7 +98,7 @@
             Label("left_ms", str(left_ms)),
             Label("remaining_ms", str(view.worker.remaining_ms)),
         )
-        effects.append(stop_run("run_evacuated", state, run, *labels))
+        effects += stop_run("run_evacuated", state, run, *labels)
     return effects
 
 
--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -167,5 +167,5 @@
             Label("for", ranked.job.id),
             Label("lost_core_s", str(round(eviction.cost))),
         )
-        effects.append(health.stop_run("run_preempted", state, run, *labels))
+        effects += health.stop_run("run_preempted", state, run, *labels)
     return effects
--- a/packages/core/crocuswell_core/dispatching/preemption.py
+++ b/packages/core/crocuswell_core/dispatching/preemption.py
@@ -9,8 +9,6 @@
 from crocuswell_core.jobs.catalog import queue_named
 from crocuswell_core.jobs.job_records import Room, RunId
 
-# Processor cores that one accelerator counts as when lost work is compared.
-CORES_PER_ACCELERATOR = 8
 # Time in s that a stopped run takes to be where it was, besides lost work.
 RESUME_S = 0.5
 
@@ -172,8 +170,7 @@
 
 def _cores(demand: Room) -> float:
     """Return a demand in processor cores."""
-    cores = demand.cpu_millis / 1_000 + CORES_PER_ACCELERATOR * demand.accelerators
-    return max(cores, 0.001)
+    return max(demand.cores, 0.001)
 
 
 def _lost_work(
--- a/packages/core/crocuswell_core/dispatching/worker_views.py
+++ b/packages/core/crocuswell_core/dispatching/worker_views.py
@@ -24,7 +24,7 @@
 )
 from crocuswell_core.links.relay import redirect
 from crocuswell_core.runtime.dispatch import handle_agent
-from crocuswell_core.runtime.effects import Effect, Label, LogChange, SendAgent
+from crocuswell_core.runtime.effects import Count, Effect, Label, LogChange, SendAgent
 
 # Covers the time between a worker's lease check and the end of its runs.
 LEASE_MARGIN_MS = 400
@@ -58,7 +58,8 @@
     grant = LeaseGrant(
         message.sequence, term, lease_ms, key, table.seen_ends.get(key, 0)
     )
-    effects.append(SendAgent(stream_id, grant))
+    effects += [SendAgent(stream_id, grant), Count("leases_granted_total")]
+    effects += _count_events(view, message)
     effects += _record_ends(state, view, message)
     if message.gone and key in table.placed:
         # What ran there ended with it.
@@ -94,6 +95,17 @@
     return view, effects
 
 
+def _count_events(view: WorkerView, message: WorkerReport) -> list[Effect]:
+    effects: list[Effect] = []
+    for item in message.events:
+        added = item.count - view.events.get(item.event, 0)
+        view.events[item.event] = item.count
+        if added > 0:
+            labels = (Label("event", item.event),)
+            effects.append(Count("runner_events_total", added, labels))
+    return effects
+
+
 def _lose_earlier_boots(state: EntryState, worker: WorkerDescription) -> list[Effect]:
     """Give up the runs of earlier boots on a machine: none outlives a boot."""
     effects: list[Effect] = []
@@ -105,7 +117,7 @@
         del dispatch.views[key]
     for key in list(state.cluster.jobs.placed):
         if _precedes(key, worker):
-            effects += _lose(state, key, views.get(key), f"followed by {worker.key}")
+            effects += _lose(state, key, views.get(key), "new boot", worker.key)
     return effects
 
 
@@ -270,7 +282,11 @@
 
 
 def _lose(
-    state: EntryState, key: str, view: WorkerView | None, reason: str
+    state: EntryState,
+    key: str,
+    view: WorkerView | None,
+    reason: str,
+    successor: str = "",
 ) -> list[Effect]:
     dispatch = dispatch_of(state)
     if key in dispatch.losing:
@@ -284,9 +300,11 @@
     labels = (
         Label("worker", key),
         Label("reason", reason),
+        Label("successor", successor),
         Label("heard_ms", str(state.now_ms - view.heard_ms if view else -1)),
     )
     return [
         LogChange("worker_losing", labels),
+        Count("workers_lost_total", labels=(Label("reason", reason),)),
         *_propose(state, LoseWorker(key, saved)),
     ]
--- a/packages/core/crocuswell_core/entry/entry_state.py
+++ b/packages/core/crocuswell_core/entry/entry_state.py
@@ -204,6 +204,8 @@
         Id of the newest forwarded call; negative, unlike the listener's.
     kept_alive_ms : int
         Time in ms of the newest keepalive to clients.
+    gauges_ms : int
+        Time in ms at which the gauges were set last.
     uplink : Uplink or None
         Stream to the leader while this host is not a member.
     seeds : tuple of str
@@ -242,6 +244,7 @@
     relayed_calls: dict[int, tuple[int, int]] = attrs.Factory(dict)
     relayed_count: int = 0
     kept_alive_ms: int = 0
+    gauges_ms: int = 0
     uplink: Uplink | None = None
     seeds: tuple[str, ...] = ()
     dispatch: DispatchState = attrs.Factory(DispatchState)
--- a/packages/core/crocuswell_core/front/front.py
+++ b/packages/core/crocuswell_core/front/front.py
@@ -38,6 +38,7 @@
     Halt,
     Label,
     LogChange,
+    Observe,
     SetReady,
     StartTimer,
 )
@@ -133,8 +134,8 @@
 
 @abandon_call.register
 def _(state: FrontState, event: CallAbandoned) -> list[Effect]:
-    state.calls.pop(event.call_id, None)
-    return []
+    call = state.calls.pop(event.call_id, None)
+    return _count_answer(state, call, "abandoned") if call else []
 
 
 def _send(state: FrontState, call: WaitingCall) -> list[Effect]:
@@ -156,7 +157,28 @@
         # The timer sends it again, perhaps to another leader.
         return []
     del state.calls[message.call_id]
-    return [AnswerCall(message.call_id, reply)]
+    counts = _count_answer(state, call, _answer_name(reply))
+    return [*counts, AnswerCall(message.call_id, reply)]
+
+
+def _count_answer(state: FrontState, call: WaitingCall, answer: str) -> list[Effect]:
+    name = _call_labels(call.call)[0]
+    waited_s = (state.now_ms - call.received_ms) / 1_000
+    return [
+        Count("calls_total", labels=(name, Label("answer", answer))),
+        Observe("call_seconds", waited_s, (name,)),
+    ]
+
+
+@singledispatch
+def _answer_name(reply: object) -> str:
+    """Return the name of an answer in the metrics."""
+    return "ok"
+
+
+@_answer_name.register
+def _(reply: Refused) -> str:
+    return reply.kind.value
 
 
 @handle_timer.register
@@ -185,6 +207,7 @@
     )
     return [
         LogChange("call_given_up", labels),
+        *_count_answer(state, call, kind.value),
         AnswerCall(call.call_id, Refused(kind, detail, RETRY_AFTER_MS)),
     ]
 
--- a/packages/core/crocuswell_core/jobs/job_changes.py
+++ b/packages/core/crocuswell_core/jobs/job_changes.py
@@ -29,8 +29,16 @@
     worker_id_in,
 )
 from crocuswell_core.jobs.job_table import JobTable, step_is_due
+from crocuswell_core.jobs.run_labels import run_labels
 from crocuswell_core.runtime.dispatch import apply_command
-from crocuswell_core.runtime.effects import Applied, Label, LogChange
+from crocuswell_core.runtime.effects import (
+    Applied,
+    ClusterEffect,
+    Count,
+    Label,
+    LogChange,
+    Observe,
+)
 from crocuswell_core.runtime.errors import ErrorKind
 
 # A job can be read for this long after its end.
@@ -53,6 +61,7 @@
     if held is not None and new.version < held.version:
         return Applied(CatalogHeld(held.version))
     table.catalog = new
+    table.catalog_ms = cluster.now_ms
     table.revision += 1
     log = LogChange(
         "catalog_replaced",
@@ -84,7 +93,7 @@
     table = cluster.jobs
     name = check_address(cluster, command.address)
     if isinstance(name, Refused):
-        return Applied(name, (_call_refused(command.job_id, "submit", name),))
+        return Applied(name, _call_refused(command.job_id, "submit", name))
     queue = queue_named(table.catalog, name)
     if table.catalog is None or queue is None:
         return Applied(Refused(ErrorKind.NOT_FOUND, f"no queue {name}"))
@@ -113,17 +122,19 @@
             Label("tasks", str(sum(step.count for step in command.steps))),
         ),
     )
-    return Applied(JobAccepted(command.job_id), (log,))
+    count = Count("jobs_accepted_total", labels=(Label("queue", queue.name),))
+    return Applied(JobAccepted(command.job_id), (log, count))
 
 
-def _call_refused(job_id: str, call: str, refused: Refused) -> LogChange:
-    labels = (
-        Label("job", job_id),
-        Label("call", call),
-        Label("kind", refused.kind.value),
-        Label("reason", refused.detail),
+def _call_refused(
+    job_id: str, call: str, refused: Refused
+) -> tuple[ClusterEffect, ...]:
+    counted = (Label("call", call), Label("kind", refused.kind.value))
+    labels = (Label("job", job_id), *counted, Label("reason", refused.detail))
+    return (
+        LogChange("call_refused", labels),
+        Count("job_calls_refused_total", labels=counted),
     )
-    return LogChange("call_refused", labels)
 
 
 def _forget_old_jobs(cluster: ClusterState) -> None:
@@ -140,7 +151,7 @@
 def _(command: CancelJob, cluster: ClusterState, entry: LogEntry) -> Applied:
     refused = check_address(cluster, command.address)
     if isinstance(refused, Refused):
-        return Applied(refused, (_call_refused(command.job_id, "cancel", refused),))
+        return Applied(refused, _call_refused(command.job_id, "cancel", refused))
     job = cluster.jobs.jobs.get(command.job_id)
     if job is None:
         return Applied(Refused(ErrorKind.RESULT_EXPIRED, "no such job"))
@@ -149,18 +160,24 @@
     return Applied(JobCancelled(job.id), _end_job(cluster, job, JobPhase.CANCELLED))
 
 
-def _end_job(cluster: ClusterState, job: Job, phase: JobPhase) -> tuple[LogChange, ...]:
+def _end_job(
+    cluster: ClusterState, job: Job, phase: JobPhase
+) -> tuple[ClusterEffect, ...]:
     job.phase = phase
     job.ended_ms = cluster.now_ms
     cluster.jobs.revision += 1
+    counted = (Label("queue", job.queue), Label("phase", phase.value))
+    age_ms = cluster.now_ms - job.accepted_ms
     labels = (
         Label("job", job.id),
-        Label("phase", phase.value),
-        Label("queue", job.queue),
-        Label("age_ms", str(cluster.now_ms - job.accepted_ms)),
+        *counted,
+        Label("age_ms", str(age_ms)),
         Label("failures", str(sum(t.failures for step in job.tasks for t in step))),
     )
-    return (LogChange("job_ended", labels),)
+    return (
+        LogChange("job_ended", labels),
+        Observe("job_completion_seconds", age_ms / 1_000, counted),
+    )
 
 
 # --- runs ----------------------------------------------------------------
@@ -169,16 +186,13 @@
 @apply_command.register
 def _(command: StartTasks, cluster: ClusterState, entry: LogEntry) -> Applied:
     table = cluster.jobs
-    logs: list[LogChange] = []
+    effects: list[ClusterEffect] = []
     for start in command.starts:
         if _may_start(table, start):
-            _place(cluster, start)
-            logs.append(
-                LogChange("run_placed", (*run_labels(start.run), _worker(start.worker)))
-            )
+            effects += _place(cluster, start)
     table.plan = command.plan
     table.revision += 1
-    return Applied(Done(), tuple(logs))
+    return Applied(Done(), tuple(effects))
 
 
 def _may_start(table: JobTable, start: TaskStart) -> bool:
@@ -195,76 +209,97 @@
     )
 
 
-def _place(cluster: ClusterState, start: TaskStart) -> None:
+def _place(cluster: ClusterState, start: TaskStart) -> list[ClusterEffect]:
     table = cluster.jobs
     task_id = start.run.task
     task = table.task(task_id)
     if task is None:
-        return
+        return []
     task.phase = TaskPhase.PLACED
     task.run = start.run.number
     task.worker = start.worker
     task.placed_ms = cluster.now_ms
     table.placed.setdefault(start.worker, {})[task_id] = start.run.number
     job = table.jobs[task_id.job_id]
+    queue = (Label("queue", job.queue),)
+    labels = (*run_labels(start.run), _worker(start.worker))
+    effects: list[ClusterEffect] = [
+        LogChange("run_placed", labels),
+        Count("runs_placed_total", labels=queue),
+    ]
     if job.phase is JobPhase.QUEUED:
         job.phase = JobPhase.RUNNING
+        waited_s = (cluster.now_ms - job.accepted_ms) / 1_000
+        effects.append(Observe("job_start_seconds", waited_s, queue))
+    return effects
 
 
 @apply_command.register
 def _(command: RecordEnds, cluster: ClusterState, entry: LogEntry) -> Applied:
     table = cluster.jobs
     seen = table.seen_ends.get(command.worker, 0)
-    logs: list[LogChange] = []
+    effects: list[ClusterEffect] = []
     for end in command.ends:
         if 0 < end.number <= seen:
             continue
-        logs += _record_end(cluster, command.worker, end)
+        effects += _record_end(cluster, command.worker, end)
     table.seen_ends[command.worker] = max(seen, command.seen)
     table.revision += 1
-    return Applied(Done(), tuple(logs))
+    return Applied(Done(), tuple(effects))
 
 
-def _record_end(cluster: ClusterState, worker: str, end: TaskEnd) -> list[LogChange]:
+def _record_end(
+    cluster: ClusterState, worker: str, end: TaskEnd
+) -> list[ClusterEffect]:
     table = cluster.jobs
     _take_off(table, worker, end.run)
     task = table.current_run(end.run)
     if task is not None and end.checkpoint:
         _keep_checkpoint(table, end.run, end.checkpoint)
-    logs = [_run_ended(cluster, worker, end.run, end.kind.value, task)]
+    effects = _run_ended(cluster, worker, end.run, end.kind.value, task)
     if task is None:
         # The run was given up before, because its lease was over.
-        return logs
+        return effects
     if end.kind is not EndKind.DONE:
         task.phase = TaskPhase.WAITING
         task.worker = ""
     job = table.jobs[end.run.task.job_id]
-    return [*logs, *_take_end(end.kind, cluster, job, end, worker)]
+    return [*effects, *_take_end(end.kind, cluster, job, end, worker)]
 
 
 def _run_ended(
     cluster: ClusterState, worker: str, run: RunId, kind: str, task: Task | None
-) -> LogChange:
-    """Return the log line for the end of a run; `task` is None if outdated."""
+) -> list[ClusterEffect]:
+    """Report the end of a run; `task` is None if it was given up before."""
     labels = (*run_labels(run), _worker(worker), Label("kind", kind))
     if task is None:
-        return LogChange("run_ended", (*labels, Label("outdated", "true")))
-    demand = cluster.jobs.jobs[run.task.job_id].steps[run.task.step].demand
-    return LogChange(
+        return [LogChange("run_ended", (*labels, Label("outdated", "true")))]
+    job = cluster.jobs.jobs[run.task.job_id]
+    demand = job.steps[run.task.step].demand
+    ran_ms = cluster.now_ms - task.placed_ms
+    log = LogChange(
         "run_ended",
         (
             *labels,
-            Label("ran_ms", str(cluster.now_ms - task.placed_ms)),
+            Label("ran_ms", str(ran_ms)),
             Label("cpu_millis", str(demand.cpu_millis)),
             Label("accelerators", str(demand.accelerators)),
             Label("resumable", str(bool(task.checkpoint)).lower()),
         ),
     )
+    ended = Count(
+        "runs_ended_total", labels=(Label("queue", job.queue), Label("kind", kind))
+    )
+    if kind == EndKind.DONE.value or task.checkpoint:
+        return [log, ended]
+    lost = round(demand.cores * ran_ms / 1_000)
+    counted = (Label("kind", kind),)
+    return [log, ended, Count("lost_work_core_seconds_total", lost, counted)]
 
 
 def _take_end(
     kind: EndKind, cluster: ClusterState, job: Job, end: TaskEnd, worker: str
-) -> list[LogChange]:
+) -> list[ClusterEffect]:
     """Let the end of a run act on its job."""
     if kind is EndKind.DONE:
         return _take_done(cluster, job, end.run)
@@ -273,7 +308,7 @@
     return []
 
 
-def _take_done(cluster: ClusterState, job: Job, run: RunId) -> list[LogChange]:
+def _take_done(cluster: ClusterState, job: Job, run: RunId) -> list[ClusterEffect]:
     step = job.steps[run.task.step]
     tasks = job.tasks[run.task.step]
     done = tasks if step.gang else [tasks[run.task.index]]
@@ -289,7 +324,7 @@
 
 def _take_failure(
     cluster: ClusterState, job: Job, run: RunId, worker: str
-) -> list[LogChange]:
+) -> list[ClusterEffect]:
     step = job.steps[run.task.step]
     tasks = job.tasks[run.task.step]
     if step.gang:
@@ -314,19 +349,19 @@
     table = cluster.jobs
     placed = table.placed.pop(command.worker, {})
     _keep_checkpoints(table, command.checkpoints)
-    logs: list[LogChange] = []
+    effects: list[ClusterEffect] = []
     for task_id, number in placed.items():
         run = RunId(task_id, number)
         task = table.current_run(run)
         if task is not None and task.worker == command.worker:
-            logs.append(_run_ended(cluster, command.worker, run, "lost", task))
+            effects += _run_ended(cluster, command.worker, run, "lost", task)
             task.phase = TaskPhase.WAITING
             task.worker = ""
     table.revision += 1
     log = LogChange(
         "worker_lost", (_worker(command.worker), Label("runs", str(len(placed))))
     )
-    return Applied(Done(), (log, *logs))
+    return Applied(Done(), (log, *effects))
 
 
 @apply_command.register
@@ -360,15 +395,5 @@
         task.checkpoint = checkpoint
 
 
-def run_labels(run: RunId) -> tuple[Label, ...]:
-    """Return the labels that name a run in a log line."""
-    task = run.task
-    return (
-        Label("job", task.job_id),
-        Label("task", f"{task.job_id}.{task.occurrence}.{task.step}.{task.index}"),
-        Label("run", str(run.number)),
-    )
-
-
 def _worker(key: str) -> Label:
     return Label("worker", key)
--- a/packages/core/crocuswell_core/jobs/job_records.py
+++ b/packages/core/crocuswell_core/jobs/job_records.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+# Processor cores that one accelerator counts as when work is compared.
+CORES_PER_ACCELERATOR = 8
+
 
 @attrs.frozen(cache_hash=True)
 class Room:
@@ -37,6 +40,11 @@
             self.accelerators - other.accelerators,
         )
 
+    @property
+    def cores(self) -> float:
+        """Processor cores, an accelerator counted as several."""
+        return self.cpu_millis / 1_000 + CORES_PER_ACCELERATOR * self.accelerators
+
     def times(self, count: int) -> "Room":
         """Return this amount `count` times."""
         return Room(
--- a/packages/core/crocuswell_core/jobs/job_table.py
+++ b/packages/core/crocuswell_core/jobs/job_table.py
@@ -16,6 +16,8 @@
     ----------
     revision : int
         Grows with each change that dispatching must look at.
+    catalog_ms : int
+        Cluster time in ms at which the catalog was replaced.
     plan : str
         Name of the newest applied plan.
     seen_ends : dict
@@ -26,6 +28,7 @@
 
     revision: int = 0
     catalog: Catalog | None = None
+    catalog_ms: int = 0
     plan: str = ""
     jobs: dict[str, Job] = attrs.Factory(dict)
     seen_ends: dict[str, int] = attrs.Factory(dict)
--- a/packages/core/crocuswell_core/links/link_messages.py
+++ b/packages/core/crocuswell_core/links/link_messages.py
@@ -93,6 +93,14 @@
         return boot_key(self.machine, self.id, self.born_ms)
 
 
+@attrs.frozen
+class EventCount:
+    """How often a runner has seen an event since its start."""
+
+    event: str
+    count: int
+
+
 @attrs.frozen
 class WorkerReport:
     """All that a runner knows of its worker.
@@ -111,6 +119,8 @@
         Whether the worker said that it ends and no longer answers.
     absent : tuple of RunId
         Ordered runs that are not there and that the worker refuses now.
+    events : tuple of EventCount
+        Counts that changed since the newest report on this stream.
     """
 
     sequence: int
@@ -121,6 +131,7 @@
     ended: tuple[TaskEnd, ...] = ()
     absent: tuple[RunId, ...] = ()
     gone: bool = False
+    events: tuple[EventCount, ...] = ()
 
 
 ClientMessage = Attach | LinkKeepalive | ForwardCall | JoinGroup | WorkerReport
--- a/packages/core/crocuswell_core/links/uplink.py
+++ b/packages/core/crocuswell_core/links/uplink.py
@@ -17,6 +17,7 @@
     Effect,
     Label,
     LogChange,
+    Observe,
     OpenEntryStream,
     SendEntry,
     StartTimer,
@@ -162,7 +163,11 @@
         Label("term", str(message.term)),
         Label("without_ms", str(now_ms - uplink.lost_ms)),
     )
-    return [LogChange("leader_attached", labels)]
+    absence_s = (now_ms - uplink.lost_ms) / 1_000
+    return [
+        LogChange("leader_attached", labels),
+        Observe("leader_absence_seconds", absence_s),
+    ]
 
 
 def _redirect(uplink: Uplink, now_ms: int, message: Redirect) -> list[Effect]:
--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -9,14 +9,15 @@
 
 import attrs
 
+from crocuswell_core.jobs.run_labels import run_labels
 from crocuswell_core.links import uplink as links
 from crocuswell_core.links.link_messages import (
+    EventCount,
     LeaseGrant,
     RunOrders,
     WorkerDescription,
     WorkerReport,
 )
-from crocuswell_core.links.run_labels import member_labels
 from crocuswell_core.runner.runner_state import (
     OrderPhase,
     RunnerState,
@@ -132,6 +133,7 @@
         return effects
     if state.uplink.is_attached and not was_attached:
         state.fence = max(state.fence, state.uplink.term)
+        state.events_sent = {}
         _drop_unsent_starts(state)
         return [*effects, *_report(state)]
     return [*effects, *_take_host_message(event.message, state)]
@@ -358,10 +360,11 @@
     start = state.starts.get(call.run)
     if start is None:
         return []
+    _count_event(state, f"start {_kind(reply)}")
     if isinstance(reply, RunTaken):
         del state.starts[call.run]
         return []
-    labels = (*member_labels(call.run), Label("reply", _reason(reply)))
+    labels = (*run_labels(call.run), Label("reply", _reason(reply)))
     effects: list[Effect] = [LogChange("start_not_taken", labels)]
     if isinstance(reply, RunRefused):
         # An earlier copy of the order may still arrive; the stop makes the
@@ -379,6 +382,7 @@
     stop = state.stops.get(call.run)
     if stop is None:
         return []
+    _count_event(state, f"stop {_kind(reply)}")
     if isinstance(reply, (RunTaken, RunRefused)):
         stop.phase = OrderPhase.ANSWERED
         stop.stale_list = state.listing
@@ -397,6 +401,7 @@
         if not state.reachable:
             return []
         state.reachable = False
+        _count_event(state, "worker unreachable")
         labels = (Label("worker", call.worker), Label("reply", _reason(reply)))
         return [LogChange("worker_unreachable", labels), *_report(state)]
     if state.beat is None or reply.born_ms not in (0, state.beat.born_ms):
@@ -446,12 +451,36 @@
             del state.absent[run]
 
 
+@singledispatch
 def _reason(reply: WorkerReply) -> str:
-    if isinstance(reply, RunRefused):
-        return reply.reason
-    if isinstance(reply, NoAnswer):
-        return reply.detail
-    return "other_boot" if isinstance(reply, OtherBoot) else type(reply).__name__
+    """Return what a reply says, in a word or two."""
+    return "ok"
+
+
+@_reason.register
+def _(reply: RunRefused) -> str:
+    return reply.reason
+
+
+@_reason.register
+def _(reply: NoAnswer) -> str:
+    return reply.detail
+
+
+@_reason.register
+def _(reply: OtherBoot) -> str:
+    return "other_boot"
+
+
+@singledispatch
+def _kind(reply: WorkerReply) -> str:
+    """Return the name of a reply in the counts; from a bounded set."""
+    return _reason(reply)
+
+
+@_kind.register
+def _(reply: NoAnswer) -> str:
+    return "no_answer"
 
 
 # --- lists and reports ---------------------------------------------------
@@ -496,6 +525,20 @@
     return effects
 
 
+def _count_event(state: RunnerState, event: str) -> None:
+    state.events[event] = state.events.get(event, 0) + 1
+
+
+def _changed_events(state: RunnerState) -> tuple[EventCount, ...]:
+    changed = tuple(
+        EventCount(event, count)
+        for event, count in state.events.items()
+        if state.events_sent.get(event) != count
+    )
+    state.events_sent.update((item.event, item.count) for item in changed)
+    return changed
+
+
 def _report(state: RunnerState) -> list[Effect]:
     if not state.uplink.is_attached:
         return []
@@ -513,5 +556,6 @@
         ended=state.ended,
         absent=tuple(state.absent),
         gone=state.left and not state.reachable,
+        events=_changed_events(state),
     )
     return links.send(state.uplink, state.now_ms, report)
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -96,6 +96,8 @@
         that it was sent.
     listing : bool
         Whether a list is under way.
+    events, events_sent : dict
+        Counts of events, and those that the leader was sent on this stream.
     """
 
     cfg: RunnerConfig
@@ -120,4 +122,6 @@
     starts: dict[RunId, StartOrder] = attrs.Factory(dict)
     stops: dict[RunId, StopOrder] = attrs.Factory(dict)
     absent: dict[RunId, int] = attrs.Factory(dict)
+    events: dict[str, int] = attrs.Factory(dict)
+    events_sent: dict[str, int] = attrs.Factory(dict)
     stopping_since_ms: int | None = None
--- a/packages/core/crocuswell_core/runtime/effects.py
+++ b/packages/core/crocuswell_core/runtime/effects.py
@@ -229,6 +229,15 @@
     labels: tuple[Label, ...] = ()
 
 
+@attrs.frozen
+class SetGauge:
+    """Set a gauge to a value that replaces the one before."""
+
+    gauge: str
+    value: float
+    labels: tuple[Label, ...] = ()
+
+
 class ChangeLevel(enum.Enum):
     """Weight of a change of state in the log."""
 
@@ -336,6 +345,7 @@
     | CancelTimer
     | Count
     | Observe
+    | SetGauge
     | LogChange
     | SetReady
     | Halt
--- a/packages/daemon/crocuswell_daemon/counters.py
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -16,12 +16,15 @@
     labels : tuple of str
         Label names in order; their values come from bounded sets.
     buckets : tuple of float
-        Upper bounds of a histogram's buckets; empty for a counter.
+        Upper bounds of a histogram's buckets; empty for the other kinds.
+    is_gauge : bool
+        Whether a new value replaces the one before.
     """
 
     help: str
     labels: tuple[str, ...] = ()
     buckets: tuple[float, ...] = ()
+    is_gauge: bool = False
 
 
 # The bounds contain 2.2 s, the limit for urgent work.
@@ -30,6 +33,12 @@
     *(300.0, 1_800.0, 3_600.0, 14_400.0, 86_400.0),
 )
 
+# Waits for the leader and the disk; the longest call is given up after 2.4 s.
+SHORT_SECONDS = (
+    *(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2),
+    *(0.5, 1.0, 2.4, 5.0, 15.0, 60.0),
+)
+
 METRICS: dict[str, Metric] = {
     "agent_events_total": Metric("Events counted by agents", ("event",)),
     "agent_messages_dropped": Metric(
@@ -37,9 +46,42 @@
     ),
     "agent_streams_refused": Metric("Agent streams beyond the limit"),
     "agent_streams_silent_total": Metric("Agent streams closed for silence"),
+    "calls_total": Metric("Callers' calls that a front answered", ("call", "answer")),
+    "call_seconds": Metric(
+        "Time from a call's arrival to its answer", ("call",), SHORT_SECONDS
+    ),
+    "catalog_age_seconds": Metric(
+        "Time from the catalog's commit to the newest log entry", is_gauge=True
+    ),
+    "catalog_version": Metric("Version of the catalog that is held", is_gauge=True),
+    "elections_total": Metric("Campaigns of this host"),
+    "election_seconds": Metric(
+        "Time from the last word of a leader to leading", buckets=SHORT_SECONDS
+    ),
     "front_answers_late": Metric("Answers of the leader that came too late"),
     "http_answers_late": Metric("Answers to calls that nobody waited for"),
     "http_responses": Metric("HTTP responses", ("status",)),
+    "job_calls_refused_total": Metric(
+        "Submissions and cancellations that were refused", ("call", "kind")
+    ),
+    "job_completion_seconds": Metric(
+        "Time from acceptance to the job's end", ("queue", "phase"), SECONDS
+    ),
+    "job_start_seconds": Metric(
+        "Time from acceptance to the first start", ("queue",), SECONDS
+    ),
+    "jobs_accepted_total": Metric("Accepted jobs", ("queue",)),
+    "jobs_open": Metric("Jobs that have not ended", is_gauge=True),
+    "leader": Metric("Whether this host leads, 1 or 0", is_gauge=True),
+    "leader_absence_seconds": Metric(
+        "Time without a stream to the leader", buckets=SHORT_SECONDS
+    ),
+    "leases_granted_total": Metric("Grants of leases to runners"),
+    "log_lines_dropped": Metric("Log lines that were not written", is_gauge=True),
+    "log_sync_seconds": Metric("Time to write and sync a batch", buckets=SHORT_SECONDS),
+    "lost_work_core_seconds_total": Metric(
+        "Core seconds of runs that ended neither done nor resumable", ("kind",)
+    ),
     "moves_total": Metric("Attempts moved to make room for a gang"),
     "peer_connects_failed": Metric("Failed attempts to open a link", ("peer",)),
     "peer_links_lost": Metric("Lost links to entry hosts", ("peer",)),
@@ -59,9 +101,18 @@
     "requests_refused_total": Metric("Refused requests", ("workspace", "kind")),
     "reservations_unconfirmed_total": Metric("Gangs whose agents did not confirm"),
     "retries_total": Metric("Retries of requests", ("workspace",)),
+    "runner_events_total": Metric("Events counted by runners", ("event",)),
+    "runs_ended_total": Metric("Ends of runs", ("queue", "kind")),
+    "runs_placed_total": Metric("Runs that were given to a worker", ("queue",)),
+    "runs_stopped_total": Metric("Runs stopped by the leader", ("reason",)),
+    "snapshots_installed_total": Metric("Snapshots received from the leader"),
+    "snapshots_saved_total": Metric("Snapshots of this host's own state"),
+    "term": Metric("Newest term that this host knows", is_gauge=True),
     "usage_contradictions_total": Metric(
         "Usage reports that contradict the tables", ("kind",)
     ),
+    "workers": Metric("Workers in reach of the leader", ("state",), is_gauge=True),
+    "workers_lost_total": Metric("Workers whose runs were given up", ("reason",)),
     "yields_total": Metric("Long borrowers stopped for short work"),
 }
 
@@ -100,3 +151,7 @@
     def observe(self, name: str, value: float, labels: tuple[Label, ...]) -> None:
         """Count the observation; the value is left out."""
         self.count(name, 1, labels)
+
+    def set_gauge(self, name: str, value: float, labels: tuple[Label, ...]) -> None:
+        """Keep the newest value; labels are left out."""
+        self.values[name] = int(value)
--- a/packages/daemon/crocuswell_daemon/http_api.py
+++ b/packages/daemon/crocuswell_daemon/http_api.py
@@ -29,7 +29,12 @@
     Submission,
     parse_exchange,
 )
-from crocuswell_daemon.http_messages import HttpRequest, HttpResponse, json_response
+from crocuswell_daemon.http_messages import (
+    HttpRequest,
+    HttpResponse,
+    json_response,
+    metrics_response,
+)
 from crocuswell_daemon.http_replies import AcceptedRequest, RequestResult, to_response
 from crocuswell_daemon.http_server import THREADS, CallerServer
 from crocuswell_daemon.http_wsgi import read_request, send_response
@@ -42,7 +47,6 @@
 RESERVED_THREADS = 4
 CALLS_LIMIT = THREADS - RESERVED_THREADS
 WAITING_LIMIT = 44
-METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 logger = logging.getLogger(__name__)
 
@@ -168,7 +172,7 @@
         return json_response(status.value, {"ready": self._desk.ready})
 
     def _metrics_page(self) -> HttpResponse:
-        return HttpResponse(200, self._metrics(), METRICS_TYPE)
+        return metrics_response(self._metrics())
 
 
 @singledispatch
--- a/packages/daemon/crocuswell_daemon/http_messages.py
+++ b/packages/daemon/crocuswell_daemon/http_messages.py
@@ -1,10 +1,13 @@
 """HTTP requests and responses as values."""
 
 import json
+from http import HTTPStatus
 from typing import Any
 
 import attrs
 
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
 
 @attrs.frozen
 class Header:
@@ -53,6 +56,11 @@
     headers: tuple[Header, ...] = ()
 
 
+def metrics_response(body: bytes) -> HttpResponse:
+    """Return a response with metrics in the Prometheus text format."""
+    return HttpResponse(HTTPStatus.OK, body, METRICS_TYPE)
+
+
 def json_response(
     status: int,
     document: Any,
--- a/packages/daemon/crocuswell_daemon/interpreter.py
+++ b/packages/daemon/crocuswell_daemon/interpreter.py
@@ -36,6 +36,9 @@
     def observe(self, name: str, value: float, labels: tuple[fx.Label, ...]) -> None:
         """Record a value in a histogram."""
 
+    def set_gauge(self, name: str, value: float, labels: tuple[fx.Label, ...]) -> None:
+        """Set a gauge."""
+
 
 class ChangeLog(Protocol):
     """The log for people."""
@@ -191,6 +194,11 @@
     parts.counters.observe(effect.histogram, effect.value, effect.labels)
 
 
+@carry_out.register
+def _(effect: fx.SetGauge, parts: Parts) -> None:
+    parts.counters.set_gauge(effect.gauge, effect.value, effect.labels)
+
+
 @carry_out.register
 def _(effect: fx.LogChange, parts: Parts) -> None:
     parts.log.write(effect)
--- a/packages/daemon/crocuswell_daemon/logs.py
+++ b/packages/daemon/crocuswell_daemon/logs.py
@@ -47,6 +47,7 @@
         self._clock = clock
         self._second = 0
         self._counts: dict[str, int] = {}
+        self._reported = 0
         self.dropped = 0
 
     def permits(self, event: str) -> bool:
@@ -64,8 +65,9 @@
 
     def take_dropped(self) -> int:
         """Return the number of lines dropped since the last call."""
-        dropped, self.dropped = self.dropped, 0
-        return dropped
+        fresh = self.dropped - self._reported
+        self._reported = self.dropped
+        return fresh
 
 
 class LogWriter:
@@ -81,6 +83,12 @@
         self._process = process
         self._budget = budget or LineBudget()
 
+    def count_dropped(self) -> int:
+        """Return the number of lines that were not written; for any thread."""
+        handlers = logging.getLogger().handlers
+        unread = sum(h.dropped for h in handlers if isinstance(h, BoundedHandler))
+        return self._budget.dropped + unread
+
     def write(self, change: LogChange) -> None:
         """Write one line, unless the event has used up its budget."""
         level = LEVELS[change.level]
--- a/packages/daemon/crocuswell_daemon/metrics.py
+++ b/packages/daemon/crocuswell_daemon/metrics.py
@@ -1,8 +1,11 @@
-"""Metrics of an entry host, for `prometheus_client`."""
+"""Metrics of a process, for `prometheus_client`."""
+
+from collections.abc import Callable
 
 from prometheus_client import (
     CollectorRegistry,
     Counter,
+    Gauge,
     Histogram,
     generate_latest,
 )
@@ -22,7 +25,7 @@
 
 
 class Metrics:
-    """Counters and histograms of the table in `counters`.
+    """Counters, histograms and gauges of the table in `counters`.
 
     Parameters
     ----------
@@ -34,6 +37,7 @@
         self.registry = registry or CollectorRegistry()
         self._counters: dict[str, Counter] = {}
         self._histograms: dict[str, Histogram] = {}
+        self._gauges: dict[str, Gauge] = {}
         self._label_sets: dict[str, set[tuple[Label, ...]]] = {}
         for name, metric in METRICS.items():
             self._declare(name, metric)
@@ -69,7 +73,25 @@
         values = [label.value for label in labels]
         (histogram.labels(*values) if values else histogram).observe(value)
 
+    def set_gauge(self, name: str, value: float, labels: tuple[Label, ...]) -> None:
+        """Set a gauge."""
+        gauge = self._gauges.get(name)
+        if gauge is None or not self._is_known(name, labels):
+            self._unknown.inc()
+            return
+        values = [label.value for label in labels]
+        (gauge.labels(*values) if values else gauge).set(value)
+
+    def read_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Ask for a gauge's value whenever the metrics are rendered."""
+        self._gauges[name].set_function(read)
+
     def _declare(self, name: str, metric: Metric) -> None:
+        if metric.is_gauge:
+            self._gauges[name] = Gauge(
+                PREFIX + name, metric.help, metric.labels, registry=self.registry
+            )
+            return
         if metric.buckets:
             self._histograms[name] = Histogram(
                 PREFIX + name,
--- a/packages/daemon/crocuswell_daemon/runtime.py
+++ b/packages/daemon/crocuswell_daemon/runtime.py
@@ -16,6 +16,7 @@
     Halt,
     Label,
     LogChange,
+    Observe,
     Persist,
     Record,
 )
@@ -156,12 +157,14 @@
                 return _halt_for_fault(f"reducing {type(event).__name__}", exc)
         records = [e.record for e in effects if isinstance(e, Persist)]
         if records:
+            begun_s = time.monotonic()
             try:
                 await self._write(records)
             except StorageError as exc:
                 return Halt(exc.kind, str(exc))
             except Exception as exc:  # a record that can't be written
                 return _halt_for_fault("writing records", exc)
+            effects.append(Observe("log_sync_seconds", time.monotonic() - begun_s))
         try:
             return runner.carry_out(e for e in effects if not isinstance(e, Persist))
         except Exception as exc:  # part of the effects may be missing
--- a/packages/daemon/crocuswell_daemon/tags.py
+++ b/packages/daemon/crocuswell_daemon/tags.py
@@ -156,6 +156,7 @@
     link_messages.RunOrders,
     link_messages.LeaseGrant,
     job_commands.RecordCheckpoints,
+    link_messages.EventCount,
 )
 
 TAG_OF: dict[type, int] = {
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Iterable
 
+from crocuswell_core.agreement import replication
 from crocuswell_core.agreement.committed import apply_entry
 from crocuswell_core.cluster.cluster_state import ClusterState
 from crocuswell_core.cluster.commands import (
@@ -164,12 +165,14 @@
     def tick(self) -> list[Effect]:
         return self.post(TimerFired(ControlTimer()))
 
-    def propose(self, command: Command) -> None:
-        from crocuswell_core.agreement import replication  # noqa: PLC0415
-
+    def apply(self, command: Command) -> list[Effect]:
+        """Propose a command and return the effects of applying it."""
         effects = replication.propose(self.state, Proposal("", "", command))
         assert effects
-        self.post()
+        return self.post()
+
+    def propose(self, command: Command) -> None:
+        self.apply(command)
 
     def attach(self, stream_id: int) -> None:
         self.post(AgentMessageReceived(stream_id, Attach(f"runner-{stream_id}")))
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -24,11 +24,12 @@
     """Return kind and name of each metric that the packages emit."""
     for path in sorted(PACKAGES.rglob("*.py")):
         for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
-            if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Name):
+            if not isinstance(node, ast.Call):
                 continue
-            if node.func.id in ("Count", "Observe"):
+            name = getattr(node.func, "id", getattr(node.func, "attr", ""))
+            if name in ("Count", "Observe", "SetGauge", "read_gauge"):
                 assert isinstance(node.args[0], ast.Constant), (path, node.lineno)
-                yield node.func.id, node.args[0].value
+                yield name, node.args[0].value
 
 
 def test_every_emitted_metric_is_in_the_table() -> None:
@@ -36,6 +37,7 @@
     for kind, name in set(emitted()):
         assert name in METRICS
         assert bool(METRICS[name].buckets) == (kind == "Observe"), name
+        assert METRICS[name].is_gauge == (kind in ("SetGauge", "read_gauge")), name
 
 
 def test_the_table_has_no_unused_rows() -> None:
@@ -114,6 +116,21 @@
     assert found[PREFIX + "unknown_metric_total", ""] == 10
 
 
+def test_gauges_show_the_newest_value() -> None:
+    """Guards against a gauge that adds up, or shows an old value."""
+    metrics = Metrics()
+    metrics.set_gauge("workers", 3, (Label("state", "usable"),))
+    metrics.set_gauge("workers", 2, (Label("state", "usable"),))
+    metrics.set_gauge("workers", 2, ())
+    dropped = [7.0]
+    metrics.read_gauge("log_lines_dropped", lambda: dropped[0])
+    dropped[0] = 9.0
+    found = values(metrics)
+    assert found["crocuswell_workers", "usable"] == 2
+    assert found["crocuswell_log_lines_dropped", ""] == 9
+    assert found["crocuswell_unknown_metric_total", ""] == 1
+
+
 def test_plain_counters_add_up() -> None:
     """Guards against an agent that counts only the last amount."""
     counters = PlainCounters()
