Use an idle fleet for steps that wait for a rack or for held room

Change: a waiting gang keeps the rack that it waits for; among equal workers the fullest rack is taken first; and a step that found room twice over in a fleet that is mostly idle for 1.5 s takes it, held or not, a gang also over racks. Three tests that fail without it.

--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -107,6 +107,11 @@
         Claims by job id and number of the step.
     recorded_ms : int
         Time in ms at which checkpoints were last proposed.
+    held_racks : dict
+        Rack that is kept free for a waiting gang, by job id and step.
+    roomy_since_ms : dict
+        Time in ms since which a step that waits would find ample room that
+        is held for others or lies in other racks, by job id and step.
     """
 
     term: int = -1
@@ -120,6 +125,8 @@
     stopping: set[RunId] = attrs.Factory(set)
     claims: dict["StepKey", Claim] = attrs.Factory(dict)
     recorded_ms: int = 0
+    held_racks: dict["StepKey", str] = attrs.Factory(dict)
+    roomy_since_ms: dict["StepKey", int] = attrs.Factory(dict)
 
 
 StepKey = tuple[str, int]
@@ -156,8 +163,13 @@
         held_ms = self.held_ms
         if held_ms is not None and estimated_ms > held_ms and key not in self.claims:
             self.room = Room()
-            return
-        self.room = self.free
+        else:
+            self.room = self.unclaimed(key)
+
+    def unclaimed(self, key: StepKey) -> Room:
+        """Return the free room that is not kept for other steps."""
+        room = self.free
         for owner, claimed in self.claims.items():
             if owner != key:
-                self.room = self.room - claimed
+                room = room - claimed
+        return room
--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -3,12 +3,18 @@
 from crocuswell_core.dispatching.dispatch_state import Space
 from crocuswell_core.dispatching.ranking import RankedStep
 from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.jobs.job_records import Room
 
 Places = dict[int, Space]
 # Share of the fleet that one step which can wait takes at a time.
 WAVE_SHARE = 0.25
 # Share of the fleet that work which can wait leaves free.
 RESERVED_SHARE = 0.2
+# A step takes room that is held for others, and a gang is spread over racks,
+# once most of the fleet was idle and had room for it this many times.
+AMPLE_ROOM = 2
+AMPLE_ROOM_MS = 1_500
+IDLE_SHARE = 0.5
 
 
 def choose_places(ranked: RankedStep, spaces: list[Space], limit: int) -> Places:
@@ -48,6 +54,7 @@
     """Place as many tasks as fit, on the fullest workers that hold them."""
     places: Places = {}
     free = {id(space): space.room for space in spaces}
+    rack_room = _rack_room(spaces)
     counts = _counts(ranked, spaces)
     limit = ranked.step.per_worker_limit
     for index in ranked.waiting[:most]:
@@ -67,6 +74,8 @@
                 _is_remote(ranked, s),
                 free[id(s)].accelerators,
                 free[id(s)].cpu_millis,
+                # Whole racks stay free for gangs.
+                rack_room[s.view.worker.rack],
             ),
         )
         places[index] = best
@@ -99,6 +108,14 @@
     return racks
 
 
+def _rack_room(spaces: list[Space]) -> dict[str, int]:
+    """Return the free accelerators of each rack."""
+    return {
+        rack: sum(space.free.accelerators for space in members)
+        for rack, members in by_rack(spaces).items()
+    }
+
+
 def copies_on(ranked: RankedStep, space: Space) -> int:
     """Return how many tasks of the step fit on a worker."""
     limit = ranked.step.per_worker_limit
@@ -150,12 +167,14 @@
 def _place_gang(ranked: RankedStep, spaces: list[Space]) -> Places:
     """Place all tasks on few workers, the fullest of them first."""
     failed_on = _failed_on(ranked)
+    rack_room = _rack_room(spaces)
     ordered = sorted(
         (space for space in spaces if copies_on(ranked, space)),
         key=lambda s: (
             s.view.worker.id in failed_on,
             _is_remote(ranked, s),
             s.room.accelerators,
+            rack_room[s.view.worker.rack],
         ),
     )
     places: Places = {}
@@ -168,17 +187,50 @@
     return {}
 
 
+def take_ample_room(
+    state: EntryState, ranked: RankedStep, spaces: list[Space], limit: int
+) -> Places:
+    """Place a step in a fleet that is idle but for what it is held for."""
+    since_ms = state.dispatch.roomy_since_ms
+    for space in spaces:
+        space.room = space.unclaimed(ranked.key)
+    copies = sum(copies_on(ranked, space) for space in spaces)
+    needed = ranked.missing if ranked.step.gang else 1
+    if copies < AMPLE_ROOM * needed or not _is_idle(spaces):
+        since_ms.pop(ranked.key, None)
+        return {}
+    begun_ms = since_ms.setdefault(ranked.key, state.now_ms)
+    if state.now_ms - begun_ms < AMPLE_ROOM_MS:
+        return {}
+    places = choose_places(ranked, spaces, limit)
+    if places or not ranked.step.gang:
+        return places
+    return _place_gang(ranked, spaces)
+
+
+def _is_idle(spaces: list[Space]) -> bool:
+    """Tell whether most of some resource of the workers is free."""
+    free, capacity = Room(), Room()
+    for space in spaces:
+        free = free + space.free
+        capacity = capacity + space.view.worker.capacity
+    return (
+        free.cpu_millis > capacity.cpu_millis * IDLE_SHARE
+        or free.accelerators > capacity.accelerators * IDLE_SHARE
+    )
+
+
 def hold_room(state: EntryState, ranked: RankedStep, spaces: list[Space]) -> None:
     """Keep room free of other work for a step that has to wait.
 
     For a gang in one rack that is the rack that is nearest to holding it.
     Work that ends before the room is complete may use it meanwhile.
     """
-    racks = by_rack(spaces)
-    if not racks:
+    if not spaces:
         return
-    held = min(racks.values(), key=lambda members: _shortfall(ranked, members))
-    group = held if ranked.step.gang and ranked.step.same_rack else spaces
+    group = spaces
+    if ranked.step.gang and ranked.step.same_rack:
+        group = _rack_to_hold(state, ranked, spaces)
     if not _could_hold(ranked, group):
         # It needs workers that are away; others would wait for nothing.
         return
@@ -196,6 +248,19 @@
         )
 
 
+def _rack_to_hold(
+    state: EntryState, ranked: RankedStep, spaces: list[Space]
+) -> list[Space]:
+    """Return the workers of the rack that a gang waits for from now on."""
+    racks = by_rack(spaces)
+    held = state.dispatch.held_racks
+    rack = held.get(ranked.key, "")
+    if rack not in racks or not _could_hold(ranked, racks[rack]):
+        rack = min(racks, key=lambda name: _shortfall(ranked, racks[name]))
+        held[ranked.key] = rack
+    return racks[rack]
+
+
 def _remaining_ms(state: EntryState, space: Space) -> int:
     """Return the time in ms until the last run on a worker should end."""
     jobs = state.cluster.jobs.jobs
--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -4,7 +4,12 @@
 from crocuswell_core.cluster.commands import Proposal
 from crocuswell_core.dispatching import health
 from crocuswell_core.dispatching.dispatch_state import Claim, Space, StepKey
-from crocuswell_core.dispatching.packing import choose_places, hold_room, start_limit
+from crocuswell_core.dispatching.packing import (
+    choose_places,
+    hold_room,
+    start_limit,
+    take_ample_room,
+)
 from crocuswell_core.dispatching.preemption import Eviction, choose_eviction
 from crocuswell_core.dispatching.ranking import RankedStep, rank_steps
 from crocuswell_core.dispatching.worker_views import (
@@ -47,6 +52,8 @@
         if not limit:
             continue
         places = choose_places(ranked, usable, limit)
+        if not places and ranked.key not in dispatch.claims:
+            places = take_ample_room(state, ranked, usable, limit)
         if places:
             starts += _take(ranked, places)
             _drop_claim(state, ranked, spaces)
@@ -123,6 +130,9 @@
     """Note the room of open claims; drop those that are over."""
     claims = dispatch_of(state).claims
     waiting = {ranked.key for ranked in steps}
+    for table in (dispatch_of(state).held_racks, dispatch_of(state).roomy_since_ms):
+        for key in table.keys() - waiting:
+            del table[key]
     for key, claim in list(claims.items()):
         if key not in waiting or state.now_ms - claim.since_ms > CLAIM_LIMIT_MS:
             del claims[key]
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -320,3 +320,60 @@
     from crocuswell_core.links.link_messages import WorkerReport  # noqa: PLC0415
 
     return WorkerReport(9, W1, reachable=True)
+
+
+def test_gang_is_spread_over_racks_when_the_fleet_is_idle() -> None:
+    """Guards against a gang that waits for a rack while most workers idle."""
+    leader = Leader()
+    fleet = [worker(f"w{i}", f"r1-{i // 2}") for i in range(10)]
+    for stream_id in (1, 3, 5, 7, 9):
+        leader.report(stream_id, fleet[stream_id - 1])
+        leader.submit(f"j{stream_id}", step(1, accelerators=8), queue=TIGHT)
+    gang = step(2, gang=True, same_rack=True, per_worker_limit=1)
+    leader.submit("gang", gang, queue=TIGHT)
+
+    def gang_is_placed() -> bool:
+        for stream_id, described in enumerate(fleet, start=1):
+            runs = running(leader, described, percent=leader.now_ms // 100 % 90)
+            leader.report(stream_id, described, runs)
+        return any(t.job_id == "gang" for w in fleet for t in leader.placed(w))
+
+    placed_after = []
+    for _ in range(20):
+        placed_after.append(gang_is_placed())
+        leader.advance(100)
+        leader.tick()
+    assert not any(placed_after[:10])
+    assert placed_after[-1]
+
+
+def test_whole_racks_stay_free_for_gangs() -> None:
+    """Guards against single tasks that take one worker of each rack."""
+    leader = Leader()
+    fleet = [worker(f"w{i}", f"r1-{i // 2}") for i in range(6)]
+    for stream_id, described in enumerate(fleet, start=1):
+        leader.report(stream_id, described)
+    for index in range(2):
+        leader.submit(f"j{index}", step(1, accelerators=8), queue=TIGHT)
+    used = {described.rack for described in fleet if leader.placed(described)}
+    assert len(used) == 1
+
+
+def test_waiting_gang_keeps_its_rack() -> None:
+    """Guards against a gang whose held room moves from rack to rack."""
+    leader = Leader()
+    fleet = [worker(f"w{i}", f"r1-{i // 2}") for i in range(4)]
+    for stream_id, described in enumerate(fleet, start=1):
+        leader.report(stream_id, described)
+    for index in range(4):
+        leader.submit(f"j{index}", step(1, accelerators=8), queue=TIGHT)
+    leader.submit(
+        "gang", step(2, accelerators=8, gang=True, same_rack=True), queue=TIGHT
+    )
+    held = dict(leader.state.dispatch.held_racks)
+    assert set(held) == {("gang", 0)}
+    other = next(w for w in fleet if w.rack != held["gang", 0])
+    stream_id = fleet.index(other) + 1
+    (task,) = leader.placed(other)
+    leader.report(stream_id, other, ended=[end_of(RunId(task, 1), EndKind.DONE)])
+    assert leader.state.dispatch.held_racks == held
