Run jobs that repeat in time and work that lasts

Change: a job holds occurrences, each with its own tasks, gang failures and due time; one without a schedule has one. An occurrence is created by its first start, so a job of a thousand repetitions costs nothing until they are due. The leader starts an occurrence by its time of day. Lasting tasks go back to waiting however a run ends, count no attempts, are not taken for stalled, and leave a draining worker; a step with a limit on absences is not evicted. Jobs of queues that need advice were accepted and could never start; they are refused now.

--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -104,14 +104,14 @@
     stopping : set of RunId
         Runs that make room for others or stand still.
     claims : dict
-        Claims by job id and number of the step.
+        Claims by key of the step.
     recorded_ms : int
         Time in ms at which checkpoints were last proposed.
     held_racks : dict
-        Rack that is kept free for a waiting gang, by job id and step.
+        Rack that is kept free for a waiting gang, by key of the step.
     roomy_since_ms : dict
         Time in ms since which a step that waits would find ample room that
-        is held for others or lies in other racks, by job id and step.
+        is held for others or lies in other racks, by key of the step.
     """
 
     term: int = -1
@@ -129,7 +129,8 @@
     roomy_since_ms: dict["StepKey", int] = attrs.Factory(dict)
 
 
-StepKey = tuple[str, int]
+# Job id, number of the occurrence, and of the step.
+StepKey = tuple[str, int, int]
 
 
 @attrs.define
@@ -143,7 +144,7 @@
     placed : dict
         Placed tasks with their demand; their room is not free.
     claims : dict
-        Free room that is kept for a step, by job id and step.
+        Free room that is kept for a step, by its key.
     held_ms : int or None
         Time in ms for which the rest of the room may still be used until
         a more urgent step needs it; None if no step waits for it.
--- a/packages/core/crocuswell_core/dispatching/health.py
+++ b/packages/core/crocuswell_core/dispatching/health.py
@@ -60,6 +60,8 @@
     effects: list[Effect] = []
     marks: dict[RunId, ProgressMark] = {}
     for run, progress in view.running.items():
+        if _is_lasting(state, run):
+            continue
         mark = view.marks.get(run)
         if mark is None:
             mark = ProgressMark(progress.percent, state.now_ms)
@@ -80,6 +82,12 @@
     return effects
 
 
+def _is_lasting(state: EntryState, run: RunId) -> bool:
+    """Tell whether a run has no end of its own, and so no progress to it."""
+    job = state.cluster.jobs.jobs.get(run.task.job_id)
+    return job is not None and job.steps[run.task.step].lasting
+
+
 def evacuate(state: EntryState, view: WorkerView) -> list[Effect]:
     """Stop resumable runs that a leaving worker would take with it."""
     if not view.worker.draining:
@@ -91,7 +99,8 @@
             continue
         step = job.steps[run.task.step]
         left_ms = step.estimated_ms * (WHOLE_PERCENT - progress.percent) // 100
-        if not step.checkpointing or left_ms <= view.worker.remaining_ms:
+        stays = not step.checkpointing or left_ms <= view.worker.remaining_ms
+        if stays and not step.lasting:
             continue
         labels = (
             Label("worker", view.worker.key),
--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -58,7 +58,7 @@
     counts = _counts(ranked, spaces)
     limit = ranked.step.per_worker_limit
     for index in ranked.waiting[:most]:
-        failed_on = ranked.job.tasks[ranked.number][index].failed_on
+        failed_on = ranked.tasks[index].failed_on
         fitting = [
             space
             for space in spaces
@@ -93,7 +93,7 @@
     """Return how many tasks of the step each worker holds already."""
     return {
         id(space): sum(
-            task.job_id == ranked.job.id and task.step == ranked.number
+            (task.job_id, task.occurrence, task.step) == ranked.key
             for task in space.placed
         )
         for space in spaces
@@ -147,9 +147,7 @@
 
 def _failed_on(ranked: RankedStep) -> set[str]:
     """Return the ids of the workers on which runs of the step failed."""
-    return {
-        worker for task in ranked.job.tasks[ranked.number] for worker in task.failed_on
-    }
+    return {worker for task in ranked.tasks for worker in task.failed_on}
 
 
 def _failed_here(ranked: RankedStep, spaces: list[Space]) -> bool:
--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -113,8 +113,8 @@
 def _take(ranked: RankedStep, places: dict[int, Space]) -> list[TaskStart]:
     starts: list[TaskStart] = []
     for index, space in places.items():
-        task_id = TaskId(ranked.job.id, ranked.number, index)
-        task = ranked.job.tasks[ranked.number][index]
+        task_id = TaskId(ranked.job.id, ranked.number, index, ranked.occurrence.number)
+        task = ranked.tasks[index]
         space.free = space.free - ranked.step.demand
         space.placed[task_id] = ranked.step.demand
         starts.append(TaskStart(RunId(task_id, task.run + 1), space.view.worker.key))
--- a/packages/core/crocuswell_core/dispatching/preemption.py
+++ b/packages/core/crocuswell_core/dispatching/preemption.py
@@ -161,6 +161,8 @@
             continue
         if run in state.dispatch.stopping:
             continue
+        if table.jobs[task_id.job_id].steps[task_id.step].away_limit:
+            continue
         gang = tuple(_whole_gang(state, run))
         demand = space.placed[task_id]
         found.append(Victim(run, gang, demand, _lost_work(state, space, run, gang)))
@@ -194,5 +196,5 @@
     return [
         RunId(task_id, task.run)
         for task_id, task in state.cluster.jobs.placed_tasks(job)
-        if task_id.step == run.task.step
+        if (task_id.occurrence, task_id.step) == (run.task.occurrence, run.task.step)
     ]
--- a/packages/core/crocuswell_core/dispatching/ranking.py
+++ b/packages/core/crocuswell_core/dispatching/ranking.py
@@ -1,14 +1,21 @@
 """The order in which waiting steps are looked at."""
 
 import math
+from collections.abc import Iterator
 
 import attrs
 
 from crocuswell_core.dispatching.dispatch_state import StepKey
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.catalog import Catalog, Queue, queue_named
-from crocuswell_core.jobs.job_records import Job, StepSpec, TaskPhase
-from crocuswell_core.jobs.job_table import JobTable, step_is_due
+from crocuswell_core.jobs.job_records import (
+    Job,
+    Occurrence,
+    StepSpec,
+    Task,
+    TaskPhase,
+)
+from crocuswell_core.jobs.job_table import JobTable
 
 # A job that ends after this many times its objective earns nothing.
 WORTHLESS_STRETCH = 3
@@ -39,6 +46,7 @@
     """
 
     job: Job
+    occurrence: Occurrence
     number: int
     step: StepSpec
     service: str
@@ -53,13 +61,17 @@
     @property
     def done(self) -> int:
         """Number of tasks of the step that are done."""
-        tasks = self.job.tasks[self.number]
-        return sum(task.phase is TaskPhase.DONE for task in tasks)
+        return sum(task.phase is TaskPhase.DONE for task in self.tasks)
+
+    @property
+    def tasks(self) -> list[Task]:
+        """All tasks of the step."""
+        return self.occurrence.tasks[self.number]
 
     @property
     def key(self) -> StepKey:
-        """Job id and number of the step."""
-        return self.job.id, self.number
+        """Job id and numbers of the occurrence and the step."""
+        return self.job.id, self.occurrence.number, self.number
 
     @property
     def missing(self) -> int:
@@ -81,7 +93,8 @@
         queue = queue_named(catalog, job.queue)
         # A queue that left the catalog sends its work nowhere.
         if queue is not None:
-            ranked += _rank_job(state, guaranteed, job, queue)
+            for occurrence in due_occurrences(job, state.wall_ms):
+                ranked += _rank_steps_of(state, guaranteed, job, occurrence, queue)
     ranked.sort(key=lambda item: item.order)
     return ranked
 
@@ -104,46 +117,79 @@
     return sum(step.count * step.demand.accelerators for step in job.steps)
 
 
-def _rank_job(
-    state: EntryState, guaranteed: set[str], job: Job, queue: Queue
+def due_occurrences(job: Job, wall_ms: int) -> Iterator[Occurrence]:
+    """Yield the occurrences whose time has come and that are not done."""
+    schedule = job.schedule
+    count = schedule.count if schedule else 1
+    for number in range(count):
+        if schedule and schedule.due_ms(number) > wall_ms:
+            return
+        occurrence = job.occurrence(number)
+        if occurrence is not None and not occurrence.is_done:
+            yield occurrence
+
+
+def _rank_steps_of(
+    state: EntryState,
+    guaranteed: set[str],
+    job: Job,
+    occurrence: Occurrence,
+    queue: Queue,
 ) -> list[RankedStep]:
     ranked: list[RankedStep] = []
-    due_ms = job.accepted_ms + objective_ms(job, queue)
-    late = state.cluster.now_ms > job.accepted_ms + (
+    due_ms = occurrence.due_ms + objective_ms(job, queue)
+    late = state.cluster.now_ms > occurrence.due_ms + (
         WORTHLESS_STRETCH * objective_ms(job, queue)
     )
     urgent = queue.priority == 0
     slack_ms = due_ms - state.cluster.now_ms - chain_ms(job)
-    tier = 0 if urgent and job.owner in guaranteed else 3 if late else 1 + (not urgent)
     for number, step in enumerate(job.steps):
-        tasks = job.tasks[number]
+        tasks = occurrence.tasks[number]
         waiting = tuple(
             index for index, t in enumerate(tasks) if t.phase is TaskPhase.WAITING
         )
         if not waiting or (step.gang and len(waiting) < step.count):
             continue
-        if not step_is_due(job, number):
+        if not job.step_is_due(occurrence, number):
             continue
+        tier = _tier(urgent and job.owner in guaranteed, urgent, step, late)
         ranked.append(
             RankedStep(
                 job=job,
+                occurrence=occurrence,
                 number=number,
                 step=step,
                 service=queue.service,
                 waiting=waiting,
-                order=(tier, due_ms, job.accepted_ms),
+                order=(tier, due_ms, occurrence.due_ms),
                 priority=queue.priority,
                 may_preempt=urgent,
                 eviction_limit_core_s=(
                     math.inf if job.owner in guaranteed else EVICTION_LIMIT_CORE_S
                 ),
-                can_wait=not urgent and slack_ms > chain_ms(job) * WAITING_SLACK,
+                can_wait=(
+                    not urgent
+                    and not step.lasting
+                    and slack_ms > chain_ms(job) * WAITING_SLACK
+                ),
                 holds_room=step.gang or urgent,
             )
         )
     return ranked
 
 
+def _tier(guaranteed: bool, urgent: bool, step: StepSpec, late: bool) -> int:
+    """Return the rank of a step's kind of work; smaller comes first."""
+    if guaranteed:
+        return 0
+    if step.lasting:
+        # It earns while it runs, and has no time at which it is late.
+        return 1 if urgent else 2
+    if late:
+        return 3
+    return 1 if urgent else 2
+
+
 def objective_ms(job: Job, queue: Queue) -> int:
     """Return the time in ms within which a job should be completed."""
     return round(queue.stretch * chain_ms(job)) + queue.target_ms
--- a/packages/core/crocuswell_core/dispatching/worker_views.py
+++ b/packages/core/crocuswell_core/dispatching/worker_views.py
@@ -167,7 +167,7 @@
         return []
     dispatch.recorded_ms = state.now_ms
     table = state.cluster.jobs
-    newest: dict[tuple[str, int, int], SavedCheckpoint] = {}
+    newest: dict[tuple[str, int, int, int], SavedCheckpoint] = {}
     for view in dispatch.views.values():
         for run, progress in view.running.items():
             task = table.current_run(run)
@@ -175,7 +175,8 @@
                 continue
             gang = table.jobs[run.task.job_id].steps[run.task.step].gang
             # One member's checkpoint stands for the whole gang.
-            place = (run.task.job_id, run.task.step, -1 if gang else run.task.index)
+            index = -1 if gang else run.task.index
+            place = (run.task.job_id, run.task.occurrence, run.task.step, index)
             newest[place] = SavedCheckpoint(run, progress.checkpoint)
     if not newest:
         return []
@@ -198,7 +199,7 @@
     # A gang whose members do not all hold this run cannot work any more.
     return all(
         task.phase is TaskPhase.PLACED and task.run == run.number
-        for task in job.tasks[run.task.step]
+        for task in table.siblings(run.task)
     )
 
 
--- a/packages/core/crocuswell_core/jobs/catalog.py
+++ b/packages/core/crocuswell_core/jobs/catalog.py
@@ -28,6 +28,8 @@
         Whether calls need no key.
     timeout_ms : int
         Longest time in ms of a call.
+    needs_advice : bool
+        Whether only an outside service knows which workers may run a step.
     """
 
     name: str
@@ -40,6 +42,7 @@
     target_ms: int = 0
     open_access: bool = False
     timeout_ms: int = 1
+    needs_advice: bool = False
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/jobs/job_changes.py
+++ b/packages/core/crocuswell_core/jobs/job_changes.py
@@ -28,7 +28,7 @@
     TaskStart,
     worker_id_in,
 )
-from crocuswell_core.jobs.job_table import JobTable, step_is_due
+from crocuswell_core.jobs.job_table import JobTable
 from crocuswell_core.jobs.run_labels import run_labels
 from crocuswell_core.runtime.dispatch import apply_command
 from crocuswell_core.runtime.effects import (
@@ -100,8 +100,12 @@
     _forget_old_jobs(cluster)
     if command.job_id in table.jobs:
         return Applied(JobAccepted(command.job_id))
+    if queue.needs_advice:
+        detail = f"queue {name} needs advice, which is not supported"
+        refused = Refused(ErrorKind.OVERLOADED, detail)
+        return Applied(refused, _call_refused(command.job_id, "submit", refused))
     owner = owner_of(table.catalog, command.address.key) or ""
-    table.jobs[command.job_id] = Job(
+    job = Job(
         id=command.job_id,
         queue=queue.name,
         service=queue.service,
@@ -109,9 +113,9 @@
         payload=command.payload,
         steps=command.steps,
         accepted_ms=cluster.now_ms,
-        tasks=[[Task() for _ in range(step.count)] for step in command.steps],
-        gang_failures=[0] * len(command.steps),
+        schedule=command.schedule,
     )
+    table.jobs[job.id] = job
     table.revision += 1
     log = LogChange(
         "job_accepted",
@@ -172,7 +176,7 @@
         Label("job", job.id),
         *counted,
         Label("age_ms", str(age_ms)),
-        Label("failures", str(sum(t.failures for step in job.tasks for t in step))),
+        Label("failures", str(job.failures)),
     )
     return (
         LogChange("job_ended", labels),
@@ -199,28 +203,31 @@
     """Tell whether a decision still holds; a cancellation may be between."""
     task_id = start.run.task
     job = table.jobs.get(task_id.job_id)
-    task = table.task(task_id)
-    if job is None or task is None or not job.is_open:
+    occurrence = job.occurrence(task_id.occurrence) if job else None
+    if job is None or occurrence is None or not job.is_open:
         return False
+    task = occurrence.tasks[task_id.step][task_id.index]
     return (
         task.phase is TaskPhase.WAITING
         and start.run.number == task.run + 1
-        and step_is_due(job, task_id.step)
+        and job.step_is_due(occurrence, task_id.step)
     )
 
 
 def _place(cluster: ClusterState, start: TaskStart) -> list[ClusterEffect]:
     table = cluster.jobs
     task_id = start.run.task
-    task = table.task(task_id)
-    if task is None:
+    job = table.jobs[task_id.job_id]
+    occurrence = job.occurrence(task_id.occurrence)
+    if occurrence is None:
         return []
+    job.occurrences[occurrence.number] = occurrence
+    task = occurrence.tasks[task_id.step][task_id.index]
     task.phase = TaskPhase.PLACED
     task.run = start.run.number
     task.worker = start.worker
     task.placed_ms = cluster.now_ms
     table.placed.setdefault(start.worker, {})[task_id] = start.run.number
-    job = table.jobs[task_id.job_id]
     queue = (Label("queue", job.queue),)
     labels = (*run_labels(start.run), _worker(start.worker))
     effects: list[ClusterEffect] = [
@@ -260,11 +267,15 @@
     if task is None:
         # The run was given up before, because its lease was over.
         return effects
-    if end.kind is not EndKind.DONE:
+    job = table.jobs[end.run.task.job_id]
+    kind = end.kind
+    if kind is EndKind.DONE and job.steps[end.run.task.step].lasting:
+        # It goes on until the job is cancelled, however a run ends.
+        kind = EndKind.STOPPED
+    if kind is not EndKind.DONE:
         task.phase = TaskPhase.WAITING
         task.worker = ""
-    job = table.jobs[end.run.task.job_id]
-    return [*effects, *_take_end(end.kind, cluster, job, end, worker)]
+    return [*effects, *_take_end(kind, cluster, job, end, worker)]
 
 
 def _run_ended(
@@ -310,14 +321,12 @@
 
 def _take_done(cluster: ClusterState, job: Job, run: RunId) -> list[ClusterEffect]:
     step = job.steps[run.task.step]
-    tasks = job.tasks[run.task.step]
+    tasks = cluster.jobs.siblings(run.task)
     done = tasks if step.gang else [tasks[run.task.index]]
     for task in done:
         task.phase = TaskPhase.DONE
         task.worker = ""
-    if not job.is_open:
-        return []
-    if all(t.phase is TaskPhase.DONE for step_ in job.tasks for t in step_):
+    if job.is_open and job.is_done:
         return list(_end_job(cluster, job, JobPhase.COMPLETED))
     return []
 
@@ -326,11 +335,12 @@
     cluster: ClusterState, job: Job, run: RunId, worker: str
 ) -> list[ClusterEffect]:
     step = job.steps[run.task.step]
-    tasks = job.tasks[run.task.step]
+    tasks = cluster.jobs.siblings(run.task)
     if step.gang:
-        if job.gang_failures[run.task.step] >= run.number:
+        gang_failures = job.occurrences[run.task.occurrence].gang_failures
+        if gang_failures[run.task.step] >= run.number:
             return []
-        job.gang_failures[run.task.step] = run.number
+        gang_failures[run.task.step] = run.number
     for task in tasks if step.gang else [tasks[run.task.index]]:
         task.failures += 1
     worker_id = worker_id_in(worker)
@@ -339,7 +349,7 @@
         failed.failed_on = (*failed.failed_on, worker_id)
     queue = queue_named(cluster.jobs.catalog, job.queue)
     limit = queue.max_attempts if queue else 1
-    if job.is_open and failed.failures >= limit:
+    if job.is_open and not step.lasting and failed.failures >= limit:
         return list(_end_job(cluster, job, JobPhase.FAILED))
     return []
 
@@ -389,7 +399,7 @@
 def _keep_checkpoint(table: JobTable, run: RunId, checkpoint: str) -> None:
     """Keep a checkpoint; the members of a gang resume from the same one."""
     job = table.jobs[run.task.job_id]
-    tasks = job.tasks[run.task.step]
+    tasks = table.siblings(run.task)
     gang = job.steps[run.task.step].gang
     for task in tasks if gang else [tasks[run.task.index]]:
         task.checkpoint = checkpoint
--- a/packages/core/crocuswell_core/jobs/job_commands.py
+++ b/packages/core/crocuswell_core/jobs/job_commands.py
@@ -6,6 +6,7 @@
 from crocuswell_core.jobs.job_records import (
     JobPhase,
     SavedCheckpoint,
+    Schedule,
     StepSpec,
     TaskEnd,
     TaskStart,
@@ -36,6 +37,7 @@
     address: QueueAddress
     payload: str
     steps: tuple[StepSpec, ...]
+    schedule: Schedule | None = None
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/jobs/job_records.py
+++ b/packages/core/crocuswell_core/jobs/job_records.py
@@ -75,6 +75,8 @@
 
 # Most tasks of one step; bounds the size of a log entry.
 MOST_TASKS = 4_096
+# Most occurrences of one job; bounds its size in memory.
+MOST_OCCURRENCES = 1_024
 
 
 @attrs.frozen
@@ -103,6 +105,11 @@
         Rack on which the task reads its data locally; empty for none.
     per_worker_limit : int
         Most tasks of the step on one worker; 0 for no limit.
+    lasting : bool
+        Whether the tasks run until the job is cancelled.
+    away_limit : int
+        Most tasks of a lasting step that may be away because of this
+        system; 0 for no limit.
     """
 
     count: int
@@ -115,6 +122,8 @@
     required_label: str = ""
     data_rack: str = ""
     per_worker_limit: int = 0
+    lasting: bool = False
+    away_limit: int = 0
 
 
 class JobPhase(enum.Enum):
@@ -200,6 +209,59 @@
     placed_ms: int = 0
 
 
+@attrs.frozen
+class Schedule:
+    """When a job repeats.
+
+    Attributes
+    ----------
+    count : int
+        Number of occurrences.
+    start_ms : int
+        Time in ms since the epoch at which the first one is due.
+    interval_ms : int
+        Time in ms between two.
+    """
+
+    count: int
+    start_ms: int
+    interval_ms: int
+
+    def due_ms(self, number: int) -> int:
+        """Return the time in ms since the epoch at which one is due."""
+        return self.start_ms + number * self.interval_ms
+
+
+@attrs.define
+class Occurrence:
+    """One repetition of a job; a job without a schedule has one.
+
+    Attributes
+    ----------
+    due_ms : int
+        Time in ms since the epoch from which it is owed.
+    tasks : list of list of Task
+        Tasks by step.
+    gang_failures : list of int
+        For each step the number of the newest failed gang run, so that a
+        gang's failure is counted once.
+    """
+
+    number: int
+    due_ms: int
+    tasks: list[list[Task]]
+    gang_failures: list[int]
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tasks are done."""
+        return all(t.phase is TaskPhase.DONE for step in self.tasks for t in step)
+
+    def step_is_done(self, step: int) -> bool:
+        """Tell whether all tasks of a step are done."""
+        return all(task.phase is TaskPhase.DONE for task in self.tasks[step])
+
+
 @attrs.define
 class Job:
     """A job with the progress of its tasks.
@@ -214,11 +276,10 @@
         Opaque text for each task.
     accepted_ms, ended_ms : int
         Cluster time in ms; `ended_ms` is 0 while the job is open.
-    tasks : list of list of Task
-        Tasks by step.
-    gang_failures : list of int
-        For each step the number of the newest failed gang run, so that a
-        gang's failure is counted once.
+    schedule : Schedule or None
+        None for a job that runs once, as soon as it can.
+    occurrences : dict
+        Occurrences that have begun, by number.
     """
 
     id: str
@@ -230,14 +291,49 @@
     accepted_ms: int
     phase: JobPhase = JobPhase.QUEUED
     ended_ms: int = 0
-    tasks: list[list[Task]] = attrs.Factory(list)
-    gang_failures: list[int] = attrs.Factory(list)
+    schedule: Schedule | None = None
+    occurrences: dict[int, Occurrence] = attrs.Factory(dict)
 
     @property
     def is_open(self) -> bool:
         """Whether the job has not ended."""
         return self.phase not in ENDED_PHASES
 
+    @property
+    def failures(self) -> int:
+        """Number of failed runs."""
+        return sum(
+            task.failures
+            for occurrence in self.occurrences.values()
+            for tasks in occurrence.tasks
+            for task in tasks
+        )
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tasks of all occurrences are done."""
+        count = self.schedule.count if self.schedule else 1
+        return len(self.occurrences) == count and all(
+            occurrence.is_done for occurrence in self.occurrences.values()
+        )
+
+    def occurrence(self, number: int) -> Occurrence | None:
+        """Return an occurrence, a new one if it has not begun yet."""
+        count = self.schedule.count if self.schedule else 1
+        if not 0 <= number < count:
+            return None
+        begun = self.occurrences.get(number)
+        if begun is not None:
+            return begun
+        due_ms = self.schedule.due_ms(number) if self.schedule else self.accepted_ms
+        tasks = [[Task() for _ in range(step.count)] for step in self.steps]
+        return Occurrence(number, due_ms, tasks, [0] * len(self.steps))
+
+    def step_is_due(self, occurrence: Occurrence, step: int) -> bool:
+        """Tell whether all steps that a step waits for are done."""
+        after = self.steps[step].after
+        return all(occurrence.step_is_done(earlier) for earlier in after)
+
 
 @attrs.frozen
 class TaskEnd:
--- a/packages/core/crocuswell_core/jobs/job_table.py
+++ b/packages/core/crocuswell_core/jobs/job_table.py
@@ -37,9 +37,10 @@
     def task(self, task_id: TaskId) -> Task | None:
         """Return a task, None if there is no such task."""
         job = self.jobs.get(task_id.job_id)
-        if job is None or not 0 <= task_id.step < len(job.tasks):
+        occurrence = job.occurrences.get(task_id.occurrence) if job else None
+        if occurrence is None or not 0 <= task_id.step < len(occurrence.tasks):
             return None
-        tasks = job.tasks[task_id.step]
+        tasks = occurrence.tasks[task_id.step]
         return tasks[task_id.index] if 0 <= task_id.index < len(tasks) else None
 
     def current_run(self, run: RunId) -> Task | None:
@@ -51,17 +52,13 @@
 
     def placed_tasks(self, job: Job) -> Iterator[tuple[TaskId, Task]]:
         """Yield the placed tasks of a job."""
-        for step, tasks in enumerate(job.tasks):
-            for index, task in enumerate(tasks):
-                if task.phase is TaskPhase.PLACED:
-                    yield TaskId(job.id, step, index), task
+        for number, occurrence in job.occurrences.items():
+            for step, tasks in enumerate(occurrence.tasks):
+                for index, task in enumerate(tasks):
+                    if task.phase is TaskPhase.PLACED:
+                        yield TaskId(job.id, step, index, number), task
 
-
-def step_is_done(job: Job, step: int) -> bool:
-    """Tell whether all tasks of a step are done."""
-    return all(task.phase is TaskPhase.DONE for task in job.tasks[step])
-
-
-def step_is_due(job: Job, step: int) -> bool:
-    """Tell whether all steps that a step waits for are done."""
-    return all(step_is_done(job, earlier) for earlier in job.steps[step].after)
+    def siblings(self, task_id: TaskId) -> list[Task]:
+        """Return the tasks of a task's step and occurrence."""
+        occurrence = self.jobs[task_id.job_id].occurrences[task_id.occurrence]
+        return occurrence.tasks[task_id.step]
--- a/packages/daemon/crocuswell_daemon/tags.py
+++ b/packages/daemon/crocuswell_daemon/tags.py
@@ -157,6 +157,8 @@
     link_messages.LeaseGrant,
     job_commands.RecordCheckpoints,
     link_messages.EventCount,
+    job_records.Schedule,
+    job_records.Occurrence,
 )
 
 TAG_OF: dict[type, int] = {
