Try a failed task on another worker if one could hold it

Workers on which a task had failed only ranked last, and all others were full.

Change: such workers are left out as long as others in reach could hold the step; it waits for them or makes room there. A test that fails without it.

--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -17,6 +17,18 @@
 IDLE_SHARE = 0.5
 
 
+def without_failures(ranked: RankedStep, spaces: list[Space]) -> list[Space]:
+    """Leave out workers on which a waiting task failed, if others could do.
+
+    The worker may be at fault; another try there may be the task's last.
+    """
+    failed_on = {
+        worker for index in ranked.waiting for worker in ranked.tasks[index].failed_on
+    }
+    sound = [space for space in spaces if space.view.worker.id not in failed_on]
+    return sound if _could_hold(ranked, sound) else spaces
+
+
 def choose_places(ranked: RankedStep, spaces: list[Space], limit: int) -> Places:
     """Return a worker for each task to start; empty if none can start.
 
--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -9,6 +9,7 @@
     hold_room,
     start_limit,
     take_ample_room,
+    without_failures,
 )
 from crocuswell_core.dispatching.preemption import Eviction, choose_eviction
 from crocuswell_core.dispatching.ranking import RankedStep, rank_steps
@@ -45,7 +46,9 @@
     for ranked in steps:
         if len(starts) >= STARTS_PER_PLAN:
             break
-        usable = [space for space in spaces if _is_usable(space, ranked)]
+        usable = without_failures(
+            ranked, [space for space in spaces if _is_usable(space, ranked)]
+        )
         for space in usable:
             space.offer_to(ranked.key, ranked.step.estimated_ms)
         limit = start_limit(ranked, spaces)
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -377,3 +377,29 @@
     (task,) = leader.placed(other)
     leader.report(stream_id, other, ended=[end_of(RunId(task, 1), EndKind.DONE)])
     assert leader.state.dispatch.held_racks == held
+
+
+def test_failed_task_waits_for_another_worker() -> None:
+    """Guards against a last attempt on the worker that failed the first."""
+    leader = Leader()
+    for stream_id, described in ((1, W1), (2, W2)):
+        leader.report(stream_id, described)
+        leader.submit(f"j{stream_id}", step(1, accelerators=8), queue=TIGHT)
+    failed = next(w for w in (W1, W2) if run_of("j1").task in leader.placed(w))
+    other = W2 if failed is W1 else W1
+    end = end_of(run_of("j1"), EndKind.FAILED)
+    leader.report(1 if failed is W1 else 2, failed, ended=[end])
+    assert not leader.placed(failed)
+    end = end_of(run_of("j2"), EndKind.DONE)
+    leader.report(1 if other is W1 else 2, other, ended=[end])
+    assert leader.placed(other) == {run_of("j1").task: 2}
+
+
+def test_failed_task_is_tried_again_where_no_other_worker_is() -> None:
+    """Guards against a task that never gets its second attempt."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("j", step(1), queue=TIGHT)
+    end = end_of(run_of("j"), EndKind.FAILED)
+    leader.report(1, W1, ended=[end])
+    assert leader.placed(W1) == {run_of("j").task: 2}
