Judge progress by fresh lists only, and bar a worker once for one fault

Half of the workers' calls went unanswered, so runners reported the same list again and again, and the leader took 47 runs for stalled. Each stalled run barred its worker anew and doubled the time, so eight runs on one worker barred it for 48 s. Most of the fleet stood idle.

Change: the time that a run stands still is added up between lists of the worker, at most 1 s for each; a worker that is barred is not barred again; and bars give way when they take more than half of the workers in reach.

--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -8,10 +8,16 @@
 
 @attrs.define
 class ProgressMark:
-    """The newest progress of a run and the time in ms at which it changed."""
+    """The newest progress of a run.
+
+    Attributes
+    ----------
+    still_ms : int
+        Time in ms over which lists have shown the same percent.
+    """
 
     percent: int
-    changed_ms: int
+    still_ms: int = 0
 
 
 @attrs.define
@@ -30,6 +36,8 @@
         Highest number of an end that was proposed for recording.
     started, stopped : set of RunId
         Orders sent on this stream.
+    lists, listed_ms : int
+        Number of the newest list, and the time in ms at which it was heard.
     marks : dict
         Progress of the listed runs.
     events : dict
@@ -46,6 +54,8 @@
     started: set[RunId] = attrs.Factory(set)
     stopped: set[RunId] = attrs.Factory(set)
     absent: set[RunId] = attrs.Factory(set)
+    lists: int = 0
+    listed_ms: int = 0
     marks: dict[RunId, ProgressMark] = attrs.Factory(dict)
     events: dict[str, int] = attrs.Factory(dict)
 
--- a/packages/core/crocuswell_core/dispatching/health.py
+++ b/packages/core/crocuswell_core/dispatching/health.py
@@ -1,5 +1,7 @@
 """Workers that fail or stall what they run while they report good health."""
 
+from collections.abc import Collection
+
 from crocuswell_core.dispatching.dispatch_state import (
     ProgressMark,
     WorkerRecord,
@@ -17,6 +19,11 @@
 # longest work takes a hundredth of its time for each.
 STALL_MS = 2_500
 WHOLE_PERCENT = 100
+# A runner asks for a list each half second.
+LIST_GAP_MS = 1_000
+# More barred workers than this share of those in reach are not at fault: the
+# cause lies elsewhere, and their room is needed.
+MOST_BARRED = 0.5
 # Members of a gang wait for each other before they work.
 GANG_START_MS = 3_500
 
@@ -35,6 +42,8 @@
 
 def bar(state: EntryState, view: WorkerView) -> None:
     """Place nothing new on a worker for a while, longer each time."""
+    if is_barred(state, view):
+        return
     record = state.dispatch.records.setdefault(view.worker.id, WorkerRecord())
     record.barred_until_ms = state.now_ms + (BARRED_MS << min(record.barred_times, 3))
     record.barred_times += 1
@@ -46,6 +55,12 @@
     return record is not None and state.now_ms < record.barred_until_ms
 
 
+def bars_hold(state: EntryState, views: Collection[WorkerView]) -> bool:
+    """Tell whether few enough workers are barred to do without them."""
+    barred = sum(is_barred(state, view) for view in views)
+    return barred <= len(views) * MOST_BARRED
+
+
 def stop_run(event: str, state: EntryState, run: RunId, *labels: Label) -> list[Effect]:
     """Note that a run is not wanted any more; return what reports it."""
     state.dispatch.stopping.add(run)
@@ -56,7 +71,12 @@
 
 
 def watch_progress(state: EntryState, view: WorkerView) -> list[Effect]:
-    """Stop runs that stand still, so that they go on elsewhere."""
+    """Stop runs that stand still, so that they go on elsewhere.
+
+    Called for each new list of the worker. A worker that gives none for a
+    while tells nothing about its runs, so that time does not count.
+    """
+    passed_ms = min(state.now_ms - view.listed_ms, LIST_GAP_MS)
     effects: list[Effect] = []
     marks: dict[RunId, ProgressMark] = {}
     for run, progress in view.running.items():
@@ -64,18 +84,20 @@
             continue
         mark = view.marks.get(run)
         if mark is None:
-            mark = ProgressMark(progress.percent, state.now_ms)
+            mark = ProgressMark(progress.percent)
         elif mark.percent != progress.percent:
             mark.percent = progress.percent
-            mark.changed_ms = state.now_ms
+            mark.still_ms = 0
+        else:
+            mark.still_ms += passed_ms
         marks[run] = mark
-        if run in state.dispatch.stopping or not _is_stalled(state, mark):
+        if run in state.dispatch.stopping or not _is_stalled(mark):
             continue
         bar(state, view)
         labels = (
             Label("worker", view.worker.key),
             Label("percent", str(mark.percent)),
-            Label("still_ms", str(state.now_ms - mark.changed_ms)),
+            Label("still_ms", str(mark.still_ms)),
         )
         effects += stop_run("run_stalled", state, run, *labels)
     view.marks = marks
@@ -111,11 +133,10 @@
     return effects
 
 
-def _is_stalled(state: EntryState, mark: ProgressMark) -> bool:
-    still_ms = state.now_ms - mark.changed_ms
+def _is_stalled(mark: ProgressMark) -> bool:
     if mark.percent >= WHOLE_PERCENT:
         # The figure is rough: work may go on for a while after it is whole.
         return False
     if mark.percent == 0:
-        return still_ms >= STALL_MS + GANG_START_MS
-    return still_ms >= STALL_MS
+        return mark.still_ms >= STALL_MS + GANG_START_MS
+    return mark.still_ms >= STALL_MS
--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -3,7 +3,12 @@
 from crocuswell_core.agreement import replication
 from crocuswell_core.cluster.commands import Proposal
 from crocuswell_core.dispatching import health
-from crocuswell_core.dispatching.dispatch_state import Claim, Space, StepKey
+from crocuswell_core.dispatching.dispatch_state import (
+    Claim,
+    Space,
+    StepKey,
+    WorkerView,
+)
 from crocuswell_core.dispatching.packing import (
     choose_places,
     hold_room,
@@ -82,15 +87,14 @@
     """Return the workers that may get tasks, with their free room."""
     table = state.cluster.jobs
     spaces: list[Space] = []
-    for key, view in dispatch_of(state).views.items():
-        silent_ms = state.now_ms - view.heard_ms
-        if (
-            view.stream_id not in state.clients
-            or not view.reachable
-            or silent_ms > HEARD_MS
-            or view.worker.draining
-            or health.is_barred(state, view)
-        ):
+    views = {
+        key: view
+        for key, view in dispatch_of(state).views.items()
+        if _is_in_use(state, view)
+    }
+    bars_hold = health.bars_hold(state, views.values())
+    for key, view in views.items():
+        if bars_hold and health.is_barred(state, view):
             continue
         placed: dict[TaskId, Room] = {}
         free = view.worker.capacity
@@ -107,6 +111,15 @@
     return spaces
 
 
+def _is_in_use(state: EntryState, view: WorkerView) -> bool:
+    return (
+        view.stream_id in state.clients
+        and view.reachable
+        and state.now_ms - view.heard_ms <= HEARD_MS
+        and not view.worker.draining
+    )
+
+
 def _is_usable(space: Space, ranked: RankedStep) -> bool:
     worker = space.view.worker
     label = ranked.step.required_label
--- a/packages/core/crocuswell_core/dispatching/worker_views.py
+++ b/packages/core/crocuswell_core/dispatching/worker_views.py
@@ -64,7 +64,10 @@
     if message.gone and key in table.placed:
         # What ran there ended with it.
         effects += _lose(state, key, view, "worker left")
-    effects += health.watch_progress(state, view)
+    if message.lists != view.lists:
+        effects += health.watch_progress(state, view)
+        view.lists = message.lists
+        view.listed_ms = state.now_ms
     effects += health.evacuate(state, view)
     effects += give_orders(state, view)
     return effects
--- a/packages/core/crocuswell_core/links/link_messages.py
+++ b/packages/core/crocuswell_core/links/link_messages.py
@@ -113,6 +113,8 @@
         None while no worker has registered.
     reachable : bool
         Whether the worker answered the newest call.
+    lists : int
+        Number of lists that the worker gave; `running` is of the newest.
     lease_left_ms : int
         Longest time in ms for which runs may go on without a new grant.
     gone : bool
@@ -131,6 +133,7 @@
     ended: tuple[TaskEnd, ...] = ()
     absent: tuple[RunId, ...] = ()
     gone: bool = False
+    lists: int = 0
     events: tuple[EventCount, ...] = ()
 
 
--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -418,6 +418,7 @@
         effects.append(LogChange("worker_reached", labels))
     first = not state.clock.read_ms
     state.reachable = True
+    state.lists += 1
     state.clock = WorkerClock(reply.clock_ms, state.now_ms)
     before = set(state.running)
     state.running = {progress.run: progress for progress in reply.running}
@@ -556,6 +557,7 @@
         ended=state.ended,
         absent=tuple(state.absent),
         gone=state.left and not state.reachable,
+        lists=state.lists,
         events=_changed_events(state),
     )
     return links.send(state.uplink, state.now_ms, report)
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -96,6 +96,8 @@
         that it was sent.
     listing : bool
         Whether a list is under way.
+    lists : int
+        Number of lists that the worker gave.
     events, events_sent : dict
         Counts of events, and those that the leader was sent on this stream.
     """
@@ -117,6 +119,7 @@
     seen: int = 0
     listing: bool = False
     list_at_ms: int = 0
+    lists: int = 0
     running: dict[RunId, RunProgress] = attrs.Factory(dict)
     ended: tuple[TaskEnd, ...] = ()
     starts: dict[RunId, StartOrder] = attrs.Factory(dict)
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -203,9 +203,10 @@
         if stream_id not in self.state.clients:
             self.attach(stream_id)
         self._sequences[stream_id] = self._sequences.get(stream_id, 0) + 1
-        values: dict[str, object] = {"reachable": True, **fields}
+        sequence = self._sequences[stream_id]
+        values: dict[str, object] = {"reachable": True, "lists": sequence, **fields}
         message = WorkerReport(
-            self._sequences[stream_id],
+            sequence,
             described,
             running=tuple(running),
             ended=tuple(ended),
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from crocuswell_core.dispatching.dispatch_state import WorkerRecord
 from crocuswell_core.jobs.job_commands import CancelJob
 from crocuswell_core.jobs.job_records import EndKind, RunId, RunProgress, TaskId
 from crocuswell_core.links.link_messages import (
@@ -403,3 +404,52 @@
     end = end_of(run_of("j"), EndKind.FAILED)
     leader.report(1, W1, ended=[end])
     assert leader.placed(W1) == {run_of("j").task: 2}
+
+
+def test_runs_do_not_stand_still_while_their_worker_tells_nothing() -> None:
+    """Guards against stops of work whose worker does not answer."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("j", step())
+    leader.report(1, W1, running(leader, W1, percent=40), lists=7)
+    for _ in range(12):
+        leader.advance(500)
+        leader.report(1, W1, running(leader, W1, percent=40), lists=7)
+    assert not leader.state.dispatch.stopping
+    leader.advance(500)
+    leader.report(1, W1, running(leader, W1, percent=40), lists=8)
+    assert not leader.state.dispatch.stopping
+
+
+def test_runs_that_stall_together_bar_their_worker_once() -> None:
+    """Guards against a worker that stays unused after one fault."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.report(2, W2)
+    leader.submit("j", step(8, gang=True), queue=TIGHT)
+    described = next(w for w in (W1, W2) if leader.placed(w))
+    for _ in range(7):
+        leader.report(
+            1 if described is W1 else 2, described, running(leader, described)
+        )
+        leader.advance(500)
+    assert len(leader.state.dispatch.stopping) == 8
+    record = leader.state.dispatch.records[described.id]
+    assert record.barred_until_ms - leader.now_ms <= 6_000
+
+
+def test_barred_workers_are_used_when_most_are_barred() -> None:
+    """Guards against a fleet that stands idle since all of it seems grey."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.report(2, W2)
+    for described in (W1, W2):
+        record = WorkerRecord(barred_until_ms=leader.now_ms + 60_000)
+        leader.state.dispatch.records[described.id] = record
+        leader.submit(f"j-{described.id}", step(), queue=TIGHT)
+        placed = {**leader.placed(W1), **leader.placed(W2)}
+        # One of two is left alone; both cannot be.
+        assert placed
+    del leader.state.dispatch.records[W1.id]
+    leader.submit("last", step(), queue=TIGHT)
+    assert any(task.job_id == "last" for task in leader.placed(W1))
