Split the runner by orders and lists; say settings and names once

Change: run_orders.py and run_lists.py, moved as they were; the repeated settings are gone; shared_handlers.py; Queue.prefix. Behaviour is the same.

--- a/packages/core/crocuswell_core/entry/parts.py
+++ b/packages/core/crocuswell_core/entry/parts.py
@@ -12,4 +12,4 @@
 )
 from crocuswell_core.jobs import job_changes, job_views  # noqa: F401
 from crocuswell_core.links import relay  # noqa: F401
-from crocuswell_core.runtime import clock  # noqa: F401
+from crocuswell_core.runtime import shared_handlers  # noqa: F401
--- a/packages/core/crocuswell_core/front/front_state.py
+++ b/packages/core/crocuswell_core/front/front_state.py
@@ -17,10 +17,6 @@
 
     Attributes
     ----------
-    name : str
-        Name of this process.
-    seeds : tuple of str
-        `host:port` of the stream listeners of some control hosts.
     call_limit_ms : int
         Longest time in ms for which a call waits for the leader.
     retry_ms : int
@@ -32,8 +28,6 @@
         Longest time in ms of a planned stop.
     """
 
-    name: str
-    seeds: tuple[str, ...]
     call_limit_ms: int = 2_400
     retry_ms: int = 300
     ready_grace_ms: int = 1_500
--- a/packages/core/crocuswell_core/jobs/catalog.py
+++ b/packages/core/crocuswell_core/jobs/catalog.py
@@ -14,7 +14,7 @@
 
     Attributes
     ----------
-    host, path_prefix : str
+    host, prefix : str
         Callers' address of the queue.
     priority : int
         0 comes first.
@@ -34,7 +34,7 @@
 
     name: str
     host: str
-    path_prefix: str
+    prefix: str
     service: str
     priority: int = 0
     max_attempts: int = 1
@@ -92,9 +92,9 @@
     found = [
         queue
         for queue in catalog.queues
-        if queue.host == host and path.startswith(queue.path_prefix)
+        if queue.host == host and path.startswith(queue.prefix)
     ]
-    return max(found, key=lambda queue: len(queue.path_prefix), default=None)
+    return max(found, key=lambda queue: len(queue.prefix), default=None)
 
 
 def queue_named(catalog: Catalog | None, name: str) -> Queue | None:
@@ -121,9 +121,9 @@
             return f"queue {queue.name} names the unknown service {queue.service}"
         if queue.timeout_ms <= 0:
             return f"queue {queue.name} has a timeout of {queue.timeout_ms} ms"
-        place = (queue.host, queue.path_prefix)
+        place = (queue.host, queue.prefix)
         if place in places:
-            return f"two queues share the host {queue.host} and {queue.path_prefix}"
+            return f"two queues share the host {queue.host} and {queue.prefix}"
         places.add(place)
     keys: set[str] = set()
     for tenancy in catalog.tenancies:
--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -12,11 +12,22 @@
 from crocuswell_core.jobs.run_labels import run_labels
 from crocuswell_core.links import uplink as links
 from crocuswell_core.links.link_messages import (
-    EventCount,
     LeaseGrant,
     RunOrders,
-    WorkerDescription,
-    WorkerReport,
+)
+from crocuswell_core.runner.run_lists import (
+    boot_key_of,
+    count_event,
+    list_if_due,
+    list_runs,
+    report,
+    take_list,
+    worker_id,
+)
+from crocuswell_core.runner.run_orders import (
+    begin_waiting,
+    drop_unsent_starts,
+    end_waiting,
 )
 from crocuswell_core.runner.runner_state import (
     OrderPhase,
@@ -40,7 +51,7 @@
     WorkerLeaving,
     WorkerReply,
 )
-from crocuswell_core.runtime import clock  # noqa: F401  (shared handlers)
+from crocuswell_core.runtime import shared_handlers  # noqa: F401  (shared handlers)
 from crocuswell_core.runtime.dispatch import (
     abandon_call,
     close_stream,
@@ -54,7 +65,6 @@
 )
 from crocuswell_core.runtime.effects import (
     AnswerCall,
-    CallWorker,
     Effect,
     Halt,
     Label,
@@ -75,10 +85,6 @@
 from crocuswell_core.runtime.timers import RunnerTimer
 
 RUNNER_TICK_MS = 100
-# A start is not begun with less than this left of the grant.
-LEAST_GRANT_MS = 500
-# Absent runs are reported this often; the leader's record may be lost once.
-ABSENT_REPORTS_MS = 10_000
 LIST_RETRY_MS = 200
 
 
@@ -116,7 +122,7 @@
 def _(state: RunnerState, event: EntryStreamClosed) -> list[Effect]:
     effects = links.take_closed(state.uplink, state.now_ms, event)
     if not state.uplink.is_attached:
-        _drop_unsent_starts(state)
+        drop_unsent_starts(state)
     return effects
 
 
@@ -134,8 +140,8 @@
     if state.uplink.is_attached and not was_attached:
         state.fence = max(state.fence, state.uplink.term)
         state.events_sent = {}
-        _drop_unsent_starts(state)
-        return [*effects, *_report(state)]
+        drop_unsent_starts(state)
+        return [*effects, *report(state)]
     return [*effects, *_take_host_message(event.message, state)]
 
 
@@ -173,7 +179,7 @@
             return []
         urgent = known.draining != call.draining
         state.beat = call
-        return _report(state) if urgent else []
+        return report(state) if urgent else []
     state.beat = call
     _forget_boot(state)
     labels = (
@@ -182,7 +188,7 @@
         Label("service", call.service),
         Label("rack", call.rack),
     )
-    return [LogChange("worker_registered", labels), *_list_runs(state)]
+    return [LogChange("worker_registered", labels), *list_runs(state)]
 
 
 @_take_beat.register
@@ -191,7 +197,7 @@
         return []
     state.left = True
     state.beat = attrs.evolve(state.beat, draining=True, remaining_ms=0)
-    return [LogChange("worker_leaving", (Label("worker", call.id),)), *_report(state)]
+    return [LogChange("worker_leaving", (Label("worker", call.id),)), *report(state)]
 
 
 def _forget_boot(state: RunnerState) -> None:
@@ -210,10 +216,6 @@
     state.absent.clear()
 
 
-def _worker_id(state: RunnerState) -> str:
-    return state.beat.id if state.beat else ""
-
-
 # --- the leader's orders -------------------------------------------------
 
 
@@ -227,18 +229,18 @@
     state.fence = max(state.fence, message.term)
     until_ms = sent_ms + message.lease_ms
     state.granted_until_ms = max(state.granted_until_ms, until_ms)
-    effects = _begin_waiting(state)
-    if message.worker == _key(state) and message.seen > state.seen:
+    effects = begin_waiting(state)
+    if message.worker == boot_key_of(state) and message.seen > state.seen:
         state.seen = message.seen
         state.ended = tuple(end for end in state.ended if end.number > state.seen)
         state.list_at_ms = state.now_ms
-        effects += _list_if_due(state)
+        effects += list_if_due(state)
     return effects
 
 
 @_take_host_message.register
 def _(message: RunOrders, state: RunnerState) -> list[Effect]:
-    if message.worker != _key(state):
+    if message.worker != boot_key_of(state):
         return []
     state.fence = max(state.fence, message.term)
     for start in message.starts:
@@ -247,95 +249,7 @@
     for stop in message.stops:
         state.stops.setdefault(stop.run, StopOrder())
         state.starts.pop(stop.run, None)
-    return [*_begin_waiting(state), *_end_waiting(state)]
-
-
-def _key(state: RunnerState) -> str:
-    return _describe(state, state.beat).key if state.beat else ""
-
-
-def _describe(state: RunnerState, beat: WorkerBeat) -> WorkerDescription:
-    return WorkerDescription(
-        machine=state.cfg.name,
-        id=beat.id,
-        born_ms=beat.born_ms,
-        service=beat.service,
-        zone=beat.zone,
-        rack=beat.rack,
-        labels=beat.labels,
-        capacity=beat.capacity,
-        draining=beat.draining,
-        remaining_ms=beat.remaining_ms,
-        cold_ms=beat.cold_ms,
-    )
-
-
-def _drop_unsent_starts(state: RunnerState) -> None:
-    """Forget starts of a leader that is out of reach.
-
-    A start that was sent may have been carried out; the next leader sees
-    the run in the worker's list, or orders it again.
-    """
-    state.starts = {
-        run: start
-        for run, start in state.starts.items()
-        if start.phase is OrderPhase.CALLING
-    }
-
-
-def _begin_waiting(state: RunnerState) -> list[Effect]:
-    """Call the worker for the starts whose time has come."""
-    if state.beat is None or not state.uplink.is_attached:
-        return []
-    if (
-        state.granted_until_ms - state.now_ms < LEAST_GRANT_MS
-        or not state.clock.read_ms
-    ):
-        return []
-    effects: list[Effect] = []
-    for run, start in list(state.starts.items()):
-        if start.phase is not OrderPhase.WAITING or state.now_ms < start.retry_at_ms:
-            continue
-        if state.beat.draining:
-            # It must not begin anything new; the stop settles the order.
-            del state.starts[run]
-            state.stops.setdefault(run, StopOrder())
-            continue
-        start.phase = OrderPhase.CALLING
-        call = BeginRun(
-            worker=state.beat.id,
-            run=run,
-            payload=start.order.payload,
-            lease_end_ms=_lease_end_ms(state),
-            fence=state.fence,
-            checkpoint=start.order.checkpoint,
-        )
-        effects.append(CallWorker(call))
-    return effects
-
-
-def _end_waiting(state: RunnerState) -> list[Effect]:
-    """Call the worker for the stops whose time has come."""
-    if state.beat is None:
-        return []
-    effects: list[Effect] = []
-    for run, stop in state.stops.items():
-        if stop.phase is OrderPhase.WAITING and state.now_ms >= stop.retry_at_ms:
-            stop.phase = OrderPhase.CALLING
-            effects.append(CallWorker(EndRun(state.beat.id, run, state.fence)))
-    return effects
-
-
-def _lease_end_ms(state: RunnerState) -> int:
-    """Return the end of the grant on the worker's clock, and note it.
-
-    The worker's clock may run slow, so that the same number of its
-    milliseconds takes longer.
-    """
-    pace = 1 - state.cfg.clock_drift
-    left_ms = state.granted_until_ms - state.clock.read_ms
-    state.lease_until_ms = max(state.lease_until_ms, state.granted_until_ms)
-    return state.clock.clock_ms + int(left_ms * pace)
+    return [*begin_waiting(state), *end_waiting(state)]
 
 
 # --- the worker's replies ------------------------------------------------
@@ -343,7 +257,7 @@
 
 @handle.register
 def _(event: WorkerReplied, state: RunnerState) -> list[Effect]:
-    if event.call.worker != _worker_id(state):
+    if event.call.worker != worker_id(state):
         return []
     return _take_reply(event.call, state, event.reply)
 
@@ -360,7 +274,7 @@
     start = state.starts.get(call.run)
     if start is None:
         return []
-    _count_event(state, f"start {_kind(reply)}")
+    count_event(state, f"start {_kind(reply)}")
     if isinstance(reply, RunTaken):
         del state.starts[call.run]
         return []
@@ -371,7 +285,7 @@
         # worker refuse it.
         del state.starts[call.run]
         state.stops.setdefault(call.run, StopOrder())
-        return [*effects, *_end_waiting(state)]
+        return [*effects, *end_waiting(state)]
     start.phase = OrderPhase.WAITING
     start.retry_at_ms = state.now_ms + state.cfg.call_retry_ms
     return effects
@@ -382,12 +296,12 @@
     stop = state.stops.get(call.run)
     if stop is None:
         return []
-    _count_event(state, f"stop {_kind(reply)}")
+    count_event(state, f"stop {_kind(reply)}")
     if isinstance(reply, (RunTaken, RunRefused)):
         stop.phase = OrderPhase.ANSWERED
         stop.stale_list = state.listing
         state.list_at_ms = state.now_ms
-        return _list_if_due(state)
+        return list_if_due(state)
     stop.phase = OrderPhase.WAITING
     stop.retry_at_ms = state.now_ms + state.cfg.call_retry_ms
     return []
@@ -401,55 +315,14 @@
         if not state.reachable:
             return []
         state.reachable = False
-        _count_event(state, "worker unreachable")
+        count_event(state, "worker unreachable")
         labels = (Label("worker", call.worker), Label("reply", _reason(reply)))
-        return [LogChange("worker_unreachable", labels), *_report(state)]
+        return [LogChange("worker_unreachable", labels), *report(state)]
     if state.beat is None or reply.born_ms not in (0, state.beat.born_ms):
         # Another boot answers; its heartbeat will follow.
         state.list_at_ms = state.now_ms + LIST_RETRY_MS
         return []
-    return _take_list(state, reply)
-
-
-def _take_list(state: RunnerState, reply: RunsListed) -> list[Effect]:
-    effects: list[Effect] = []
-    if not state.reachable:
-        labels = (Label("worker", _worker_id(state)),)
-        effects.append(LogChange("worker_reached", labels))
-    first = not state.clock.read_ms
-    state.reachable = True
-    state.lists += 1
-    state.clock = WorkerClock(reply.clock_ms, state.now_ms)
-    before = set(state.running)
-    state.running = {progress.run: progress for progress in reply.running}
-    state.ended = tuple(end for end in reply.ended if end.number > state.seen)
-    _note_absent(state)
-    changed = before != set(state.running) or bool(state.ended) or first
-    state.list_at_ms = state.now_ms
-    if state.ended:
-        # The worker answers at once while ends are not yet acknowledged.
-        state.list_at_ms += state.cfg.ends_wait_ms
-    effects += _begin_waiting(state)
-    if changed or state.absent:
-        effects += _report(state)
-    return [*effects, *_list_if_due(state)]
-
-
-def _note_absent(state: RunnerState) -> None:
-    """Find stopped runs that are neither running nor ended."""
-    ended = {end.run for end in state.ended}
-    for run, stop in list(state.stops.items()):
-        if stop.phase is not OrderPhase.ANSWERED:
-            continue
-        if stop.stale_list or run in state.running:
-            stop.stale_list = False
-            continue
-        del state.stops[run]
-        if run not in ended:
-            state.absent[run] = state.now_ms
-    for run, since_ms in list(state.absent.items()):
-        if state.now_ms - since_ms > ABSENT_REPORTS_MS:
-            del state.absent[run]
+    return take_list(state, reply)
 
 
 @singledispatch
@@ -484,80 +357,15 @@
     return "no_answer"
 
 
-# --- lists and reports ---------------------------------------------------
-
-
-def _list_if_due(state: RunnerState) -> list[Effect]:
-    if state.beat is None or state.listing or state.now_ms < state.list_at_ms:
-        return []
-    return _list_runs(state)
-
-
-def _list_runs(state: RunnerState) -> list[Effect]:
-    if state.beat is None or state.listing:
-        return []
-    state.listing = True
-    granted = state.granted_until_ms > state.now_ms and state.clock.read_ms > 0
-    # Something is expected soon while orders are under way.
-    quick = not state.clock.read_ms or bool(state.stops)
-    call = ListRuns(
-        worker=state.beat.id,
-        fence=state.fence,
-        seen=state.seen,
-        lease_end_ms=_lease_end_ms(state) if granted else 0,
-        wait_ms=0 if quick else state.cfg.list_wait_ms,
-    )
-    if quick and state.clock.read_ms:
-        state.list_at_ms = state.now_ms + state.cfg.ends_wait_ms
-    return [CallWorker(call)]
-
-
 @handle_timer.register
 def _(timer: RunnerTimer, state: RunnerState) -> list[Effect]:
     effects: list[Effect] = [StartTimer(timer, RUNNER_TICK_MS)]
     since_ms = state.stopping_since_ms
     if since_ms is not None and state.now_ms - since_ms >= state.cfg.stop_limit_ms:
         return [Halt()]
-    effects += _begin_waiting(state)
-    effects += _end_waiting(state)
-    effects += _list_if_due(state)
+    effects += begin_waiting(state)
+    effects += end_waiting(state)
+    effects += list_if_due(state)
     if state.now_ms - state.reported_ms >= state.cfg.report_ms:
-        effects += _report(state)
+        effects += report(state)
     return effects
-
-
-def _count_event(state: RunnerState, event: str) -> None:
-    state.events[event] = state.events.get(event, 0) + 1
-
-
-def _changed_events(state: RunnerState) -> tuple[EventCount, ...]:
-    changed = tuple(
-        EventCount(event, count)
-        for event, count in state.events.items()
-        if state.events_sent.get(event) != count
-    )
-    state.events_sent.update((item.event, item.count) for item in changed)
-    return changed
-
-
-def _report(state: RunnerState) -> list[Effect]:
-    if not state.uplink.is_attached:
-        return []
-    state.sequence += 1
-    state.reported_ms = state.now_ms
-    state.reports[state.sequence] = state.now_ms
-    listed = state.clock.read_ms > 0
-    worker = _describe(state, state.beat) if state.beat and listed else None
-    report = WorkerReport(
-        sequence=state.sequence,
-        worker=worker,
-        reachable=state.reachable,
-        lease_left_ms=max(0, state.lease_until_ms - state.now_ms),
-        running=tuple(state.running.values()),
-        ended=state.ended,
-        absent=tuple(state.absent),
-        gone=state.left and not state.reachable,
-        lists=state.lists,
-        events=_changed_events(state),
-    )
-    return links.send(state.uplink, state.now_ms, report)
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -16,6 +16,8 @@
 
     Attributes
     ----------
+    name : str
+        Name of the machine.
     report_ms : int
         Time in ms between reports when nothing changes.
     list_wait_ms : int
@@ -27,7 +29,6 @@
     """
 
     name: str
-    seeds: tuple[str, ...]
     report_ms: int = 500
     list_wait_ms: int = 500
     call_retry_ms: int = 250
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -50,8 +50,7 @@
     """A front whose leader is played by the test."""
 
     def __init__(self) -> None:
-        cfg = FrontConfig("f1", SEEDS)
-        self.state = FrontState(cfg, Uplink("f1", SEEDS))
+        self.state = FrontState(FrontConfig(), Uplink("f1", SEEDS))
         self.now_ms = 1_000
         self.post(FrontBooted())
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -208,7 +208,7 @@
     ("changes", "reason"),
     [
         ({"queues": (queue("q", service="other"),)}, "unknown service"),
-        ({"queues": (queue("q"), queue("p", path_prefix="/q/"))}, "share the host"),
+        ({"queues": (queue("q"), queue("p", prefix="/q/"))}, "share the host"),
         ({"queues": (queue("q", timeout_ms=0),)}, "timeout of 0 ms"),
         (
             {"tenancies": (Tenancy("a", ("k",)), Tenancy("b", ("k",)))},
@@ -226,9 +226,7 @@
 
 def test_longest_prefix_selects_the_queue() -> None:
     """Guards against a job in the queue of a shorter prefix."""
-    held = catalog(
-        queues=(queue("a", path_prefix="/a/"), queue("b", path_prefix="/a/b/"))
-    )
+    held = catalog(queues=(queue("a", prefix="/a/"), queue("b", prefix="/a/b/")))
     found = find_queue(held, HOST, "/a/b/0123")
     assert found is not None
     assert found.name == "b"
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -68,7 +68,7 @@
     """A runner with its worker and leader played by the test."""
 
     def __init__(self) -> None:
-        cfg = RunnerConfig("m1", ("h1:2",))
+        cfg = RunnerConfig("m1")
         self.state = RunnerState(cfg, Uplink("m1", ("h1:2",)))
         self.now_ms = 1_000
         self.calls: list[BeginRun | EndRun | ListRuns] = []
