--- a/packages/core/crocuswell_core/agreement/consensus_state.py
+++ b/packages/core/crocuswell_core/agreement/consensus_state.py
@@ -34,6 +34,8 @@
     heard_ms : int
         Time of receipt of its newest reply in this term, at first the
         start of this leader.
+    since_ms : int
+        Time at which this leader began to send to it.
     acknowledged_ms : int or None
         Time of sending of the newest heartbeat round it acknowledged.
     snapshot_sent_ms : int or None
@@ -43,6 +45,7 @@
     next_index: int
     match_index: int = 0
     heard_ms: int = 0
+    since_ms: int = 0
     acknowledged_round: int = 0
     acknowledged_ms: int | None = None
     snapshot_sent_ms: int | None = None
--- a/packages/core/crocuswell_core/agreement/leadership.py
+++ b/packages/core/crocuswell_core/agreement/leadership.py
@@ -190,6 +190,6 @@
     next_index = consensus_log.last_index(consensus) + 1
     consensus.progress = {
         host.id: consensus.progress.get(host.id)
-        or PeerProgress(next_index, heard_ms=state.now_ms)
+        or PeerProgress(next_index, heard_ms=state.now_ms, since_ms=state.now_ms)
         for host in members.other_hosts(state)
     }
--- a/packages/core/crocuswell_core/agreement/replication.py
+++ b/packages/core/crocuswell_core/agreement/replication.py
@@ -22,6 +22,7 @@
     EntriesRecord,
     Label,
     LogChange,
+    Observe,
     Persist,
     SendPeer,
     SetPeers,
@@ -165,10 +166,24 @@
                 Label("after", ",".join(change.voters)),
             ),
         ),
+        *_observe_catch_up(state, change),
         *propose(state, Proposal("", "", change)),
     ]
 
 
+def _observe_catch_up(state: EntryState, change: ChangeMembers) -> list[Effect]:
+    """Record how long a new voter took to hold the log."""
+    consensus = state.consensus
+    return [
+        Observe(
+            "host_catch_up_seconds",
+            (state.now_ms - consensus.progress[id_].since_ms) / 1_000,
+        )
+        for id_ in change.voters
+        if id_ not in consensus.voters and id_ in consensus.progress
+    ]
+
+
 @handle_peer.register
 def _(message: AppendReply, state: EntryState, sender: str) -> list[Effect]:
     consensus = state.consensus
--- a/packages/daemon/crocuswell_daemon/counters.py
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -59,6 +59,10 @@
         "Time from the last word of a leader to leading", buckets=SHORT_SECONDS
     ),
     "front_answers_late": Metric("Answers of the leader that came too late"),
+    "host_catch_up_seconds": Metric(
+        "Time from the leader's first message to a host until it is made a voter",
+        buckets=SHORT_SECONDS,
+    ),
     "http_answers_late": Metric("Answers to calls that nobody waited for"),
     "http_responses": Metric("HTTP responses", ("status",)),
     "job_calls_refused_total": Metric(
@@ -105,6 +109,9 @@
     "runs_ended_total": Metric("Ends of runs", ("queue", "kind")),
     "runs_placed_total": Metric("Runs that were given to a worker", ("queue",)),
     "runs_stopped_total": Metric("Runs stopped by the leader", ("reason",)),
+    "snapshot_encode_seconds": Metric(
+        "Time to encode the state for a snapshot", buckets=SHORT_SECONDS
+    ),
     "snapshots_installed_total": Metric("Snapshots received from the leader"),
     "snapshots_saved_total": Metric("Snapshots of this host's own state"),
     "term": Metric("Newest term that this host knows", is_gauge=True),
--- a/packages/daemon/crocuswell_daemon/runtime.py
+++ b/packages/daemon/crocuswell_daemon/runtime.py
@@ -176,7 +176,7 @@
         except CodecError as exc:
             return [_snapshot_refused(exc)]
         self._state, effects = self._reduce(self._state, event)
-        return [encode_state_in(effect) for effect in effects]
+        return [part for effect in effects for part in _encode(effect)]
 
     async def _write(self, records: list[Record]) -> None:
         if self._writer is None:
@@ -196,6 +196,15 @@
         self._storage.sync()
 
 
+def _encode(effect: Effect) -> list[Effect]:
+    """Encode the state in an effect, and tell how long that took."""
+    begun_s = time.monotonic()
+    encoded = encode_state_in(effect)
+    if encoded is effect:
+        return [effect]
+    return [encoded, Observe("snapshot_encode_seconds", time.monotonic() - begun_s)]
+
+
 def _halt_for_fault(action: str, exc: Exception) -> Halt:
     return Halt(ErrorKind.INTERNAL, f"fault while {action}: {exc!r}")
 
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -21,6 +21,7 @@
     CloseEntryStream,
     Effect,
     EntriesRecord,
+    Observe,
     OpenEntryStream,
     Persist,
     SendAgent,
@@ -97,6 +98,7 @@
         self.now_ms = 1_000
         self.hosts: dict[str, Host] = {}
         self.disks: dict[str, Disk] = {}
+        self.observed: dict[str, list[float]] = {}
         self._order = itertools.count()
         self._streams = itertools.count(1)
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
@@ -211,6 +213,8 @@
             self._send_up(host, effect)
         elif isinstance(effect, SendAgent):
             self._send_down(host, effect)
+        elif isinstance(effect, Observe):
+            self.observed.setdefault(effect.histogram, []).append(effect.value)
         elif isinstance(effect, CloseEntryStream):
             self._close(host.uplinks.get(effect.stream_id))
         elif isinstance(effect, CloseAgentStream):
--- a/tests/test_group_forming.py
+++ b/tests/test_group_forming.py
@@ -64,10 +64,13 @@
     group.propose(PutCatalog(catalog(3)))
     group.kill("b")
     group.run(1_000)
+    group.observed.clear()
     group.start("z")
     group.run(CATCH_UP_MS)
     assert group.member("z") in group.voters()
     assert len(group.voters()) == 3
+    (caught_up_s,) = group.observed["host_catch_up_seconds"]
+    assert 0 < caught_up_s * 1_000 <= CATCH_UP_MS
     group.kill("c")
     group.run(3_000)
     group.propose(PutCatalog(catalog(5)))
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -81,8 +81,8 @@
 
 
 def without_time(effect: fx.Effect) -> fx.Effect | str:
-    """Return an effect, or a word for one that holds a measured time."""
-    return "sync time" if isinstance(effect, fx.Observe) else effect
+    """Return an effect, or only the name of a measured time."""
+    return effect.histogram if isinstance(effect, fx.Observe) else effect
 
 
 def scripted(
@@ -152,7 +152,7 @@
         send("a"),
         send("b"),
         send("c"),
-        "sync time",
+        "log_sync_seconds",
     ]
 
 
@@ -218,9 +218,9 @@
     late = [TWO, THREE]
     assert asyncio.run(main()) == fx.Halt()
     assert trace == [
-        *(TICK, ONE, entries(1).record, "synced", send("a"), "sync time"),
+        *(TICK, ONE, entries(1).record, "synced", send("a"), "log_sync_seconds"),
         *(TICK, TWO, THREE, EntriesSynced(1, 2)),
-        *(entries(2).record, entries(3).record, "synced", "sync time"),
+        *(entries(2).record, entries(3).record, "synced", "log_sync_seconds"),
         *(TICK, EntriesSynced(3, 2)),
     ]
 
@@ -404,7 +404,9 @@
     assert trace == [
         fx.SnapshotRecord(7, 2, (), (), encoded),
         "synced",
+        "snapshot_encode_seconds",
         fx.SendPeer("b", InstallSnapshot(3, 7, 2, (), (), encoded, 9)),
+        "snapshot_encode_seconds",
     ]
     assert state.now_ms == 99
 
