Write the lines of listeners and links as structured events

Cause: lines of listeners and links were texts such as "change=peer_link_lost peer=..." under the event `message`, without the process and without a budget; a trace could not find them.

Change: `log_event` writes them with an event, fields and the same budget; each line names its process, also those of libraries; docs/logs.md lists the events, which a test compares. A link that opens is written now, as each regained dependency should be.

--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -34,12 +34,12 @@
     change = LogChange("run_ended", tuple(Label(k, v) for k, v in LABELS.items()))
     with Path("/dev/null").open("w", encoding="utf-8") as sink:
         handler = BoundedHandler(sink)
-        handler.setFormatter(JsonFormatter())
+        handler.setFormatter(JsonFormatter("bench"))
         LOGGER.addHandler(handler)
         LOGGER.setLevel(logging.INFO)
         LOGGER.propagate = False
         handler.start()
-        writer = LogWriter("bench", LineBudget(limit=LINES))
+        writer = LogWriter(LineBudget(limit=LINES))
         begun_s = time.process_time()
         for _ in range(LINES // LINES_AT_ONCE):
             for _ in range(LINES_AT_ONCE):
--- a/packages/daemon/crocuswell_daemon/agent_main.py
+++ b/packages/daemon/crocuswell_daemon/agent_main.py
@@ -50,10 +50,10 @@
 
 def run(settings: AgentSettings) -> int:
     """Run an agent until it is stopped and return the exit status."""
-    with logs.writing():
-        # Changes at each start, so that entry hosts tell the runs apart.
-        incarnation = os.urandom(8).hex()
-        log = logs.LogWriter(f"agent-{incarnation}")
+    # Changes at each start, so that entry hosts tell the runs apart.
+    incarnation = os.urandom(8).hex()
+    with logs.writing(f"agent-{incarnation}"):
+        log = logs.LogWriter()
         try:
             halt = asyncio.run(_serve(settings, incarnation, log))
         except OSError as exc:
--- a/packages/daemon/crocuswell_daemon/agent_streams.py
+++ b/packages/daemon/crocuswell_daemon/agent_streams.py
@@ -18,6 +18,7 @@
     Event,
 )
 from crocuswell_daemon.listener import StreamListener
+from crocuswell_daemon.logs import log_event
 from crocuswell_daemon.streams import (
     AGENT_STREAM_PATH,
     Decode,
@@ -34,8 +35,6 @@
 # each of its 8 slots, so a queue of this length has been stuck for minutes.
 QUEUE_LIMIT = 256
 
-logger = logging.getLogger(__name__)
-
 
 class AgentListener:
     """Accepts agents' streams and passes messages both ways.
@@ -99,9 +98,7 @@
         if outbox.offer(message):
             return
         self._count_dropped("full")
-        logger.warning(
-            "change=agent_stream_closed stream=%d detail=%r", stream_id, "queue full"
-        )
+        log_event("agent_stream_closed", stream=str(stream_id), reason="queue full")
         outbox.clear()
         self.close_stream(stream_id)
 
@@ -135,8 +132,11 @@
                 stream, outbox, receive, stream.send_trailing_metadata
             )
             if detail:
-                logger.info(
-                    "change=agent_stream_ended stream=%d detail=%r", stream_id, detail
+                log_event(
+                    "agent_stream_ended",
+                    logging.INFO,
+                    stream=str(stream_id),
+                    reason=detail,
                 )
         finally:
             drop_connection(stream)
--- a/packages/daemon/crocuswell_daemon/entry_main.py
+++ b/packages/daemon/crocuswell_daemon/entry_main.py
@@ -45,8 +45,8 @@
 
 def run(settings: EntrySettings) -> int:
     """Run an entry host until it is stopped and return the exit status."""
-    with logs.writing():
-        log = logs.LogWriter(settings.id)
+    with logs.writing(settings.id):
+        log = logs.LogWriter()
         try:
             halt = asyncio.run(serve(_control_host(settings), log))
         except StorageError as exc:
--- a/packages/daemon/crocuswell_daemon/http_api.py
+++ b/packages/daemon/crocuswell_daemon/http_api.py
@@ -38,6 +38,7 @@
 from crocuswell_daemon.http_replies import AcceptedRequest, RequestResult, to_response
 from crocuswell_daemon.http_server import THREADS, CallerServer
 from crocuswell_daemon.http_wsgi import read_request, send_response
+from crocuswell_daemon.logs import log_event
 from crocuswell_daemon.problems import Problem, problem_response
 
 # An election takes up to 2.4 s and a forwarded command is retried each
@@ -48,8 +49,6 @@
 CALLS_LIMIT = THREADS - RESERVED_THREADS
 WAITING_LIMIT = 44
 
-logger = logging.getLogger(__name__)
-
 
 class CallerListener:
     """Serves the HTTP API; a context manager.
@@ -151,8 +150,12 @@
                 return problem_response(parsed.err_value)
             return self._perform(parsed.unwrap())
         except Exception:
-            logger.exception(
-                "change=call_failed method=%s path=%r", request.method, request.path
+            log_event(
+                "call_failed",
+                logging.ERROR,
+                exc_info=True,
+                method=request.method,
+                path=request.path,
             )
             return problem_response(Problem(ErrorKind.INTERNAL, "see the host's log"))
 
@@ -226,8 +229,8 @@
     """Replace a view of another request, so that none reaches the caller."""
     if not isinstance(reply, RequestView) or reply.request.id == request_id:
         return reply
-    logger.error(
-        "change=wrong_request_read asked=%s got=%s", request_id, reply.request.id
+    log_event(
+        "wrong_request_read", logging.ERROR, asked=request_id, got=reply.request.id
     )
     return Refused(ErrorKind.INTERNAL, f"request {request_id} could not be read")
 
--- a/packages/daemon/crocuswell_daemon/logs.py
+++ b/packages/daemon/crocuswell_daemon/logs.py
@@ -14,7 +14,7 @@
 from contextlib import contextmanager
 from typing import TextIO
 
-from crocuswell_core.runtime.effects import ChangeLevel, Label, LogChange
+from crocuswell_core.runtime.effects import ChangeLevel, LogChange
 
 LOGGER = logging.getLogger("crocuswell")
 LEVELS = {
@@ -70,18 +70,31 @@
         return fresh
 
 
-class LogWriter:
-    """Writes changes of state of one process.
+# One budget for all threads of a process; a count lost to a race lets a line
+# more through.
+_budget = LineBudget()
 
-    Parameters
-    ----------
-    process : str
-        Id of the entry host or agent, in each line.
-    """
 
-    def __init__(self, process: str, budget: LineBudget | None = None) -> None:
-        self._process = process
-        self._budget = budget or LineBudget()
+def log_event(
+    event: str, level: int = logging.WARNING, *, exc_info: bool = False, **fields: str
+) -> None:
+    """Write one line for what a listener or a link has seen."""
+    if LOGGER.isEnabledFor(level) and _budget.permits(event):
+        _emit(level, event, fields, exc_info=exc_info)
+
+
+def _emit(
+    level: int, event: str, fields: dict[str, str], *, exc_info: bool = False
+) -> None:
+    extra = {"event": event, "fields": fields}
+    LOGGER.log(level, "%s", event, extra=extra, exc_info=exc_info)
+
+
+class LogWriter:
+    """Writes changes of state that the reducer reports."""
+
+    def __init__(self, budget: LineBudget = _budget) -> None:
+        self._budget = budget
 
     def count_dropped(self) -> int:
         """Return the number of lines that were not written; for any thread."""
@@ -96,22 +109,23 @@
             return
         dropped = self._budget.take_dropped()
         if dropped:
-            count = Label("count", str(dropped))
-            self._emit(logging.WARNING, LogChange(DROPPED, (count,)))
-        self._emit(level, change)
-
-    def _emit(self, level: int, change: LogChange) -> None:
+            _emit(logging.WARNING, DROPPED, {"count": str(dropped)})
         fields = {label.name: label.value for label in change.ids}
-        LOGGER.log(
-            level,
-            "%s",
-            change.change,
-            extra={"event": change.change, "process_id": self._process, "ids": fields},
-        )
+        _emit(level, change.change, fields)
 
 
 class JsonFormatter(logging.Formatter):
-    """Formats a record as one JSON object."""
+    """Formats a record as one JSON object.
+
+    Parameters
+    ----------
+    process : str
+        Id of the process, in each line.
+    """
+
+    def __init__(self, process: str) -> None:
+        super().__init__()
+        self._process = process
 
     def format(self, record: logging.LogRecord) -> str:
         """Return the line for a record, without its end."""
@@ -119,10 +133,10 @@
             "time": round(record.created, 3),
             "level": record.levelname.lower(),
             "event": getattr(record, "event", "message"),
+            "process": self._process,
         }
-        if hasattr(record, "ids"):
-            line["process"] = getattr(record, "process_id", "")
-            line.update(record.ids)
+        if hasattr(record, "fields"):
+            line.update(record.fields)
         else:
             line["logger"] = record.name
             line["message"] = record.getMessage()
@@ -175,10 +189,16 @@
 
 
 @contextmanager
-def writing() -> Iterator[None]:
-    """Write log lines to standard output until the block ends."""
+def writing(process: str) -> Iterator[None]:
+    """Write log lines to standard output until the block ends.
+
+    Parameters
+    ----------
+    process : str
+        Id of the process, in each line.
+    """
     handler = BoundedHandler(sys.stdout)
-    handler.setFormatter(JsonFormatter())
+    handler.setFormatter(JsonFormatter(process))
     # Libraries and parts appear from warnings up, changes of state from info.
     logging.basicConfig(handlers=[handler], level=logging.WARNING)
     LOGGER.setLevel(logging.INFO)
--- a/packages/daemon/crocuswell_daemon/peers.py
+++ b/packages/daemon/crocuswell_daemon/peers.py
@@ -22,6 +22,7 @@
 from crocuswell_core.runtime.effects import Count, Label
 from crocuswell_core.runtime.events import Event, PeerMessageReceived
 from crocuswell_daemon.listener import StreamListener
+from crocuswell_daemon.logs import log_event
 from crocuswell_daemon.streams import (
     Decode,
     Encode,
@@ -42,8 +43,6 @@
 STEADY_S = 1.0
 QUEUE_LIMIT = 256
 
-logger = logging.getLogger(__name__)
-
 
 @attrs.frozen
 class PeerFrame:
@@ -189,9 +188,7 @@
                 self._count(Count("peer_connects_failed", labels=self._labels))
             else:
                 self._count(Count("peer_links_lost", labels=self._labels))
-                logger.warning(
-                    "change=peer_link_lost peer=%s detail=%r", self.peer.id, detail
-                )
+                log_event("peer_link_lost", peer=self.peer.id, reason=detail)
                 if time.monotonic() - self._opened_at > STEADY_S:
                     backoff_s = BACKOFF_MIN_S
             await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
@@ -207,7 +204,7 @@
                 self.peer.address, PEER_STREAM_PATH, self._codec
             ) as stream:
                 self._opened_at = time.monotonic()
-                logger.info("change=peer_link_opened peer=%s", self.peer.id)
+                log_event("peer_link_opened", logging.INFO, peer=self.peer.id)
                 return await _run_link(
                     stream, outbox, self._host_id, _ignore_echo, stream.end
                 )
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -13,11 +13,12 @@
     JsonFormatter,
     LineBudget,
     LogWriter,
+    log_event,
 )
 
 
 def lines(caplog: pytest.LogCaptureFixture) -> list[dict[str, object]]:
-    formatter = JsonFormatter()
+    formatter = JsonFormatter("e1")
     found = [json.loads(formatter.format(record)) for record in caplog.records]
     for line in found:
         del line["time"]
@@ -42,8 +43,8 @@
 def test_a_change_becomes_one_object(change, fields, caplog) -> None:
     """Guards against a value that ends its field or its line."""
     with caplog.at_level(logging.INFO, "crocuswell"):
-        LogWriter("e1").write(change)
-    assert "\n" not in JsonFormatter().format(caplog.records[0])
+        LogWriter().write(change)
+    assert "\n" not in JsonFormatter("e1").format(caplog.records[0])
     assert lines(caplog) == [
         {"level": "info", "event": change.change, "process": "e1", **fields}
     ]
@@ -53,14 +54,14 @@
 def test_the_level_of_a_change_is_kept(level, caplog) -> None:
     """Guards against a fault that looks like news."""
     with caplog.at_level(logging.INFO, "crocuswell"):
-        LogWriter("e1").write(LogChange("c", level=level))
+        LogWriter().write(LogChange("c", level=level))
     assert caplog.records[0].levelname == level.name
 
 
 def test_event_beyond_its_budget_is_counted_and_told(caplog) -> None:
     """Guards against a storm of lines, and one that nobody sees."""
     now = [10.0]
-    writer = LogWriter("e1", LineBudget(2, lambda: now[0]))
+    writer = LogWriter(LineBudget(2, lambda: now[0]))
     with caplog.at_level(logging.INFO, "crocuswell"):
         for _ in range(5):
             writer.write(LogChange("storm"))
@@ -109,6 +110,23 @@
     assert stream.getvalue().count("\n") == 100
 
 
+def test_lines_of_listeners_have_fields_and_a_traceback(caplog) -> None:
+    """Guards against a fault that a trace cannot find."""
+    with caplog.at_level(logging.INFO, "crocuswell"):
+        try:
+            raise ValueError("broken")
+        except ValueError:
+            log_event("call_failed", logging.ERROR, exc_info=True, path="/a")
+    (line,) = lines(caplog)
+    assert "ValueError: broken" in str(line.pop("traceback"))
+    assert line == {
+        "level": "error",
+        "event": "call_failed",
+        "process": "e1",
+        "path": "/a",
+    }
+
+
 def test_messages_of_libraries_are_objects_too(caplog) -> None:
     """Guards against lines that a tool cannot read."""
     logging.getLogger("library").warning("lost %s", "x")
@@ -116,6 +134,7 @@
     assert line == {
         "level": "warning",
         "event": "message",
+        "process": "e1",
         "logger": "library",
         "message": "lost x",
     }
--- a/tests/test_logs_page.py
+++ b/tests/test_logs_page.py
@@ -9,7 +9,7 @@
 PAGE = ROOT / "docs" / "logs.md"
 SOURCES = ("packages", "platform")
 # Functions that make a log line from the name of its event.
-WRITERS = frozenset({"LogChange", "_worker_line", "stop_run"})
+WRITERS = frozenset({"LogChange", "_worker_line", "log_event", "stop_run"})
 
 
 def constants(node: ast.expr) -> Iterator[str]:
