Work out what is left of a run in one place

Cause: packing and evacuation each computed it from percent and estimate.

Change: RunProgress.left_ms, used by both.

--- a/packages/core/crocuswell_core/dispatching/health.py
+++ b/packages/core/crocuswell_core/dispatching/health.py
@@ -120,7 +120,7 @@
         if job is None or run in state.dispatch.stopping:
             continue
         step = job.steps[run.task.step]
-        left_ms = step.estimated_ms * (WHOLE_PERCENT - progress.percent) // 100
+        left_ms = progress.left_ms(step.estimated_ms)
         stays = not step.checkpointing or left_ms <= view.worker.remaining_ms
         if stays and not step.lasting:
             continue
--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -279,8 +279,7 @@
         job = jobs.get(run.task.job_id)
         if job is not None:
             estimated_ms = job.steps[run.task.step].estimated_ms
-            left = (100 - min(100, progress.percent)) / 100
-            longest = max(longest, round(estimated_ms * left))
+            longest = max(longest, progress.left_ms(estimated_ms))
     return longest
 
 
--- a/packages/core/crocuswell_core/jobs/job_records.py
+++ b/packages/core/crocuswell_core/jobs/job_records.py
@@ -378,6 +378,10 @@
     checkpoint: str
     percent: int
 
+    def left_ms(self, estimated_ms: int) -> int:
+        """Return the time in ms that the rest of its work should take."""
+        return estimated_ms * (100 - min(100, self.percent)) // 100
+
 
 @attrs.frozen
 class SavedCheckpoint:
