Hold counts of agents and runners in one type

Cause: EventCount repeated CounterValue, and the leader added up both with the same lines.

Change: runtime/counter_values.py, used by both; a test for agents' counters.

--- a/packages/core/crocuswell_core/agent/agent_messages.py
+++ b/packages/core/crocuswell_core/agent/agent_messages.py
@@ -7,6 +7,7 @@
 )
 from crocuswell_core.cluster.records import AttemptId, WorkerInfo
 from crocuswell_core.cluster.resources import Resources
+from crocuswell_core.runtime.counter_values import CounterValue
 
 
 @attrs.frozen
@@ -35,14 +36,6 @@
     used: Resources
 
 
-@attrs.frozen
-class CounterValue:
-    """Value of one of the agent's counters."""
-
-    name: str
-    value: int
-
-
 @attrs.frozen
 class AgentHeartbeat:
     """Sent each second; `sequence` is echoed to extend the leases.
--- a/packages/core/crocuswell_core/agent/agent_stream.py
+++ b/packages/core/crocuswell_core/agent/agent_stream.py
@@ -3,13 +3,13 @@
 from crocuswell_core.agent.agent_leases import forget_old_heartbeats
 from crocuswell_core.agent.agent_messages import (
     AgentHeartbeat,
-    CounterValue,
     Hello,
     TaskUsage,
 )
 from crocuswell_core.agent.agent_reports import all_tasks, count
 from crocuswell_core.agent.agent_state import AgentState, TaskPhase
 from crocuswell_core.cluster.records import AttemptId
+from crocuswell_core.runtime.counter_values import CounterValue
 from crocuswell_core.runtime.effects import (
     ChangeLevel,
     CloseEntryStream,
--- a/packages/core/crocuswell_core/dispatching/worker_views.py
+++ b/packages/core/crocuswell_core/dispatching/worker_views.py
@@ -23,6 +23,7 @@
     WorkerReport,
 )
 from crocuswell_core.links.relay import redirect
+from crocuswell_core.runtime.counter_values import take_growth
 from crocuswell_core.runtime.dispatch import handle_agent
 from crocuswell_core.runtime.effects import Count, Effect, Label, LogChange, SendAgent
 
@@ -59,7 +60,10 @@
         message.sequence, term, lease_ms, key, table.seen_ends.get(key, 0)
     )
     effects += [SendAgent(stream_id, grant), Count("leases_granted_total")]
-    effects += _count_events(view, message)
+    effects += [
+        Count("runner_events_total", added, (Label("event", name),))
+        for name, added in take_growth(message.events, view.events)
+    ]
     effects += _record_ends(state, view, message)
     if message.gone and key in table.placed:
         # What ran there ended with it.
@@ -98,17 +102,6 @@
     return view, effects
 
 
-def _count_events(view: WorkerView, message: WorkerReport) -> list[Effect]:
-    effects: list[Effect] = []
-    for item in message.events:
-        added = item.count - view.events.get(item.event, 0)
-        view.events[item.event] = item.count
-        if added > 0:
-            labels = (Label("event", item.event),)
-            effects.append(Count("runner_events_total", added, labels))
-    return effects
-
-
 def _lose_earlier_boots(state: EntryState, worker: WorkerDescription) -> list[Effect]:
     """Give up the runs of earlier boots on a machine: none outlives a boot."""
     effects: list[Effect] = []
--- a/packages/core/crocuswell_core/entry/sessions.py
+++ b/packages/core/crocuswell_core/entry/sessions.py
@@ -32,6 +32,7 @@
 )
 from crocuswell_core.entry.entry_state import AgentSession, EntryState
 from crocuswell_core.links.relay import forget_client
+from crocuswell_core.runtime.counter_values import take_growth
 from crocuswell_core.runtime.dispatch import (
     handle_agent,
     handle_timer,
@@ -106,14 +107,11 @@
         return [CloseAgentStream(stream_id)]
     session.heard_sequence = max(session.heard_sequence, message.sequence)
     session.number = message.number
-    effects: list[Effect] = []
-    for counter in message.counters:
-        added = counter.value - session.counters.get(counter.name, 0)
-        session.counters[counter.name] = counter.value
-        if added > 0:
-            labels = (Label("event", counter.name),)
-            effects.append(Count("agent_events_total", added, labels))
-    return effects + check_usage(state.cluster, session.worker, message.usage)
+    counts = [
+        Count("agent_events_total", added, (Label("event", name),))
+        for name, added in take_growth(message.counters, session.counters)
+    ]
+    return [*counts, *check_usage(state.cluster, session.worker, message.usage)]
 
 
 @handle_agent.register
--- a/packages/core/crocuswell_core/links/link_messages.py
+++ b/packages/core/crocuswell_core/links/link_messages.py
@@ -16,6 +16,7 @@
     TaskEnd,
     boot_key,
 )
+from crocuswell_core.runtime.counter_values import CounterValue
 
 # --- client to host ------------------------------------------------------
 
@@ -93,14 +94,6 @@
         return boot_key(self.machine, self.id, self.born_ms)
 
 
-@attrs.frozen
-class EventCount:
-    """How often a runner has seen an event since its start."""
-
-    event: str
-    count: int
-
-
 @attrs.frozen
 class WorkerReport:
     """All that a runner knows of its worker.
@@ -121,7 +114,7 @@
         Whether the worker said that it ends and no longer answers.
     absent : tuple of RunId
         Ordered runs that are not there and that the worker refuses now.
-    events : tuple of EventCount
+    events : tuple of CounterValue
         Counts that changed since the newest report on this stream.
     """
 
@@ -134,7 +127,7 @@
     absent: tuple[RunId, ...] = ()
     gone: bool = False
     lists: int = 0
-    events: tuple[EventCount, ...] = ()
+    events: tuple[CounterValue, ...] = ()
 
 
 ClientMessage = Attach | LinkKeepalive | ForwardCall | JoinGroup | WorkerReport
--- a/packages/core/crocuswell_core/runner/run_lists.py
+++ b/packages/core/crocuswell_core/runner/run_lists.py
@@ -2,7 +2,6 @@
 
 from crocuswell_core.links import uplink as links
 from crocuswell_core.links.link_messages import (
-    EventCount,
     WorkerDescription,
     WorkerReport,
 )
@@ -17,6 +16,7 @@
     RunsListed,
     WorkerBeat,
 )
+from crocuswell_core.runtime.counter_values import CounterValue
 from crocuswell_core.runtime.effects import (
     CallWorker,
     Effect,
@@ -129,13 +129,13 @@
     state.events[event] = state.events.get(event, 0) + 1
 
 
-def _changed_events(state: RunnerState) -> tuple[EventCount, ...]:
+def _changed_events(state: RunnerState) -> tuple[CounterValue, ...]:
     changed = tuple(
-        EventCount(event, count)
+        CounterValue(event, count)
         for event, count in state.events.items()
         if state.events_sent.get(event) != count
     )
-    state.events_sent.update((item.event, item.count) for item in changed)
+    state.events_sent.update((counter.name, counter.value) for counter in changed)
     return changed
 
 
--- a/packages/daemon/crocuswell_daemon/tags.py
+++ b/packages/daemon/crocuswell_daemon/tags.py
@@ -14,7 +14,7 @@
 from crocuswell_core.jobs import catalog, job_commands, job_records, job_table
 from crocuswell_core.links import link_messages
 from crocuswell_core.policy import policies
-from crocuswell_core.runtime import effects
+from crocuswell_core.runtime import counter_values, effects
 
 # Logs, snapshots and hosts of other versions contain these numbers, so a
 # class is only ever added at the end and a removed one leaves a gap (None).
@@ -77,7 +77,7 @@
     peer_messages.LivenessReply,
     agent_messages.Hello,
     agent_messages.TaskUsage,
-    agent_messages.CounterValue,
+    counter_values.CounterValue,
     agent_messages.AgentHeartbeat,
     agent_messages.SendReports,
     agent_messages.DrainNotice,
@@ -156,7 +156,6 @@
     link_messages.RunOrders,
     link_messages.LeaseGrant,
     job_commands.RecordCheckpoints,
-    link_messages.EventCount,
     job_records.Schedule,
     job_records.Occurrence,
 )
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -51,8 +51,8 @@
 from crocuswell_core.runtime.reducer import reduce
 from crocuswell_core.runtime.timers import ControlTimer, ElectionTimer, LeaderTimer
 
-# Work in the last one is not urgent, but cannot wait either.
-URGENT, LONG, TIGHT = "urgent", "long", "tight"
+# Work in the last two is not urgent, but cannot wait either.
+URGENT, LONG, TIGHT, BATCH = "urgent", "long", "tight", "batch"
 HOST = "queues.example"
 KEY = "key-a"
 CAPACITY = Room(128_000, 262_144, 8)
@@ -68,6 +68,7 @@
             Queue(URGENT, HOST, f"/{URGENT}/", "press", 0, 2, 1.5, 250),
             Queue(LONG, HOST, f"/{LONG}/", "press", 1, 3, 3.0, 1_000),
             Queue(TIGHT, HOST, f"/{TIGHT}/", "press", 1, 3, 1.0, 0),
+            Queue(BATCH, HOST, f"/{BATCH}/", "press", 2, 3, 1.0, 0),
         ),
         "services": (Service("press"),),
         "tenancies": (Tenancy("tisk", (KEY,), 1, guaranteed),),
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -14,6 +14,7 @@
 from crocuswell_core.runtime.effects import Effect, SendAgent
 from crocuswell_core.runtime.events import AgentMessageReceived, AgentStreamClosed
 from tests.job_world import (
+    BATCH,
     LONG,
     TIGHT,
     URGENT,
@@ -453,3 +454,17 @@
     del leader.state.dispatch.records[W1.id]
     leader.submit("last", step(), queue=TIGHT)
     assert any(task.job_id == "last" for task in leader.placed(W1))
+
+
+def test_queue_of_higher_rank_comes_first_whenever_its_work_is_due() -> None:
+    """Guards against batches that fill the fleet before more urgent work."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("first", step(8), queue=TIGHT)
+    leader.submit("batch", step(8), queue=BATCH)
+    leader.submit("later", step(8), queue=TIGHT)
+    ends = [
+        end_of(run_of("first", index), EndKind.DONE, index + 1) for index in range(8)
+    ]
+    leader.report(1, W1, ended=ends)
+    assert {task.job_id for task in leader.placed(W1)} == {"later"}
--- a/tests/test_job_metrics.py
+++ b/tests/test_job_metrics.py
@@ -8,8 +8,9 @@
 from crocuswell_core.cluster.commands import Refused
 from crocuswell_core.jobs.job_commands import CancelJob, PutCatalog, SubmitJob
 from crocuswell_core.jobs.job_records import EndKind
-from crocuswell_core.links.link_messages import CallAnswered, EventCount
+from crocuswell_core.links.link_messages import CallAnswered
 from crocuswell_core.runner.worker_calls import BeginRun, NoAnswer, RunRefused
+from crocuswell_core.runtime.counter_values import CounterValue
 from crocuswell_core.runtime.effects import Count, Effect, Observe, SetGauge
 from crocuswell_core.runtime.errors import ErrorKind
 from crocuswell_core.runtime.events import CallAbandoned, CallReceived
@@ -119,7 +120,7 @@
     runner.reply(BeginRun, RunRefused(0, "room"))
     runner.tick(600)
     sent = [item for report in runner.reports for item in report.events]
-    assert sent == [EventCount("start no_answer", 1), EventCount("start room", 1)]
+    assert sent == [CounterValue("start no_answer", 1), CounterValue("start room", 1)]
 
 
 def test_leader_adds_up_the_counts_of_runners() -> None:
@@ -129,7 +130,7 @@
     counts = [
         effect
         for total in (2, 2, 5)
-        for effect in leader.report(1, w1, events=(EventCount("start room", total),))
+        for effect in leader.report(1, w1, events=(CounterValue("start room", total),))
         if isinstance(effect, Count) and effect.counter == "runner_events_total"
     ]
     assert [count.amount for count in counts] == [2, 3]
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -5,6 +5,7 @@
 import pytest
 
 from crocuswell_core.agent.agent_messages import (
+    AgentHeartbeat,
     DrainNotice,
     EntryHeartbeat,
     Goodbye,
@@ -33,7 +34,14 @@
 from crocuswell_core.cluster.records import JobSpec, RequestPhase, WorkerMode
 from crocuswell_core.entry.calls import GetRequest
 from crocuswell_core.entry.replies import RequestView
-from crocuswell_core.runtime.effects import CloseAgentStream, Halt, SendPeer, SetReady
+from crocuswell_core.runtime.counter_values import CounterValue
+from crocuswell_core.runtime.effects import (
+    CloseAgentStream,
+    Count,
+    Halt,
+    SendPeer,
+    SetReady,
+)
 from crocuswell_core.runtime.events import (
     AgentMessageReceived,
     AgentStreamClosed,
@@ -229,3 +237,18 @@
     consensus.role, consensus.leader = Role.FOLLOWER, "e2"
     host.post(PeerMessageReceived("e2", TimeoutNow(consensus.term)))
     assert consensus.role is Role.FOLLOWER
+
+
+def test_counters_of_agents_are_added_up_once() -> None:
+    """Guards against a total that is added again with each heartbeat."""
+    host = welcomed_host()
+    for value in (2, 2, 5):
+        counters = (CounterValue("late", value),)
+        heartbeat = AgentHeartbeat(99, 1, counters=counters)
+        host.post(AgentMessageReceived(1, heartbeat))
+    added = [
+        effect.amount
+        for effect in host.effects
+        if isinstance(effect, Count) and effect.counter == "agent_events_total"
+    ]
+    assert added == [2, 3]
