Rank waiting work by its queue before its due time

Cause: work of all queues that is not urgent was ordered by due time alone.

Change: within a tier the queue's priority comes first, then the due time.

--- a/packages/core/crocuswell_core/dispatching/ranking.py
+++ b/packages/core/crocuswell_core/dispatching/ranking.py
@@ -161,7 +161,7 @@
                 step=step,
                 service=queue.service,
                 waiting=waiting,
-                order=(tier, due_ms, occurrence.due_ms),
+                order=(tier, queue.priority, due_ms),
                 priority=queue.priority,
                 may_preempt=urgent,
                 eviction_limit_core_s=(
