Count the limit per worker when room is held, and keep failed gangs in a rack

Cause: found in reading. Whether workers could hold a gang ignored its limit per worker, so room was held for a gang that could never start. And a gang that needs one rack was spread at once when the worker that had failed it was left out and no other rack was whole.

Change: one function counts the copies that a worker holds; a worker with a failure is left out of a rack-bound gang only if another rack could hold it. Two tests that fail without it.

--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -26,7 +26,11 @@
         worker for index in ranked.waiting for worker in ranked.tasks[index].failed_on
     }
     sound = [space for space in spaces if space.view.worker.id not in failed_on]
-    return sound if _could_hold(ranked, sound) else spaces
+    groups = [sound]
+    if ranked.step.gang and ranked.step.same_rack:
+        groups = list(by_rack(sound).values())
+    enough = any(_could_hold(ranked, group) for group in groups)
+    return sound if enough else spaces
 
 
 def choose_places(ranked: RankedStep, spaces: list[Space], limit: int) -> Places:
@@ -129,9 +133,13 @@
 
 
 def copies_on(ranked: RankedStep, space: Space) -> int:
-    """Return how many tasks of the step fit on a worker."""
+    """Return how many tasks of the step fit on a worker now."""
+    return _copies_in(ranked, space.room)
+
+
+def _copies_in(ranked: RankedStep, room: Room) -> int:
     limit = ranked.step.per_worker_limit
-    copies = space.room.copies(ranked.step.demand)
+    copies = room.copies(ranked.step.demand)
     return min(copies, limit) if limit else copies
 
 
@@ -168,9 +176,8 @@
 
 
 def _could_hold(ranked: RankedStep, spaces: list[Space]) -> bool:
-    """Tell whether the rack holds the gang once it is empty."""
-    step = ranked.step
-    copies = sum(s.view.worker.capacity.copies(step.demand) for s in spaces)
+    """Tell whether workers hold all tasks once they are empty."""
+    copies = sum(_copies_in(ranked, s.view.worker.capacity) for s in spaces)
     return copies >= ranked.missing
 
 
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -468,3 +468,29 @@
     ]
     leader.report(1, W1, ended=ends)
     assert {task.job_id for task in leader.placed(W1)} == {"later"}
+
+
+def test_gang_beyond_its_limit_per_worker_keeps_nothing_free() -> None:
+    """Guards against room held for a gang that the workers cannot hold."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("wide", step(2, gang=True, per_worker_limit=1), queue=TIGHT)
+    leader.submit("small", step(1, gang=True), queue=TIGHT)
+    assert leader.placed(W1) == {TaskId("small", 0, 0): 1}
+
+
+def test_failed_gang_stays_in_one_rack() -> None:
+    """Guards against a gang that is spread since one worker failed it."""
+    leader = Leader()
+    for stream_id, described in ((1, W1), (2, W2), (3, W3)):
+        leader.report(stream_id, described)
+    gang = step(2, accelerators=8, gang=True, same_rack=True)
+    leader.submit("gang", gang, queue=TIGHT)
+    assert leader.placed(W1)
+    assert leader.placed(W2)
+    index = next(iter(leader.placed(W1))).index
+    failed = end_of(run_of("gang", index), EndKind.FAILED)
+    broken = end_of(run_of("gang", 1 - index), EndKind.GANG_BROKEN)
+    leader.report(1, W1, ended=[failed])
+    leader.report(2, W2, ended=[broken])
+    assert not leader.placed(W3)
