--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+import tomllib
 import urllib.error
 import urllib.request
 from collections.abc import Iterator
@@ -14,8 +15,11 @@
 
 import yaml
 
+from crocuswell_platform import control_node, front_node
+from crocuswell_platform.listeners import METRICS_PATH
 from tests.test_platform_adapter import BOOT, CONFIG
 
+ROOT = Path(__file__).resolve().parent.parent
 HOST_IP, GATEWAY_IP = "127.0.0.1", "127.0.0.2"
 START_TIME_S = 15.0
 STOP_TIME_S = 10.0
@@ -98,3 +102,19 @@
         status, body = call(address)
         assert (status, json.loads(body)) == (200, CONFIG)
         assert call(f"{HOST_IP}:{first_port + 8}")[1] == body
+
+
+def test_deploy_file_names_the_ports_that_metrics_are_served_on() -> None:
+    """Guards against a scrape of a port on which nothing listens."""
+    deploy = tomllib.loads(
+        (ROOT / "deploy" / "system.toml").read_text(encoding="utf-8")
+    )
+    ports = {
+        role: fields["metrics"]
+        for role, fields in deploy["roles"].items()
+        if "metrics" in fields
+    }
+    assert ports == {
+        "control": f"{control_node.METRICS_PORT}{METRICS_PATH}",
+        "front": f"{front_node.METRICS_PORT}{METRICS_PATH}",
+    }
