Let waiting work use an idle fleet that is kept free for urgent work

Change: a step of which nothing runs also takes the room of one task from that fifth, once the fleet was mostly idle and had room for it twice over for 1.5 s. A test that fails without it.

--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -10,8 +10,9 @@
 WAVE_SHARE = 0.25
 # Share of the fleet that work which can wait leaves free.
 RESERVED_SHARE = 0.2
-# A step takes room that is held for others, and a gang is spread over racks,
-# once most of the fleet was idle and had room for it this many times.
+# A step takes room that is held for others or left free for urgent work, and
+# a gang is spread over racks, once most of the fleet was idle and had room
+# for it this many times.
 AMPLE_ROOM = 2
 AMPLE_ROOM_MS = 1_500
 IDLE_SHARE = 0.5
@@ -207,7 +208,13 @@
 def take_ample_room(
     state: EntryState, ranked: RankedStep, spaces: list[Space], limit: int
 ) -> Places:
-    """Place a step in a fleet that is idle but for what it is held for."""
+    """Place a step in a fleet that is idle but for what it is held for.
+
+    A step of which nothing runs also takes from what is left free for urgent
+    work, one task at a time.
+    """
+    if not limit and ranked.missing < ranked.step.count - ranked.done:
+        return {}
     since_ms = state.dispatch.roomy_since_ms
     for space in spaces:
         space.room = space.unclaimed(ranked.key)
@@ -219,7 +226,7 @@
     begun_ms = since_ms.setdefault(ranked.key, state.now_ms)
     if state.now_ms - begun_ms < AMPLE_ROOM_MS:
         return {}
-    places = choose_places(ranked, spaces, limit)
+    places = choose_places(ranked, spaces, limit or 1)
     if places or not ranked.step.gang:
         return places
     return _place_gang(ranked, spaces)
--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -57,15 +57,13 @@
         for space in usable:
             space.offer_to(ranked.key, ranked.step.estimated_ms)
         limit = start_limit(ranked, spaces)
-        if not limit:
-            continue
-        places = choose_places(ranked, usable, limit)
+        places = choose_places(ranked, usable, limit) if limit else {}
         if not places and ranked.key not in dispatch.claims:
             places = take_ample_room(state, ranked, usable, limit)
         if places:
             starts += _take(ranked, places)
             _drop_claim(state, ranked, spaces)
-        elif ranked.key not in dispatch.claims:
+        elif limit and ranked.key not in dispatch.claims:
             effects += _make_room(state, ranked, usable)
     if any(isinstance(effect, LogChange) for effect in effects):
         effects += order_all(state)
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -5,7 +5,7 @@
 
 from crocuswell_core.dispatching.dispatch_state import WorkerRecord
 from crocuswell_core.jobs.job_commands import CancelJob
-from crocuswell_core.jobs.job_records import EndKind, RunId, RunProgress, TaskId
+from crocuswell_core.jobs.job_records import EndKind, Room, RunId, RunProgress, TaskId
 from crocuswell_core.links.link_messages import (
     LeaseGrant,
     Redirect,
@@ -494,3 +494,32 @@
     leader.report(1, W1, ended=[failed])
     leader.report(2, W2, ended=[broken])
     assert not leader.placed(W3)
+
+
+def test_work_that_can_wait_does_not_wait_for_an_idle_fleet() -> None:
+    """Guards against jobs that wait while most of the fleet is idle."""
+    leader = Leader()
+    demand = Room(10_000, 200_000, 1)
+    fleet = [worker(f"w{i}", f"r1-{i // 3}") for i in range(9)]
+
+    def report() -> None:
+        for stream_id, described in enumerate(fleet, start=1):
+            runs = running(leader, described, percent=leader.now_ms // 100 % 90)
+            leader.report(stream_id, described, runs)
+
+    report()
+    for index in range(7):
+        busy = attrs.evolve(step(1), demand=demand, estimated_ms=60_000)
+        leader.submit(f"busy{index}", busy, queue=TIGHT)
+    patient = attrs.evolve(step(1), demand=demand, estimated_ms=60_000)
+    leader.submit("patient", patient)
+    waited = []
+    for _ in range(20):
+        report()
+        jobs = {task.job_id for w in fleet for task in leader.placed(w)}
+        waited.append("patient" not in jobs)
+        leader.advance(100)
+        leader.tick()
+    # Two of nine workers are left free for urgent work at first.
+    assert waited[0]
+    assert not waited[-1]
