Choose the groups of workers for a step in one place

Which workers must hold a step whole was worked out three times (without_failures, hold_room, and _candidate_groups of preemption); the key of a step was put together anew where tasks are compared; three fields of the catalog still had the platform's names.

Behaviour is the same; no test was changed.

--- a/packages/core/crocuswell_core/agent/agent.py
+++ b/packages/core/crocuswell_core/agent/agent.py
@@ -29,7 +29,7 @@
 )
 from crocuswell_core.agent.backend import ForgetOnBackend
 from crocuswell_core.cluster.commands import TaskReserved
-from crocuswell_core.runtime import shared_handlers  # noqa: F401  (shared handlers)
+from crocuswell_core.runtime import shared_handlers  # noqa: F401  (registers them)
 from crocuswell_core.runtime.dispatch import (
     close_stream,
     handle,
--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -2,7 +2,13 @@
 
 import attrs
 
-from crocuswell_core.jobs.job_records import Room, RunId, RunProgress, TaskId
+from crocuswell_core.jobs.job_records import (
+    Room,
+    RunId,
+    RunProgress,
+    StepKey,
+    TaskId,
+)
 from crocuswell_core.links.link_messages import WorkerDescription
 
 
@@ -133,14 +139,10 @@
     plans: int = 0
     losing: dict[str, int] = attrs.Factory(dict)
     stopping: set[RunId] = attrs.Factory(set)
-    claims: dict["StepKey", Claim] = attrs.Factory(dict)
+    claims: dict[StepKey, Claim] = attrs.Factory(dict)
     recorded_ms: int = 0
-    held_racks: dict["StepKey", str] = attrs.Factory(dict)
-    roomy_since_ms: dict["StepKey", int] = attrs.Factory(dict)
-
-
-# Job id, number of the occurrence, and of the step.
-StepKey = tuple[str, int, int]
+    held_racks: dict[StepKey, str] = attrs.Factory(dict)
+    roomy_since_ms: dict[StepKey, int] = attrs.Factory(dict)
 
 
 @attrs.define
--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -27,10 +27,7 @@
         worker for index in ranked.waiting for worker in ranked.tasks[index].failed_on
     }
     sound = [space for space in spaces if space.view.worker.id not in failed_on]
-    groups = [sound]
-    if ranked.step.gang and ranked.step.same_rack:
-        groups = list(by_rack(sound).values())
-    enough = any(_could_hold(ranked, group) for group in groups)
+    enough = any(_could_hold(ranked, g) for g in candidate_groups(ranked, sound))
     return sound if enough else spaces
 
 
@@ -109,14 +106,18 @@
 def _counts(ranked: RankedStep, spaces: list[Space]) -> dict[int, int]:
     """Return how many tasks of the step each worker holds already."""
     return {
-        id(space): sum(
-            (task.job_id, task.occurrence, task.step) == ranked.key
-            for task in space.placed
-        )
+        id(space): sum(task.step_key == ranked.key for task in space.placed)
         for space in spaces
     }
 
 
+def candidate_groups(ranked: RankedStep, spaces: list[Space]) -> list[list[Space]]:
+    """Return the groups of workers of which one must hold the whole step."""
+    if not ranked.needs_one_rack:
+        return [spaces]
+    return list(by_rack(spaces).values())
+
+
 def by_rack(spaces: list[Space]) -> dict[str, list[Space]]:
     """Return the workers of each rack."""
     racks: dict[str, list[Space]] = {}
@@ -253,7 +254,7 @@
     if not spaces:
         return
     group = spaces
-    if ranked.step.gang and ranked.step.same_rack:
+    if ranked.needs_one_rack:
         group = _rack_to_hold(state, ranked, spaces)
     if not _could_hold(ranked, group):
         # It needs workers that are away; others would wait for nothing.
--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -6,7 +6,6 @@
 from crocuswell_core.dispatching.dispatch_state import (
     Claim,
     Space,
-    StepKey,
     WorkerView,
 )
 from crocuswell_core.dispatching.packing import (
@@ -25,7 +24,13 @@
 )
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_commands import StartTasks
-from crocuswell_core.jobs.job_records import Room, RunId, TaskId, TaskStart
+from crocuswell_core.jobs.job_records import (
+    Room,
+    RunId,
+    StepKey,
+    TaskId,
+    TaskStart,
+)
 from crocuswell_core.runtime.effects import Effect, Label, LogChange
 
 # A runner reports each half second; a worker that missed two gets nothing new.
--- a/packages/core/crocuswell_core/dispatching/preemption.py
+++ b/packages/core/crocuswell_core/dispatching/preemption.py
@@ -3,7 +3,7 @@
 import attrs
 
 from crocuswell_core.dispatching.dispatch_state import Space
-from crocuswell_core.dispatching.packing import by_rack
+from crocuswell_core.dispatching.packing import candidate_groups
 from crocuswell_core.dispatching.ranking import RankedStep
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.catalog import queue_named
@@ -39,18 +39,12 @@
     """
     found = [
         eviction
-        for group in _candidate_groups(ranked, spaces)
+        for group in candidate_groups(ranked, spaces)
         if (eviction := _evict_from(state, ranked, group)) is not None
     ]
     return min(found, key=lambda eviction: eviction.cost, default=None)
 
 
-def _candidate_groups(ranked: RankedStep, spaces: list[Space]) -> list[list[Space]]:
-    if not (ranked.step.gang and ranked.step.same_rack):
-        return [spaces]
-    return list(by_rack(spaces).values())
-
-
 def _evict_from(
     state: EntryState, ranked: RankedStep, group: list[Space]
 ) -> Eviction | None:
@@ -196,5 +190,5 @@
     return [
         RunId(task_id, task.run)
         for task_id, task in state.cluster.jobs.placed_tasks(job)
-        if (task_id.occurrence, task_id.step) == (run.task.occurrence, run.task.step)
+        if task_id.step_key == run.task.step_key
     ]
--- a/packages/core/crocuswell_core/dispatching/ranking.py
+++ b/packages/core/crocuswell_core/dispatching/ranking.py
@@ -5,12 +5,12 @@
 
 import attrs
 
-from crocuswell_core.dispatching.dispatch_state import StepKey
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.catalog import Catalog, Queue, queue_named
 from crocuswell_core.jobs.job_records import (
     Job,
     Occurrence,
+    StepKey,
     StepSpec,
     Task,
     TaskPhase,
@@ -63,6 +63,11 @@
         """Number of tasks of the step that are done."""
         return sum(task.phase is TaskPhase.DONE for task in self.tasks)
 
+    @property
+    def needs_one_rack(self) -> bool:
+        """Whether it is slowed down unless one rack holds all of it."""
+        return self.step.gang and self.step.same_rack
+
     @property
     def tasks(self) -> list[Task]:
         """All tasks of the step."""
--- a/packages/core/crocuswell_core/dispatching/worker_views.py
+++ b/packages/core/crocuswell_core/dispatching/worker_views.py
@@ -10,6 +10,7 @@
     EndKind,
     RunId,
     SavedCheckpoint,
+    StepKey,
     TaskEnd,
     TaskPhase,
     split_boot_key,
@@ -163,7 +164,7 @@
         return []
     dispatch.recorded_ms = state.now_ms
     table = state.cluster.jobs
-    newest: dict[tuple[str, int, int, int], SavedCheckpoint] = {}
+    newest: dict[tuple[StepKey, int], SavedCheckpoint] = {}
     for view in dispatch.views.values():
         for run, progress in view.running.items():
             task = table.current_run(run)
@@ -172,8 +173,7 @@
             gang = table.jobs[run.task.job_id].steps[run.task.step].gang
             # One member's checkpoint stands for the whole gang.
             index = -1 if gang else run.task.index
-            place = (run.task.job_id, run.task.occurrence, run.task.step, index)
-            newest[place] = SavedCheckpoint(run, progress.checkpoint)
+            newest[run.task.step_key, index] = SavedCheckpoint(run, progress.checkpoint)
     if not newest:
         return []
     return _propose(state, RecordCheckpoints(tuple(newest.values())))
--- a/packages/core/crocuswell_core/front/front.py
+++ b/packages/core/crocuswell_core/front/front.py
@@ -19,7 +19,7 @@
 from crocuswell_core.jobs.job_commands import GetJob, JobRead
 from crocuswell_core.links import uplink as links
 from crocuswell_core.links.link_messages import CallAnswered, ForwardCall
-from crocuswell_core.runtime import shared_handlers  # noqa: F401  (shared handlers)
+from crocuswell_core.runtime import shared_handlers  # noqa: F401  (registers them)
 from crocuswell_core.runtime.dispatch import (
     abandon_call,
     close_stream,
--- a/packages/core/crocuswell_core/jobs/catalog.py
+++ b/packages/core/crocuswell_core/jobs/catalog.py
@@ -18,7 +18,7 @@
         Callers' address of the queue.
     priority : int
         0 comes first.
-    max_attempts : int
+    attempt_limit : int
         Failed runs of a task after which its job has failed.
     stretch : float
         Objective as a multiple of the job's longest chain of work.
@@ -37,7 +37,7 @@
     prefix: str
     service: str
     priority: int = 0
-    max_attempts: int = 1
+    attempt_limit: int = 1
     stretch: float = 1.0
     target_ms: int = 0
     open_access: bool = False
@@ -50,8 +50,8 @@
     """A set of workers that run the tasks of queues."""
 
     name: str
-    enforces_capacity: bool = False
-    standby: bool = False
+    checks_room: bool = False
+    switched_off: bool = False
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/jobs/job_changes.py
+++ b/packages/core/crocuswell_core/jobs/job_changes.py
@@ -348,7 +348,7 @@
     if worker_id not in failed.failed_on:
         failed.failed_on = (*failed.failed_on, worker_id)
     queue = queue_named(cluster.jobs.catalog, job.queue)
-    limit = queue.max_attempts if queue else 1
+    limit = queue.attempt_limit if queue else 1
     if job.is_open and not step.lasting and failed.failures >= limit:
         return list(_end_job(cluster, job, JobPhase.FAILED))
     return []
--- a/packages/core/crocuswell_core/jobs/job_records.py
+++ b/packages/core/crocuswell_core/jobs/job_records.py
@@ -162,6 +162,10 @@
     ABSENT = "absent"
 
 
+# Job id, number of the occurrence, and of the step.
+StepKey = tuple[str, int, int]
+
+
 @attrs.frozen(cache_hash=True)
 class TaskId:
     """A task of a job; `occurrence` counts the repetitions of a job."""
@@ -171,6 +175,11 @@
     index: int
     occurrence: int = 0
 
+    @property
+    def step_key(self) -> StepKey:
+        """Job id and numbers of the occurrence and the step."""
+        return self.job_id, self.occurrence, self.step
+
 
 @attrs.frozen(cache_hash=True)
 class RunId:
--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -51,7 +51,7 @@
     WorkerLeaving,
     WorkerReply,
 )
-from crocuswell_core.runtime import shared_handlers  # noqa: F401  (shared handlers)
+from crocuswell_core.runtime import shared_handlers  # noqa: F401  (registers them)
 from crocuswell_core.runtime.dispatch import (
     abandon_call,
     close_stream,
