--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 STEPS ?= 200000
 
-.PHONY: platform-day setup format lint test soak soak-platform model demo demo-kill failures rolling tour bench bench-ablations bench-agent capacity clean
+.PHONY: platform-day setup format lint test soak soak-platform model demo demo-kill failures rolling tour bench bench-ablations bench-dispatch bench-agent capacity clean
 
 setup: $(VENV)/.ready
 
@@ -39,6 +39,11 @@
 	$(BIN)/python bench/agent_memory.py
 	$(BIN)/python -m bench
 
+# Named loads against the dispatcher alone, in virtual time.
+bench-dispatch: setup
+	$(BIN)/python -m bench.dispatch_loads
+	$(BIN)/python -m bench.dispatch_cost
+
 bench-ablations: setup
 	$(BIN)/python -m bench --ablations
 
