--- a/packages/core/crocuswell_core/dispatching/control.py
+++ b/packages/core/crocuswell_core/dispatching/control.py
@@ -3,12 +3,11 @@
 from crocuswell_core.consensus import election, members
 from crocuswell_core.consensus.consensus_state import Role
 from crocuswell_core.dispatching.gauges import set_gauges
-from crocuswell_core.dispatching.planner import plan_starts
+from crocuswell_core.dispatching.orders import current_dispatch, send_due_orders
+from crocuswell_core.dispatching.planner import plan_if_due, plan_starts
 from crocuswell_core.dispatching.worker_reports import (
-    current_dispatch,
     expire_leases,
     propose_checkpoints,
-    send_all_orders,
 )
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.links import uplink as uplink_stream
@@ -54,8 +53,7 @@
         effects += _send_keepalives(state)
         effects += expire_leases(state)
         effects += propose_checkpoints(state)
-        effects += send_all_orders(state)
-        return [*effects, *plan_starts(state)]
+        return [*effects, *send_due_orders(state), *plan_if_due(state)]
     if state.clients and state.consensus.role is not Role.LEADER:
         effects += redirect_clients(state)
     return [*effects, *_join_group(state)]
@@ -83,7 +81,7 @@
         for run in dispatch.stopping
         if state.cluster.jobs.task_if_current(run) is not None
     }
-    return [*send_all_orders(state), *plan_starts(state)]
+    return [*send_due_orders(state), *plan_starts(state)]
 
 
 # --- joining the group ---------------------------------------------------
--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -2,71 +2,16 @@
 
 import attrs
 
+from crocuswell_core.dispatching.fleet import Fleet
+from crocuswell_core.dispatching.waiting_steps import WaitingSteps
+from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.jobs.job_records import (
     ResourceVector,
     RunId,
-    RunProgress,
+    SavedCheckpoint,
     StepKey,
-    TaskId,
+    parse_boot_key,
 )
-from crocuswell_core.links.link_messages import WorkerDescription
-
-
-@attrs.define
-class LastProgress:
-    """Newest progress of a run, for the detection of stalls.
-
-    Attributes
-    ----------
-    unchanged_ms : int
-        Time in ms for which run lists have shown the same percentage.
-    """
-
-    percent: int
-    unchanged_ms: int = 0
-
-
-@attrs.define
-class WorkerView:
-    """A boot of a worker whose runner reports to this leader.
-
-    Attributes
-    ----------
-    stream_id : int
-        Stream of its runner.
-    last_report_ms : int
-        Time in ms of the newest report.
-    lease_end_ms : int
-        Time in ms after which no run of this boot continues without a new
-        lease.
-    last_proposed_end : int
-        Highest number of a run's end that was proposed for recording.
-    ordered_starts, ordered_stops : set of RunId
-        Orders sent on this stream.
-    absent : set of RunId
-        Runs whose absence was proposed for recording.
-    list_number, list_received_ms : int
-        Number of the newest run list, and the time in ms of its receipt.
-    last_progress : dict
-        Progress of the listed runs.
-    events : dict
-        Counters of the runner's events on this stream.
-    """
-
-    worker: WorkerDescription
-    stream_id: int
-    last_report_ms: int = 0
-    reachable: bool = False
-    lease_end_ms: int = 0
-    last_proposed_end: int = 0
-    running: dict[RunId, RunProgress] = attrs.Factory(dict)
-    ordered_starts: set[RunId] = attrs.Factory(set)
-    ordered_stops: set[RunId] = attrs.Factory(set)
-    absent: set[RunId] = attrs.Factory(set)
-    list_number: int = 0
-    list_received_ms: int = 0
-    last_progress: dict[RunId, LastProgress] = attrs.Factory(dict)
-    events: dict[str, int] = attrs.Factory(dict)
 
 
 @attrs.define
@@ -105,6 +50,33 @@
     created_ms: int
 
 
+@attrs.define
+class DispatchChanges:
+    """What changed since the last plan, and is looked at again by the next.
+
+    Attributes
+    ----------
+    everything : bool
+        Whether all indexes must be built anew.
+    jobs : set of str
+        Jobs whose waiting tasks may have changed.
+    workers : set of str
+        Keys of boots whose free resources or readiness may have changed.
+    orders : set of str
+        Keys of boots that may be owed an order.
+    """
+
+    everything: bool = True
+    jobs: set[str] = attrs.Factory(set)
+    workers: set[str] = attrs.Factory(set)
+    orders: set[str] = attrs.Factory(set)
+
+    @property
+    def affect_plan(self) -> bool:
+        """Whether a plan may find other starts than the last one."""
+        return self.everything or bool(self.jobs) or bool(self.workers)
+
+
 @attrs.define
 class DispatchState:
     """State of the leader's dispatching in one term.
@@ -114,7 +86,21 @@
     started_ms : int
         Time in ms at which dispatching started in this term.
     views : dict
-        Workers that report to this leader, by the key of their boot.
+        Workers that report to this leader, by the key of their boot, in the
+        order of their newest reports.
+    lost_contact : set of str
+        Boots with runs that do not report to this leader, or whose runner
+        cannot reach them.
+    boots_by_machine : dict
+        Keys of the boots of each machine that report or have runs.
+    changes : DispatchChanges
+        What the next plan must look at again.
+    fleet : Fleet
+        Workers that may get tasks, with their free resources.
+    waiting : WaitingSteps
+        Steps with tasks to start, in order of priority.
+    last_plan_ms : int
+        Time in ms of the last plan.
     failure_histories : dict
         Recent failures by worker id.
     pending_plan : str
@@ -124,6 +110,8 @@
         Time in ms at which it was proposed.
     plan_count : int
         Number of plans in this term.
+    planned_workers : set of str
+        Boots that get runs by the pending plan.
     pending_losses : dict
         Time in ms at which the loss of a worker's boot was proposed, by its
         key.
@@ -132,8 +120,14 @@
         job, such as a preemption or a stall.
     reservations : dict
         Reservations by key of the step.
+    unsaved_checkpoints : dict
+        Checkpoints that are not in the log yet, by step and index of the
+        task; -1 stands for all members of a gang.
     checkpoints_proposed_ms : int
         Time in ms at which checkpoints were last proposed.
+    held_workers : dict
+        Boots that are kept free for a waiting step except for backfill, by
+        key of the step.
     reserved_racks : dict
         Rack that is kept free for a waiting gang, by key of the step.
     ample_since_ms : dict
@@ -144,60 +138,29 @@
     term: int = -1
     started_ms: int = 0
     views: dict[str, WorkerView] = attrs.Factory(dict)
+    lost_contact: set[str] = attrs.Factory(set)
+    boots_by_machine: dict[str, set[str]] = attrs.Factory(dict)
+    changes: DispatchChanges = attrs.Factory(DispatchChanges)
+    fleet: Fleet = attrs.Factory(Fleet)
+    waiting: WaitingSteps = attrs.Factory(WaitingSteps)
+    last_plan_ms: int = 0
     failure_histories: dict[str, FailureHistory] = attrs.Factory(dict)
     pending_plan: str = ""
     plan_proposed_ms: int = 0
     plan_count: int = 0
+    planned_workers: set[str] = attrs.Factory(set)
     pending_losses: dict[str, int] = attrs.Factory(dict)
     stopping: set[RunId] = attrs.Factory(set)
     reservations: dict[StepKey, Reservation] = attrs.Factory(dict)
+    unsaved_checkpoints: dict[tuple[StepKey, int], SavedCheckpoint] = attrs.Factory(
+        dict
+    )
     checkpoints_proposed_ms: int = 0
+    held_workers: dict[StepKey, tuple[str, ...]] = attrs.Factory(dict)
     reserved_racks: dict[StepKey, str] = attrs.Factory(dict)
     ample_since_ms: dict[StepKey, int] = attrs.Factory(dict)
 
-
-@attrs.define
-class CandidateWorker:
-    """A worker that may get tasks, with its resources during planning.
-
-    Attributes
-    ----------
-    free : ResourceVector
-        Resources that no run uses.
-    placed : dict
-        Demand of the placed tasks, which is not part of `free`.
-    reservations : dict
-        Free resources that are reserved for a step, by its key.
-    backfill_limit_ms : int or None
-        Longest estimated run time in ms of a task that may backfill this
-        worker before a waiting step starts here; None without such a step.
-    available : ResourceVector
-        Resources that the step under consideration may use.
-    """
-
-    view: WorkerView
-    free: ResourceVector
-    placed: dict[TaskId, ResourceVector] = attrs.Factory(dict)
-    reservations: dict[StepKey, ResourceVector] = attrs.Factory(dict)
-    backfill_limit_ms: int | None = None
-    available: ResourceVector = attrs.field(init=False, factory=ResourceVector)
-
-    def set_available_for(self, key: StepKey, estimated_ms: int) -> None:
-        """Set `available` to the resources that a step may use."""
-        backfill_limit_ms = self.backfill_limit_ms
-        if (
-            backfill_limit_ms is not None
-            and estimated_ms > backfill_limit_ms
-            and key not in self.reservations
-        ):
-            self.available = ResourceVector()
-        else:
-            self.available = self.unreserved(key)
-
-    def unreserved(self, key: StepKey) -> ResourceVector:
-        """Return the free resources that are not reserved for other steps."""
-        available = self.free
-        for reserving_step, reserved in self.reservations.items():
-            if reserving_step != key:
-                available = available - reserved
-        return available
+    def add_boot(self, key: str) -> None:
+        """Note a boot that reports or has runs."""
+        machine, _ = parse_boot_key(key)
+        self.boots_by_machine.setdefault(machine, set()).add(key)
--- a/packages/core/crocuswell_core/dispatching/gauges.py
+++ b/packages/core/crocuswell_core/dispatching/gauges.py
@@ -4,7 +4,7 @@
 
 from crocuswell_core.consensus import election
 from crocuswell_core.dispatching import health
-from crocuswell_core.dispatching.dispatch_state import WorkerView
+from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.runtime.effects import Effect, Label, SetGauge
 
--- a/packages/core/crocuswell_core/dispatching/health.py
+++ b/packages/core/crocuswell_core/dispatching/health.py
@@ -1,12 +1,9 @@
 """Detection of faulty workers that report themselves as healthy."""
 
-from collections.abc import Collection
-
 from crocuswell_core.dispatching.dispatch_state import (
     FailureHistory,
-    LastProgress,
-    WorkerView,
 )
+from crocuswell_core.dispatching.worker_view import LastProgress, WorkerView
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_records import RunEnd, RunEndKind, RunId
 from crocuswell_core.jobs.run_labels import run_labels
@@ -33,13 +30,17 @@
 
 def record_run_end(state: EntryState, view: WorkerView, end: RunEnd) -> None:
     """Update a worker's failure history with the end of a run."""
-    history = state.dispatch.failure_histories.setdefault(
-        view.worker.id, FailureHistory()
-    )
+    histories = state.dispatch.failure_histories
     if end.kind is RunEndKind.DONE:
+        history = histories.get(view.worker.id)
+        if history is None:
+            return
         history.failed_jobs.clear()
         history.bar_count = 0
+        if not is_barred(state, view):
+            del histories[view.worker.id]
     elif end.kind is RunEndKind.FAILED:
+        history = histories.setdefault(view.worker.id, FailureHistory())
         history.failed_jobs[end.run.task.job_id] = None
         if len(history.failed_jobs) >= FAILED_JOBS_LIMIT:
             bar_worker(state, view)
@@ -62,15 +63,23 @@
     return history is not None and state.now_ms < history.barred_until_ms
 
 
-def should_skip_barred(state: EntryState, views: Collection[WorkerView]) -> bool:
-    """Tell whether few enough workers are barred to exclude them."""
-    barred = sum(is_barred(state, view) for view in views)
-    return barred <= len(views) * MAX_BARRED_SHARE
+def excluded_worker_ids(state: EntryState) -> frozenset[str]:
+    """Return the barred workers, if few enough are barred to exclude them."""
+    barred = frozenset(
+        worker_id
+        for worker_id, history in state.dispatch.failure_histories.items()
+        if state.now_ms < history.barred_until_ms
+    )
+    fleet_size = len(state.dispatch.fleet.candidates)
+    return barred if len(barred) <= fleet_size * MAX_BARRED_SHARE else frozenset()
 
 
 def stop_run(event: str, state: EntryState, run: RunId, *labels: Label) -> list[Effect]:
     """Mark a run to be stopped; return the log line and count of it."""
     state.dispatch.stopping.add(run)
+    task = state.cluster.jobs.task_if_current(run)
+    if task is not None:
+        state.dispatch.changes.orders.add(task.worker)
     return [
         EmitLogEvent(event, (*run_labels(run), *labels)),
         Count("runs_stopped_total", labels=(Label("reason", event),)),
--- /dev/null
+++ b/packages/core/crocuswell_core/dispatching/indexing.py
@@ -0,0 +1,177 @@
+"""Keeps the indexes of waiting steps and of the fleet up to date."""
+
+from crocuswell_core.consensus.consensus_state import Role
+from crocuswell_core.dispatching.dispatch_state import DispatchChanges, Reservation
+from crocuswell_core.dispatching.fleet import Fleet, PreemptibleWork
+from crocuswell_core.dispatching.ranking import find_outdated_jobs, rank_jobs
+from crocuswell_core.dispatching.waiting_steps import WaitingSteps
+from crocuswell_core.dispatching.worker_view import WorkerView
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.jobs.catalog import find_queue_by_name
+from crocuswell_core.jobs.job_records import ResourceVector, StepKey, TaskId
+from crocuswell_core.runtime.dispatch import translate_effect
+from crocuswell_core.runtime.effects import Effect, PlacementsChanged
+
+# Runners report every 500 ms: after two missed reports a worker gets no new
+# tasks.
+REPORT_TIMEOUT_MS = 1_200
+# Covers the longest stop of a preempted run and the recording of its end.
+RESERVATION_TIMEOUT_MS = 2_500
+
+
+@translate_effect.register
+def _(effect: PlacementsChanged, state: EntryState) -> list[Effect]:
+    """Note on the leader what the next plan must look at again."""
+    dispatch = state.dispatch
+    if state.consensus.role is not Role.LEADER or dispatch.term != state.consensus.term:
+        # The first plan of a term builds all indexes anew.
+        return []
+    changes = dispatch.changes
+    changes.everything = changes.everything or effect.everything
+    changes.workers.update(effect.workers)
+    changes.orders.update(effect.workers)
+    table = state.cluster.jobs
+    for job_id in effect.jobs:
+        changes.jobs.add(job_id)
+        job = table.jobs.get(job_id)
+        if job is None:
+            continue
+        if not job.is_open or any(step.gang for step in job.steps):
+            # Runs elsewhere may no longer be wanted.
+            changes.orders.update(task.worker for _, task in table.placed_tasks(job))
+    return []
+
+
+def refresh(state: EntryState) -> None:
+    """Bring the indexes up to date with all changes since the last plan."""
+    dispatch = state.dispatch
+    changes = dispatch.changes
+    if changes.everything:
+        _start_anew(state)
+    dispatch.changes = DispatchChanges(everything=False, orders=changes.orders)
+    rank_jobs(state, changes.jobs | find_outdated_jobs(state))
+    for key in changes.workers:
+        refresh_worker(state, key)
+    _remove_silent_workers(state)
+    _drop_ended_waits(state)
+
+
+def _start_anew(state: EntryState) -> None:
+    dispatch = state.dispatch
+    dispatch.fleet = Fleet()
+    dispatch.waiting = WaitingSteps()
+    dispatch.held_workers = {}
+    changes = dispatch.changes
+    changes.jobs |= {job.id for job in state.cluster.jobs.jobs.values() if job.is_open}
+    changes.workers |= dispatch.views.keys()
+    changes.orders |= dispatch.views.keys()
+
+
+def refresh_worker(state: EntryState, key: str) -> None:
+    """Bring the index of one worker up to date."""
+    dispatch = state.dispatch
+    view = dispatch.views.get(key)
+    if view is None or not accepts_tasks(state, view):
+        dispatch.fleet.remove(key)
+        if view is None and key in state.cluster.jobs.placed:
+            dispatch.lost_contact.add(key)
+        return
+    is_new = key not in dispatch.fleet.candidates
+    free, placed, preemptible = measure_worker(state, view)
+    dispatch.fleet.put(view, free, placed)
+    dispatch.fleet.candidates[key].preemptible = preemptible
+    if is_new:
+        for step, reservation in dispatch.reservations.items():
+            _apply_reservation(state, step, reservation, key)
+
+
+def measure_worker(
+    state: EntryState, view: WorkerView
+) -> tuple[ResourceVector, dict[TaskId, ResourceVector], dict[int, PreemptibleWork]]:
+    """Return a worker's free resources, its placed tasks, and its work.
+
+    The work is grouped by the priority of the queue; steps that must not be
+    interrupted are left out.
+    """
+    table = state.cluster.jobs
+    placed: dict[TaskId, ResourceVector] = {}
+    preemptible: dict[int, PreemptibleWork] = {}
+    free = view.worker.capacity
+    for task_id in table.placed.get(view.worker.key, {}):
+        job = table.jobs.get(task_id.job_id)
+        if job is None:
+            continue
+        step = job.steps[task_id.step]
+        placed[task_id] = step.demand
+        free = free - step.demand
+        queue = find_queue_by_name(table.catalog, job.queue)
+        task = table.task(task_id)
+        if queue is not None and task is not None and not step.max_unavailable:
+            work = preemptible.setdefault(queue.priority, PreemptibleWork())
+            work.add(step, task.placed_ms)
+    for run in view.running:
+        # Runs that are not in the log still use resources until they end.
+        if run.task not in placed and run.task.job_id in table.jobs:
+            job = table.jobs[run.task.job_id]
+            free = free - job.steps[run.task.step].demand
+    return free, placed, preemptible
+
+
+def accepts_tasks(state: EntryState, view: WorkerView) -> bool:
+    """Tell whether a worker is in contact and not about to leave."""
+    return (
+        view.stream_id in state.clients
+        and view.reachable
+        and state.now_ms - view.last_report_ms <= REPORT_TIMEOUT_MS
+        and not view.worker.draining
+    )
+
+
+def _remove_silent_workers(state: EntryState) -> None:
+    """Remove workers without a recent report; the oldest come first."""
+    dispatch = state.dispatch
+    for key, view in dispatch.views.items():
+        if state.now_ms - view.last_report_ms <= REPORT_TIMEOUT_MS:
+            return
+        dispatch.fleet.remove(key)
+
+
+def _drop_ended_waits(state: EntryState) -> None:
+    """Forget what was kept for steps that no longer wait."""
+    dispatch = state.dispatch
+    waiting = dispatch.waiting.by_key
+    for by_step in (dispatch.reserved_racks, dispatch.ample_since_ms):
+        for key in [key for key in by_step if key not in waiting]:
+            del by_step[key]
+    for key in [key for key in dispatch.held_workers if key not in waiting]:
+        dispatch.fleet.release(dispatch.held_workers.pop(key), key)
+    for key, reservation in list(dispatch.reservations.items()):
+        age_ms = state.now_ms - reservation.created_ms
+        if key not in waiting or age_ms > RESERVATION_TIMEOUT_MS:
+            release_reservation(state, key)
+
+
+# --- reservations --------------------------------------------------------
+
+
+def reserve(state: EntryState, step: StepKey, reservation: Reservation) -> None:
+    """Reserve resources for a step until it starts."""
+    state.dispatch.reservations[step] = reservation
+    for key in reservation.tasks_by_worker:
+        _apply_reservation(state, step, reservation, key)
+
+
+def _apply_reservation(
+    state: EntryState, step: StepKey, reservation: Reservation, key: str
+) -> None:
+    copies = reservation.tasks_by_worker.get(key, 0)
+    if copies:
+        state.dispatch.fleet.reserve(key, step, reservation.demand.times(copies))
+
+
+def release_reservation(state: EntryState, step: StepKey) -> None:
+    """Let other steps use the resources that were reserved for a step."""
+    reservation = state.dispatch.reservations.pop(step, None)
+    if reservation is not None:
+        for key in reservation.tasks_by_worker:
+            state.dispatch.fleet.cancel_reservation(key, step)
--- /dev/null
+++ b/packages/core/crocuswell_core/dispatching/orders.py
@@ -0,0 +1,87 @@
+"""Orders to runners: the starts and stops that a worker was not sent yet."""
+
+from crocuswell_core.dispatching.dispatch_state import DispatchState
+from crocuswell_core.dispatching.worker_view import WorkerView
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.jobs.job_records import RunId, TaskPhase
+from crocuswell_core.links.link_messages import RunOrders, StartRun, StopRun
+from crocuswell_core.runtime.effects import Effect, SendAgent
+
+# A proposal that is not applied by then has been lost, for example because
+# another entry took its log index.
+PROPOSAL_TIMEOUT_MS = 2_000
+
+
+def current_dispatch(state: EntryState) -> DispatchState:
+    """Return the dispatching state of the current term, new if needed."""
+    if state.dispatch.term != state.consensus.term:
+        state.dispatch = DispatchState(state.consensus.term, state.now_ms)
+        for key in state.cluster.jobs.placed:
+            state.dispatch.lost_contact.add(key)
+            state.dispatch.add_boot(key)
+    return state.dispatch
+
+
+def is_wanted(state: EntryState, run: RunId) -> bool:
+    """Tell whether a placed run should continue."""
+    table = state.cluster.jobs
+    job = table.jobs.get(run.task.job_id)
+    if job is None or not job.is_open or table.task_if_current(run) is None:
+        return False
+    if run in state.dispatch.stopping:
+        return False
+    if not job.steps[run.task.step].gang:
+        return True
+    # A gang cannot continue unless all of its members are in this run.
+    return all(
+        task.phase is TaskPhase.PLACED and task.run == run.number
+        for task in table.step_tasks(run.task)
+    )
+
+
+def send_orders(state: EntryState, view: WorkerView) -> list[Effect]:
+    """Send the starts and stops that a worker was not sent yet."""
+    table = state.cluster.jobs
+    key = view.worker.key
+    starts: list[StartRun] = []
+    stops: list[StopRun] = []
+    placed = table.placed.get(key, {})
+    for task_id, number in placed.items():
+        run = RunId(task_id, number)
+        if not is_wanted(state, run):
+            stops += _stop_once(view, run)
+        elif run not in view.running and run not in view.ordered_starts:
+            view.ordered_starts.add(run)
+            task = table.task(task_id)
+            job = table.jobs[task_id.job_id]
+            checkpoint = task.checkpoint if task else ""
+            starts.append(StartRun(run, job.payload, checkpoint))
+    for run in view.running:
+        if placed.get(run.task) != run.number:
+            stops += _stop_once(view, run)
+    if not starts and not stops:
+        return []
+    orders = RunOrders(state.consensus.term, key, tuple(starts), tuple(stops))
+    return [SendAgent(view.stream_id, orders)]
+
+
+def _stop_once(view: WorkerView, run: RunId) -> list[StopRun]:
+    if run in view.ordered_stops:
+        return []
+    view.ordered_stops.add(run)
+    return [StopRun(run)]
+
+
+def send_due_orders(state: EntryState) -> list[Effect]:
+    """Send the workers whose runs changed the orders that they are owed.
+
+    A worker without contact gets its orders in answer to its next report.
+    """
+    dispatch = current_dispatch(state)
+    due, dispatch.changes.orders = dispatch.changes.orders, set()
+    effects: list[Effect] = []
+    for key in sorted(due):
+        view = dispatch.views.get(key)
+        if view is not None:
+            effects += send_orders(state, view)
+    return effects
--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -1,9 +1,10 @@
 """Bin packing of tasks onto workers, which keeps space for large gangs."""
 
-from crocuswell_core.dispatching.dispatch_state import CandidateWorker
-from crocuswell_core.dispatching.ranking import RankedStep
+from collections.abc import Iterable
+
+from crocuswell_core.dispatching.fleet import CandidateWorker, Fleet, Hold, Shape
+from crocuswell_core.dispatching.waiting_steps import RankedStep, WaitingStep
 from crocuswell_core.entry.entry_state import EntryState
-from crocuswell_core.jobs.job_records import ResourceVector
 
 Placements = dict[int, CandidateWorker]
 # Largest share of the fleet that one deferrable step may use at a time.
@@ -18,45 +19,76 @@
 IDLE_SHARE = 0.5
 
 
+def shape_of(state: EntryState, ranked: RankedStep) -> Shape:
+    """Return the index of the workers that could hold a task of the step."""
+    return state.dispatch.fleet.shape(
+        ranked.service, ranked.step.required_label, ranked.step.demand
+    )
+
+
+def update_fit(fleet: Fleet, waiting: WaitingStep, shape: Shape) -> None:
+    """Update which workers could hold the step if they were empty."""
+    if waiting.fit_membership == fleet.membership:
+        return
+    waiting.fit_membership = fleet.membership
+    waiting.fits, waiting.fitting_racks = _fit(
+        fleet, waiting.ranked, shape, shape.capacity
+    )
+
+
+def _fit(
+    fleet: Fleet, ranked: RankedStep, shape: Shape, keys: Iterable[str]
+) -> tuple[bool, frozenset[str]]:
+    """Return whether workers could hold the step, and the racks that could."""
+    total = 0
+    by_rack_copies: dict[str, int] = {}
+    for key in keys:
+        copies = _limit_copies(ranked, shape.capacity[key])
+        total += copies
+        rack = fleet.candidates[key].worker.rack
+        by_rack_copies[rack] = by_rack_copies.get(rack, 0) + copies
+    needed = ranked.waiting_count
+    racks = frozenset(r for r, copies in by_rack_copies.items() if copies >= needed)
+    return (bool(racks) if ranked.needs_one_rack else total >= needed), racks
+
+
 def exclude_failed_workers(
-    ranked: RankedStep, candidates: list[CandidateWorker]
+    fleet: Fleet, ranked: RankedStep, shape: Shape, candidates: list[CandidateWorker]
 ) -> list[CandidateWorker]:
     """Leave out workers on which a waiting task failed, if others suffice.
 
     The failure may be the worker's fault, and the next attempt may be the
     task's last one.
     """
-    failed_on = {
-        worker for index in ranked.waiting for worker in ranked.tasks[index].failed_on
-    }
+    if not ranked.failed_on:
+        return candidates
     others = [
-        candidate
-        for candidate in candidates
-        if candidate.view.worker.id not in failed_on
+        key
+        for key in shape.capacity
+        if fleet.candidates[key].worker.id not in ranked.failed_on
     ]
-    suffices = any(
-        _fits_when_empty(ranked, workers)
-        for workers in candidate_groups(ranked, others)
-    )
-    return others if suffices else candidates
+    if not _fit(fleet, ranked, shape, others)[0]:
+        return candidates
+    return [c for c in candidates if c.worker.id not in ranked.failed_on]
 
 
 def choose_placements(
-    ranked: RankedStep, candidates: list[CandidateWorker], limit: int
+    fleet: Fleet, waiting: WaitingStep, candidates: list[CandidateWorker], limit: int
 ) -> Placements:
     """Return a worker for each task to start; empty if none can start.
 
     A gang is placed as a whole or not at all. Of other steps, at most
     `limit` tasks are placed.
     """
+    ranked = waiting.ranked
     if not ranked.step.gang:
-        return _place_independent_tasks(ranked, candidates, limit)
+        return _place_independent_tasks(fleet, ranked, candidates, limit)
     if ranked.step.prefers_one_rack:
-        return _place_gang_in_rack(ranked, candidates)
-    return _place_gang(ranked, candidates)
+        return _place_gang_in_rack(fleet, waiting, candidates)
+    return place_gang(fleet, ranked, candidates)
 
 
-def start_limit(ranked: RankedStep, candidates: list[CandidateWorker]) -> int:
+def start_limit(ranked: RankedStep, shape: Shape) -> int:
     """Return how many tasks of a step may start now.
 
     Deferrable steps leave part of the fleet free, so that urgent steps can
@@ -65,117 +97,121 @@
     """
     if not ranked.is_deferrable:
         return ranked.waiting_count
-    demand = ranked.step.demand
-    total_copies = sum(
-        candidate.view.worker.capacity.max_copies(demand) for candidate in candidates
-    )
-    free = sum(candidate.free.max_copies(demand) for candidate in candidates)
-    spare = free - round(total_copies * URGENT_HEADROOM_SHARE)
+    spare = shape.total - round(shape.total_capacity * URGENT_HEADROOM_SHARE)
     if ranked.step.gang:
         return ranked.waiting_count if spare >= ranked.waiting_count else 0
     running = ranked.step.count - ranked.waiting_count - ranked.done
-    remaining_share = max(1, round(total_copies * DEFERRABLE_STEP_SHARE)) - running
-    return max(0, min(remaining_share, spare))
+    share = max(1, round(shape.total_capacity * DEFERRABLE_STEP_SHARE))
+    return max(0, min(share - running, spare))
 
 
 def _place_independent_tasks(
-    ranked: RankedStep, candidates: list[CandidateWorker], max_tasks: int
+    fleet: Fleet, ranked: RankedStep, candidates: list[CandidateWorker], max_tasks: int
 ) -> Placements:
-    """Place as many tasks as fit, preferring full workers (best fit)."""
+    """Place as many tasks as fit, preferring full workers (best fit).
+
+    A worker stays the best fit until it is full.
+    """
     placements: Placements = {}
-    free = {id(candidate): candidate.available for candidate in candidates}
-    free_by_rack = _free_accelerators_by_rack(candidates)
-    tasks_per_worker = _count_tasks_per_worker(ranked, candidates)
-    worker_limit = ranked.step.per_worker_limit
+    ordered = sorted(candidates, key=lambda c: _preference(fleet, ranked, c))
+    room = [_copies_left(ranked, candidate) for candidate in ordered]
+    position = 0
     for index in ranked.waiting[:max_tasks]:
-        failed_on = ranked.tasks[index].failed_on
-        fitting = [
-            candidate
-            for candidate in candidates
-            if free[id(candidate)].can_hold(ranked.step.demand)
-            and (not worker_limit or tasks_per_worker[id(candidate)] < worker_limit)
-        ]
-        if not fitting:
+        while position < len(ordered) and not room[position]:
+            position += 1
+        chosen = _first_sound(ranked, index, ordered, room, position)
+        if chosen is None:
             break
-        best = min(
-            fitting,
-            key=lambda c: (
-                c.view.worker.id in failed_on,
-                _is_remote(ranked, c),
-                free[id(c)].accelerators,
-                free[id(c)].cpu_millis,
-                # Fill partly used racks first to keep whole racks for gangs.
-                free_by_rack[c.view.worker.rack],
-            ),
-        )
-        placements[index] = best
-        free[id(best)] = free[id(best)] - ranked.step.demand
-        tasks_per_worker[id(best)] += 1
+        placements[index] = ordered[chosen]
+        room[chosen] -= 1
     return placements
 
 
-def _is_remote(ranked: RankedStep, candidate: CandidateWorker) -> bool:
-    rack = ranked.step.data_rack
-    return bool(rack) and rack != candidate.view.worker.rack
+def _first_sound(
+    ranked: RankedStep,
+    index: int,
+    ordered: list[CandidateWorker],
+    room: list[int],
+    start: int,
+) -> int | None:
+    """Return the position of the first worker on which a task did not fail.
 
+    Without one, the first worker with room; None if there is no room.
+    """
+    if start >= len(ordered):
+        return None
+    failed_on = ranked.tasks[index].failed_on
+    if not failed_on:
+        return start
+    return next(
+        (
+            position
+            for position in range(start, len(ordered))
+            if room[position] and ordered[position].worker.id not in failed_on
+        ),
+        start,
+    )
 
-def _count_tasks_per_worker(
-    ranked: RankedStep, candidates: list[CandidateWorker]
-) -> dict[int, int]:
-    """Return how many tasks of the step are already on each worker."""
-    return {
-        id(candidate): sum(task.step_key == ranked.key for task in candidate.placed)
-        for candidate in candidates
-    }
 
+def _preference(
+    fleet: Fleet, ranked: RankedStep, candidate: CandidateWorker
+) -> tuple[bool, int, int, int]:
+    return (
+        _is_remote(ranked, candidate),
+        candidate.available.accelerators,
+        candidate.available.cpu_millis,
+        # Fill partly used racks first to keep whole racks for gangs.
+        fleet.rack_accelerators[candidate.worker.rack],
+    )
+
+
+def _is_remote(ranked: RankedStep, candidate: CandidateWorker) -> bool:
+    rack = ranked.step.data_rack
+    return bool(rack) and rack != candidate.worker.rack
 
-def candidate_groups(
-    ranked: RankedStep, candidates: list[CandidateWorker]
-) -> list[list[CandidateWorker]]:
-    """Return groups of workers; a single group must hold the whole step."""
-    if not ranked.needs_one_rack:
-        return [candidates]
-    return list(by_rack(candidates).values())
 
+def _copies_left(ranked: RankedStep, candidate: CandidateWorker) -> int:
+    """Return how many tasks of the step a worker can hold beside its own."""
+    copies = candidate.available.max_copies(ranked.step.demand)
+    limit = ranked.step.per_worker_limit
+    if not limit:
+        return copies
+    present = sum(task.step_key == ranked.key for task in candidate.placed)
+    return max(0, min(copies, limit - present))
 
-def by_rack(candidates: list[CandidateWorker]) -> dict[str, list[CandidateWorker]]:
+
+def by_rack(
+    candidates: Iterable[CandidateWorker],
+) -> dict[str, list[CandidateWorker]]:
     """Return the workers of each rack."""
     racks: dict[str, list[CandidateWorker]] = {}
     for candidate in candidates:
-        racks.setdefault(candidate.view.worker.rack, []).append(candidate)
+        racks.setdefault(candidate.worker.rack, []).append(candidate)
     return racks
 
 
-def _free_accelerators_by_rack(candidates: list[CandidateWorker]) -> dict[str, int]:
-    """Return the free accelerators of each rack."""
-    return {
-        rack: sum(candidate.free.accelerators for candidate in rack_workers)
-        for rack, rack_workers in by_rack(candidates).items()
-    }
-
-
 def max_copies_on(ranked: RankedStep, candidate: CandidateWorker) -> int:
     """Return how many tasks of the step fit on a worker now."""
-    return _max_copies_in(ranked, candidate.available)
+    copies = candidate.available.max_copies(ranked.step.demand)
+    return _limit_copies(ranked, copies)
 
 
-def _max_copies_in(ranked: RankedStep, available: ResourceVector) -> int:
+def _limit_copies(ranked: RankedStep, copies: int) -> int:
     limit = ranked.step.per_worker_limit
-    copies = available.max_copies(ranked.step.demand)
     return min(copies, limit) if limit else copies
 
 
 def _place_gang_in_rack(
-    ranked: RankedStep, candidates: list[CandidateWorker]
+    fleet: Fleet, waiting: WaitingStep, candidates: list[CandidateWorker]
 ) -> Placements:
     """Place a gang in one rack, preferring full racks (best fit).
 
     A gang that no rack could hold even when empty is spread over racks.
     """
-    racks = by_rack(candidates)
+    ranked = waiting.ranked
     fitting_racks = [
         rack_workers
-        for rack_workers in racks.values()
+        for rack_workers in by_rack(candidates).values()
         if sum(max_copies_on(ranked, c) for c in rack_workers) >= ranked.waiting_count
     ]
     if fitting_racks:
@@ -183,13 +219,13 @@
             fitting_racks,
             key=lambda rack_workers: (
                 _has_failed_worker(ranked, rack_workers),
-                sum(c.available.accelerators for c in rack_workers),
+                fleet.rack_accelerators[rack_workers[0].worker.rack],
             ),
         )
-        return _place_gang(ranked, tightest)
-    if any(_fits_when_empty(ranked, rack_workers) for rack_workers in racks.values()):
+        return place_gang(fleet, ranked, tightest)
+    if waiting.fitting_racks:
         return {}
-    return _place_gang(ranked, candidates)
+    return place_gang(fleet, ranked, candidates)
 
 
 def _failed_worker_ids(ranked: RankedStep) -> set[str]:
@@ -199,124 +235,152 @@
 
 def _has_failed_worker(ranked: RankedStep, candidates: list[CandidateWorker]) -> bool:
     failed_on = _failed_worker_ids(ranked)
-    return any(candidate.view.worker.id in failed_on for candidate in candidates)
-
-
-def _fits_when_empty(ranked: RankedStep, candidates: list[CandidateWorker]) -> bool:
-    """Tell whether the workers could hold all tasks if they were empty."""
-    copies = sum(_max_copies_in(ranked, c.view.worker.capacity) for c in candidates)
-    return copies >= ranked.waiting_count
+    return any(candidate.worker.id in failed_on for candidate in candidates)
 
 
-def _place_gang(ranked: RankedStep, candidates: list[CandidateWorker]) -> Placements:
+def place_gang(
+    fleet: Fleet, ranked: RankedStep, candidates: list[CandidateWorker]
+) -> Placements:
     """Place all tasks, filling the fullest workers first."""
     failed_on = _failed_worker_ids(ranked)
-    free_by_rack = _free_accelerators_by_rack(candidates)
     ordered = sorted(
         (candidate for candidate in candidates if max_copies_on(ranked, candidate)),
         key=lambda c: (
-            c.view.worker.id in failed_on,
+            c.worker.id in failed_on,
             _is_remote(ranked, c),
             c.available.accelerators,
-            free_by_rack[c.view.worker.rack],
+            fleet.rack_accelerators[c.worker.rack],
         ),
     )
     placements: Placements = {}
-    waiting = list(ranked.waiting)
+    waiting = list(reversed(ranked.waiting))
     for candidate in ordered:
         for _ in range(min(max_copies_on(ranked, candidate), len(waiting))):
-            placements[waiting.pop(0)] = candidate
+            placements[waiting.pop()] = candidate
         if not waiting:
             return placements
     return {}
 
 
 def place_on_idle_fleet(
-    state: EntryState, ranked: RankedStep, candidates: list[CandidateWorker], limit: int
+    state: EntryState,
+    waiting: WaitingStep,
+    candidates: list[CandidateWorker],
+    limit: int,
 ) -> Placements:
     """Place a step on resources that an idle fleet keeps free for others.
 
     A step of which no task runs may also use the share that is left free for
     urgent work, one task at a time.
+
+    Parameters
+    ----------
+    candidates : list of CandidateWorker
+        Workers that could hold a task, held for other steps or not.
     """
+    ranked = waiting.ranked
     if not limit and ranked.waiting_count < ranked.step.count - ranked.done:
         return {}
     since_by_step = state.dispatch.ample_since_ms
-    for candidate in candidates:
-        candidate.available = candidate.unreserved(ranked.key)
     copies = sum(max_copies_on(ranked, candidate) for candidate in candidates)
     needed = ranked.waiting_count if ranked.step.gang else 1
-    if copies < AMPLE_CAPACITY_FACTOR * needed or not _is_idle(candidates):
+    is_idle = _is_idle(state.dispatch.fleet, ranked.service)
+    if copies < AMPLE_CAPACITY_FACTOR * needed or not is_idle:
         since_by_step.pop(ranked.key, None)
         return {}
     idle_since_ms = since_by_step.setdefault(ranked.key, state.now_ms)
     if state.now_ms - idle_since_ms < AMPLE_CAPACITY_MS:
         return {}
-    placements = choose_placements(ranked, candidates, limit or 1)
+    fleet = state.dispatch.fleet
+    placements = choose_placements(fleet, waiting, candidates, limit or 1)
     if placements or not ranked.step.gang:
         return placements
-    return _place_gang(ranked, candidates)
+    return place_gang(fleet, ranked, candidates)
 
 
-def _is_idle(candidates: list[CandidateWorker]) -> bool:
+def _is_idle(fleet: Fleet, service: str) -> bool:
     """Tell whether most of the processors or the accelerators are free."""
-    free, capacity = ResourceVector(), ResourceVector()
-    for candidate in candidates:
-        free = free + candidate.free
-        capacity = capacity + candidate.view.worker.capacity
+    totals = fleet.services.get(service)
+    if totals is None:
+        return False
+    free, capacity = totals.free, totals.capacity
     return (
         free.cpu_millis > capacity.cpu_millis * IDLE_SHARE
         or free.accelerators > capacity.accelerators * IDLE_SHARE
     )
 
 
-def limit_backfill(
-    state: EntryState, ranked: RankedStep, candidates: list[CandidateWorker]
-) -> None:
-    """Keep resources free for a waiting step, except for backfill.
+def limit_backfill(state: EntryState, waiting: WaitingStep, shape: Shape) -> None:
+    """Keep workers free for a waiting step, except for backfill.
 
     For a gang that needs one rack, the rack with the smallest shortfall is
     kept free. Tasks that should end before the step can start may use the
     resources until then.
     """
-    if not candidates:
-        return
-    group = candidates
-    if ranked.needs_one_rack:
-        group = _choose_reserved_rack(state, ranked, candidates)
-    if not _fits_when_empty(ranked, group):
+    dispatch, ranked = state.dispatch, waiting.ranked
+    if not waiting.fits:
         # The step cannot start on the present workers, so holding resources
         # for it would only delay others.
+        release_holds(state, waiting)
         return
     chosen: list[CandidateWorker] = []
     unplaced = ranked.waiting_count
-    for candidate in sorted(
-        group, key=lambda c: -c.available.max_copies(ranked.step.demand)
-    ):
+    for candidate in _workers_to_hold(state, waiting, shape):
         if unplaced <= 0:
             break
-        unplaced -= max(1, candidate.available.max_copies(ranked.step.demand))
+        unplaced -= max(1, shape.copies.get(candidate.key, 0))
         chosen.append(candidate)
-    until_ms = max((_remaining_ms(state, candidate) for candidate in chosen), default=0)
-    for candidate in chosen:
-        candidate.backfill_limit_ms = (
-            until_ms
-            if candidate.backfill_limit_ms is None
-            else min(candidate.backfill_limit_ms, until_ms)
+    left_ms = max((_remaining_ms(state, candidate) for candidate in chosen), default=0)
+    keys = tuple(candidate.key for candidate in chosen)
+    held_before = dispatch.held_workers.get(ranked.key, ())
+    # Workers that stay held are not released, which would have every waiting
+    # step considered again.
+    dispatch.fleet.release(set(held_before).difference(keys), ranked.key)
+    dispatch.held_workers[ranked.key] = keys
+    dispatch.fleet.hold(keys, ranked.key, Hold(ranked.sort_key, state.now_ms + left_ms))
+
+
+def release_holds(state: EntryState, waiting: WaitingStep) -> None:
+    """No longer keep workers free for a step."""
+    key = waiting.ranked.key
+    keys = state.dispatch.held_workers.pop(key, ())
+    state.dispatch.fleet.release(keys, key)
+
+
+def _workers_to_hold(
+    state: EntryState, waiting: WaitingStep, shape: Shape
+) -> Iterable[CandidateWorker]:
+    """Yield the workers on which a step may start first, most room first."""
+    fleet = state.dispatch.fleet
+    if waiting.ranked.needs_one_rack:
+        rack = fleet.racks[_choose_reserved_rack(state, waiting, shape)]
+        keys = sorted(
+            (key for key in rack if key in shape.capacity),
+            key=lambda key: -shape.copies.get(key, 0),
         )
+        yield from (fleet.candidates[key] for key in keys)
+        return
+    with_room = sorted(shape.copies, key=lambda key: -shape.copies[key])
+    yield from (fleet.candidates[key] for key in with_room)
+    for key in shape.capacity:
+        if key not in shape.copies:
+            yield fleet.candidates[key]
 
 
-def _choose_reserved_rack(
-    state: EntryState, ranked: RankedStep, candidates: list[CandidateWorker]
-) -> list[CandidateWorker]:
-    """Return the workers of the rack that is reserved for a gang."""
-    racks = by_rack(candidates)
+def _choose_reserved_rack(state: EntryState, waiting: WaitingStep, shape: Shape) -> str:
+    """Return the rack that is reserved for a gang."""
     reserved = state.dispatch.reserved_racks
-    rack = reserved.get(ranked.key, "")
-    if rack not in racks or not _fits_when_empty(ranked, racks[rack]):
-        rack = min(racks, key=lambda name: _shortfall(ranked, racks[name]))
-        reserved[ranked.key] = rack
-    return racks[rack]
+    key = waiting.ranked.key
+    rack = reserved.get(key, "")
+    if rack not in waiting.fitting_racks:
+        room = dict.fromkeys(sorted(waiting.fitting_racks), 0)
+        for worker_key, copies in shape.copies.items():
+            worker_rack = state.dispatch.fleet.candidates[worker_key].worker.rack
+            if worker_rack in room:
+                room[worker_rack] += copies
+        rack = max(room, key=lambda name: room[name])
+        reserved[key] = rack
+    return rack
 
 
 def _remaining_ms(state: EntryState, candidate: CandidateWorker) -> int:
@@ -329,12 +393,3 @@
             estimated_ms = job.steps[run.task.step].estimated_ms
             longest_ms = max(longest_ms, progress.estimate_remaining_ms(estimated_ms))
     return longest_ms
-
-
-def _shortfall(
-    ranked: RankedStep, candidates: list[CandidateWorker]
-) -> tuple[bool, int]:
-    fitting = sum(
-        candidate.available.max_copies(ranked.step.demand) for candidate in candidates
-    )
-    return (not _fits_when_empty(ranked, candidates), -fitting)
--- a/packages/core/crocuswell_core/dispatching/preemption.py
+++ b/packages/core/crocuswell_core/dispatching/preemption.py
@@ -1,16 +1,23 @@
 """Choice of the runs that are preempted for urgent steps."""
 
+import heapq
+
 import attrs
 
-from crocuswell_core.dispatching.dispatch_state import CandidateWorker
-from crocuswell_core.dispatching.packing import candidate_groups
-from crocuswell_core.dispatching.ranking import RankedStep
+from crocuswell_core.dispatching import health
+from crocuswell_core.dispatching.fleet import CandidateWorker, Shape
+from crocuswell_core.dispatching.indexing import accepts_tasks
+from crocuswell_core.dispatching.packing import by_rack, exclude_failed_workers
+from crocuswell_core.dispatching.waiting_steps import RankedStep, WaitingStep
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.catalog import find_queue_by_name
 from crocuswell_core.jobs.job_records import ResourceVector, RunId
 
 # Time that a preempted run takes to restart, in addition to its lost work.
 RESUME_COST_S = 0.5
+# Bounds the workers and racks whose runs are compared one by one.
+MIN_PREEMPTION_WORKERS = 16
+MAX_PREEMPTION_RACKS = 4
 
 
 @attrs.frozen
@@ -31,20 +38,97 @@
 
 
 def choose_preemption(
-    state: EntryState, ranked: RankedStep, candidates: list[CandidateWorker]
+    state: EntryState, waiting: WaitingStep, shape: Shape
 ) -> Preemption | None:
     """Return the cheapest preemption after which a step can start.
 
-    None if no preemption frees enough resources.
+    None if no preemption frees enough resources. Only the workers on which
+    a rough estimate expects the least lost work are looked at run by run.
     """
     found = [
         preemption
-        for group in candidate_groups(ranked, candidates)
-        if (preemption := _choose_from_group(state, ranked, group)) is not None
+        for group in _promising_groups(state, waiting, shape)
+        if (preemption := _choose_from_group(state, waiting.ranked, group)) is not None
     ]
     return min(found, key=lambda preemption: preemption.cost, default=None)
 
 
+@attrs.frozen
+class RoomEstimate:
+    """How many tasks a worker could hold after preemptions, and the cost.
+
+    Attributes
+    ----------
+    cost : float
+        Upper estimate of the lost work in core seconds.
+    """
+
+    copies: int
+    cost: float
+
+
+def _estimate_room(
+    state: EntryState, ranked: RankedStep, candidate: CandidateWorker
+) -> RoomEstimate:
+    available = candidate.unreserved(ranked.key)
+    cost = 0.0
+    for priority, work in candidate.preemptible.items():
+        if priority > ranked.priority:
+            available = available + work.demand
+            cost += work.lost_core_s(state.cluster.now_ms)
+    return RoomEstimate(available.max_copies(ranked.step.demand), cost)
+
+
+def _promising_groups(
+    state: EntryState, waiting: WaitingStep, shape: Shape
+) -> list[list[CandidateWorker]]:
+    """Return the groups of workers with the least expected loss.
+
+    A single group must hold the whole step.
+    """
+    ranked = waiting.ranked
+    candidates = _usable_candidates(state, ranked, shape)
+    rooms = {c.key: _estimate_room(state, ranked, c) for c in candidates}
+    with_room = [c for c in candidates if rooms[c.key].copies]
+    if not ranked.needs_one_rack:
+        cheapest = heapq.nsmallest(
+            max(MIN_PREEMPTION_WORKERS, 2 * ranked.waiting_count),
+            with_room,
+            key=lambda c: rooms[c.key].cost / rooms[c.key].copies,
+        )
+        return [cheapest]
+    racks = [
+        group
+        for group in by_rack(with_room).values()
+        if sum(rooms[c.key].copies for c in group) >= ranked.waiting_count
+    ]
+    return heapq.nsmallest(
+        MAX_PREEMPTION_RACKS,
+        racks,
+        key=lambda group: (
+            sum(rooms[c.key].cost for c in group)
+            / sum(rooms[c.key].copies for c in group)
+        ),
+    )
+
+
+def _usable_candidates(
+    state: EntryState, ranked: RankedStep, shape: Shape
+) -> list[CandidateWorker]:
+    fleet = state.dispatch.fleet
+    barred = health.excluded_worker_ids(state)
+    candidates = [
+        candidate
+        for key in shape.capacity
+        if (candidate := fleet.candidates[key]).worker.id not in barred
+        and accepts_tasks(state, candidate.view)
+    ]
+    candidates = exclude_failed_workers(fleet, ranked, shape, candidates)
+    for candidate in candidates:
+        candidate.available = candidate.unreserved(ranked.key)
+    return candidates
+
+
 def _choose_from_group(
     state: EntryState, ranked: RankedStep, group: list[CandidateWorker]
 ) -> Preemption | None:
@@ -148,7 +232,7 @@
     ):
         count = min(unplaced, free[id(candidate)].max_copies(ranked.step.demand))
         if count > 0:
-            tasks_by_worker[candidate.view.worker.key] = count
+            tasks_by_worker[candidate.key] = count
             unplaced -= count
     return tasks_by_worker
 
@@ -156,7 +240,7 @@
 def _free_after_stops(state: EntryState, candidate: CandidateWorker) -> ResourceVector:
     """Return the resources that are free once stopping runs have ended."""
     free = candidate.available
-    key = candidate.view.worker.key
+    key = candidate.key
     placed = state.cluster.jobs.placed.get(key, {})
     for task_id, demand in candidate.placed.items():
         number = placed.get(task_id)
@@ -170,7 +254,7 @@
 ) -> list[Victim]:
     """Return the preemptible runs on a worker, cheapest per core first."""
     table = state.cluster.jobs
-    placed = table.placed.get(candidate.view.worker.key, {})
+    placed = table.placed.get(candidate.key, {})
     found: list[Victim] = []
     for task_id, number in placed.items():
         run = RunId(task_id, number)
--- a/packages/core/crocuswell_core/dispatching/ranking.py
+++ b/packages/core/crocuswell_core/dispatching/ranking.py
@@ -1,21 +1,16 @@
-"""Priority order of the steps that have tasks to start."""
+"""Priority order of the steps that have tasks to start.
 
-import math
-from collections.abc import Iterator
+A job is ranked again when its tasks change, when its workspace's guarantee
+begins or ceases to cover it, and when time changes its rank.
+"""
 
-import attrs
+import math
+from collections.abc import Iterable, Iterator
 
+from crocuswell_core.dispatching.waiting_steps import RankedStep, UrgentDemand
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.catalog import Catalog, Queue, find_queue_by_name
-from crocuswell_core.jobs.job_records import (
-    Job,
-    Occurrence,
-    StepKey,
-    StepSpec,
-    Task,
-    TaskPhase,
-)
-from crocuswell_core.jobs.job_table import JobTable
+from crocuswell_core.jobs.job_records import Job, Occurrence, StepSpec, TaskPhase
 
 # A job that ends later than this multiple of its objective has no value.
 ZERO_VALUE_FACTOR = 3
@@ -24,103 +19,91 @@
 # Most work that may be lost to preemption for urgent work that exceeds its
 # workspace's guarantee.
 PREEMPTION_LIMIT_CORE_S = 300.0
+NEVER_MS = 1 << 62
+
+
+def rank_jobs(state: EntryState, job_ids: Iterable[str]) -> None:
+    """Rank the waiting steps of jobs, and of jobs that this affects."""
+    waiting = state.dispatch.waiting
+    catalog = state.cluster.jobs.catalog
+    outdated = set(job_ids)
+    for job_id in tuple(outdated):
+        workspace = waiting.set_urgent_demand(job_id, _urgent_demand(state, job_id))
+        if workspace:
+            outdated |= waiting.jobs_by_workspace.get(workspace, set())
+    for job_id in sorted(outdated):
+        job = state.cluster.jobs.jobs.get(job_id)
+        _note_next_occurrence(state, job_id, job)
+        steps = _rank_job(state, catalog, job) if job and catalog else []
+        waiting.replace(job_id, steps)
+
+
+def _note_next_occurrence(state: EntryState, job_id: str, job: Job | None) -> None:
+    next_due_ms = state.dispatch.waiting.next_due_ms
+    next_due_ms.pop(job_id, None)
+    if job is None or job.schedule is None or not job.is_open:
+        return
+    for number in range(job.schedule.count):
+        due_ms = job.schedule.due_ms(number)
+        if due_ms > state.wall_ms:
+            next_due_ms[job_id] = due_ms
+            return
 
 
-@attrs.frozen(eq=False)
-class RankedStep:
-    """A step with tasks to start.
-
-    Attributes
-    ----------
-    waiting : tuple of int
-        Indices of the tasks to start; all of them for a gang.
-    sort_key : tuple
-        Priority tier, queue priority and deadline in ms; smaller is first.
-    may_preempt : bool
-        Whether other runs may be stopped for it.
-    preemption_limit_core_s : float
-        Most work in core seconds that may be lost to preemption for it.
-    is_deferrable : bool
-        Whether the job has enough slack for the step to start later.
-    limits_backfill : bool
-        Whether resources are kept free for it while it waits.
-    """
-
-    job: Job
-    occurrence: Occurrence
-    step_index: int
-    step: StepSpec
-    service: str
-    waiting: tuple[int, ...]
-    sort_key: tuple[int, int, int]
-    priority: int
-    may_preempt: bool
-    preemption_limit_core_s: float
-    is_deferrable: bool
-    limits_backfill: bool
-
-    @property
-    def done(self) -> int:
-        """Number of tasks of the step that are done."""
-        return sum(task.phase is TaskPhase.DONE for task in self.tasks)
-
-    @property
-    def needs_one_rack(self) -> bool:
-        """Whether the step is a gang that is slower when spread over racks."""
-        return self.step.gang and self.step.prefers_one_rack
-
-    @property
-    def tasks(self) -> list[Task]:
-        """All tasks of the step."""
-        return self.occurrence.tasks[self.step_index]
-
-    @property
-    def key(self) -> StepKey:
-        """Job id, number of the occurrence and index of the step."""
-        return self.job.id, self.occurrence.number, self.step_index
-
-    @property
-    def waiting_count(self) -> int:
-        """Number of tasks to start."""
-        return len(self.waiting)
-
-
-def rank_steps(state: EntryState) -> list[RankedStep]:
-    """Return the steps that are ready to start, most urgent first."""
-    table = state.cluster.jobs
-    catalog = table.catalog
-    if catalog is None:
-        return []
-    ranked: list[RankedStep] = []
-    guaranteed = guaranteed_workspaces(table, catalog)
-    for job in table.jobs.values():
-        if not job.is_open:
-            continue
-        queue = find_queue_by_name(catalog, job.queue)
-        # Jobs of a queue that is no longer in the catalog are not dispatched.
-        if queue is not None:
-            for occurrence in due_occurrences(job, state.wall_ms):
-                ranked += _rank_steps_of(state, guaranteed, job, occurrence, queue)
-    ranked.sort(key=lambda item: item.sort_key)
-    return ranked
+def find_due_jobs(state: EntryState) -> set[str]:
+    """Return the jobs of which another occurrence is due."""
+    next_due_ms = state.dispatch.waiting.next_due_ms
+    return {id_ for id_, due_ms in next_due_ms.items() if due_ms <= state.wall_ms}
 
 
-def guaranteed_workspaces(table: JobTable, catalog: Catalog) -> set[str]:
-    """Return the workspaces whose urgent jobs are within their guarantee."""
-    demands: dict[str, int] = {}
-    for job in table.jobs.values():
-        queue = find_queue_by_name(catalog, job.queue)
-        if job.is_open and queue is not None and queue.priority == 0:
-            demands[job.owner] = demands.get(job.owner, 0) + _total_accelerators(job)
-    return {
-        declared.workspace
-        for declared in catalog.workspaces
-        if demands.get(declared.workspace, 0) <= declared.guaranteed_accelerators
+def find_outdated_jobs(state: EntryState) -> set[str]:
+    """Return the jobs whose rank depends on the time and may have changed."""
+    waiting = state.dispatch.waiting
+    outdated = {
+        step.ranked.job.id
+        for step in waiting.by_key.values()
+        if state.cluster.now_ms >= step.ranked.outdated_ms
     }
+    return outdated | find_due_jobs(state)
+
 
+def is_guaranteed(state: EntryState, workspace: str) -> bool:
+    """Tell whether a workspace's urgent jobs are within its guarantee."""
+    catalog = state.cluster.jobs.catalog
+    if catalog is None:
+        return False
+    demand = state.dispatch.waiting.demand_by_workspace.get(workspace, 0)
+    return any(
+        demand <= declared.guaranteed_accelerators
+        for declared in catalog.workspaces
+        if declared.workspace == workspace
+    )
 
-def _total_accelerators(job: Job) -> int:
-    return sum(step.count * step.demand.accelerators for step in job.steps)
+
+def _urgent_demand(state: EntryState, job_id: str) -> UrgentDemand | None:
+    table = state.cluster.jobs
+    job = table.jobs.get(job_id)
+    if job is None or not job.is_open or table.catalog is None:
+        return None
+    queue = find_queue_by_name(table.catalog, job.queue)
+    if queue is None or queue.priority != 0:
+        return None
+    return UrgentDemand(
+        job.owner, sum(step.count * step.demand.accelerators for step in job.steps)
+    )
+
+
+def _rank_job(state: EntryState, catalog: Catalog, job: Job) -> list[RankedStep]:
+    queue = find_queue_by_name(catalog, job.queue)
+    # Jobs of a queue that is no longer in the catalog are not dispatched.
+    if queue is None or not job.is_open:
+        return []
+    guaranteed = queue.priority == 0 and is_guaranteed(state, job.owner)
+    return [
+        ranked
+        for occurrence in due_occurrences(job, state.wall_ms)
+        for ranked in _rank_steps(state, job, occurrence, queue, guaranteed)
+    ]
 
 
 def due_occurrences(job: Job, wall_ms: int) -> Iterator[Occurrence]:
@@ -135,20 +118,18 @@
             yield occurrence
 
 
-def _rank_steps_of(
-    state: EntryState,
-    guaranteed: set[str],
-    job: Job,
-    occurrence: Occurrence,
-    queue: Queue,
+def _rank_steps(
+    state: EntryState, job: Job, occurrence: Occurrence, queue: Queue, guaranteed: bool
 ) -> list[RankedStep]:
     ranked: list[RankedStep] = []
-    deadline_ms = occurrence.due_ms + objective_ms(job, queue)
-    late = state.cluster.now_ms > occurrence.due_ms + (
-        ZERO_VALUE_FACTOR * objective_ms(job, queue)
-    )
+    now_ms = state.cluster.now_ms
+    critical_ms = critical_path_ms(job)
+    objective = objective_ms(job, queue)
+    deadline_ms = occurrence.due_ms + objective
+    zero_value_ms = occurrence.due_ms + ZERO_VALUE_FACTOR * objective
+    defer_until_ms = deadline_ms - critical_ms - critical_ms * DEFERRABLE_SLACK_SHARE
+    crossings = [ms for ms in (zero_value_ms, defer_until_ms) if ms >= now_ms]
     urgent = queue.priority == 0
-    slack_ms = deadline_ms - state.cluster.now_ms - critical_path_ms(job)
     for step_index, step in enumerate(job.steps):
         tasks = occurrence.tasks[step_index]
         waiting = tuple(
@@ -158,25 +139,28 @@
             continue
         if not job.step_is_ready(occurrence, step_index):
             continue
-        tier = _priority_tier(urgent and job.owner in guaranteed, urgent, step, late)
+        tier = _priority_tier(guaranteed, urgent, step, now_ms > zero_value_ms)
         ranked.append(
             RankedStep(
+                key=(job.id, occurrence.number, step_index),
                 job=job,
                 occurrence=occurrence,
                 step_index=step_index,
                 step=step,
                 service=queue.service,
                 waiting=waiting,
+                failed_on=frozenset(
+                    worker for index in waiting for worker in tasks[index].failed_on
+                ),
                 sort_key=(tier, queue.priority, deadline_ms),
+                outdated_ms=1 + int(min(crossings, default=NEVER_MS)),
                 priority=queue.priority,
                 may_preempt=urgent,
                 preemption_limit_core_s=(
-                    math.inf if job.owner in guaranteed else PREEMPTION_LIMIT_CORE_S
+                    math.inf if guaranteed else PREEMPTION_LIMIT_CORE_S
                 ),
                 is_deferrable=(
-                    not urgent
-                    and not step.long_running
-                    and slack_ms > critical_path_ms(job) * DEFERRABLE_SLACK_SHARE
+                    not urgent and not step.long_running and now_ms < defer_until_ms
                 ),
                 limits_backfill=step.gang or urgent,
             )
--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -1,9 +1,16 @@
-"""Runner reports at the leader: leases, run ends, orders, lost workers."""
+"""Runner reports at the leader: leases, run ends, lost workers."""
+
+from collections.abc import Iterator
 
 from crocuswell_core.cluster.commands import Command, Proposal
 from crocuswell_core.consensus import election, replication
-from crocuswell_core.dispatching import health
-from crocuswell_core.dispatching.dispatch_state import DispatchState, WorkerView
+from crocuswell_core.dispatching import health, indexing
+from crocuswell_core.dispatching.orders import (
+    PROPOSAL_TIMEOUT_MS,
+    current_dispatch,
+    send_orders,
+)
+from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_commands import (
     MarkWorkerLost,
@@ -13,18 +20,12 @@
 from crocuswell_core.jobs.job_records import (
     RunEnd,
     RunEndKind,
-    RunId,
     SavedCheckpoint,
-    StepKey,
-    TaskPhase,
     parse_boot_key,
 )
 from crocuswell_core.links.client_streams import redirect_client
 from crocuswell_core.links.link_messages import (
     LeaseGrant,
-    RunOrders,
-    StartRun,
-    StopRun,
     WorkerDescription,
     WorkerReport,
 )
@@ -42,16 +43,6 @@
 LEASE_MARGIN_MS = 400
 # Limits the work that is lost if a worker and the leader fail together.
 CHECKPOINT_INTERVAL_MS = 2_000
-# A proposal that is not applied by then has been lost, for example because
-# another entry took its log index.
-PROPOSAL_TIMEOUT_MS = 2_000
-
-
-def current_dispatch(state: EntryState) -> DispatchState:
-    """Return the dispatching state of the current term, new if needed."""
-    if state.dispatch.term != state.consensus.term:
-        state.dispatch = DispatchState(state.consensus.term, state.now_ms)
-    return state.dispatch
 
 
 @handle_agent_message.register
@@ -76,6 +67,7 @@
         Count("runner_events_total", added, (Label("event", name),))
         for name, added in iter_increases(message.events, view.events)
     ]
+    _note_checkpoints(state, view)
     effects += _propose_ends(state, view, message)
     if message.has_exited and key in table.placed:
         # The worker has exited, and its runs with it.
@@ -97,23 +89,52 @@
     if worker is None:
         raise ValueError("cannot track a worker: the report describes none")
     effects: list[Effect] = []
-    view = dispatch.views.get(worker.key)
-    if view is None or view.stream_id != stream_id:
+    key = worker.key
+    view = dispatch.views.pop(key, None)
+    is_new = view is None or view.stream_id != stream_id
+    if view is None or is_new:
         if view is None:
-            effects.append(_worker_log_line("worker_in_reach", worker.key))
+            effects.append(_worker_log_line("worker_in_reach", key))
         view = WorkerView(worker, stream_id)
-        dispatch.views[worker.key] = view
         effects += _propose_loss_of_earlier_boots(state, worker)
+        dispatch.add_boot(key)
+    dispatch.views[key] = view
     if view.worker.draining != worker.draining:
-        effects.append(_worker_log_line("worker_draining", worker.key))
+        effects.append(_worker_log_line("worker_draining", key))
+    was_silent = state.now_ms - view.last_report_ms > indexing.REPORT_TIMEOUT_MS
+    placed = state.cluster.jobs.placed.get(key, {})
+    running = {progress.run: progress for progress in message.running}
+    unplaced = tuple(run for run in running if run.task not in placed)
+    if (
+        is_new
+        or was_silent
+        or view.reachable != message.reachable
+        or _differs_for_planning(view.worker, worker)
+        or view.unplaced != unplaced
+    ):
+        dispatch.changes.workers.add(key)
+    if message.reachable:
+        dispatch.lost_contact.discard(key)
+    else:
+        dispatch.lost_contact.add(key)
     view.worker = worker
     view.last_report_ms = state.now_ms
     view.reachable = message.reachable
     view.lease_end_ms = state.now_ms + message.lease_left_ms + LEASE_MARGIN_MS
-    view.running = {progress.run: progress for progress in message.running}
+    view.running = running
+    view.unplaced = unplaced
     return view, effects
 
 
+def _differs_for_planning(before: WorkerDescription, after: WorkerDescription) -> bool:
+    return (
+        before.draining != after.draining
+        or before.capacity != after.capacity
+        or before.labels != after.labels
+        or before.service != after.service
+    )
+
+
 def _propose_loss_of_earlier_boots(
     state: EntryState, worker: WorkerDescription
 ) -> list[Effect]:
@@ -123,16 +144,14 @@
     """
     effects: list[Effect] = []
     dispatch = current_dispatch(state)
-    views = {
-        key: view
-        for key, view in dispatch.views.items()
-        if _is_earlier_boot(key, worker)
-    }
-    for key in views:
-        del dispatch.views[key]
-    for key in list(state.cluster.jobs.placed):
-        if _is_earlier_boot(key, worker):
-            effects += _propose_loss(state, key, views.get(key), "new boot", worker.key)
+    for key in sorted(dispatch.boots_by_machine.get(worker.machine, ())):
+        if not _is_earlier_boot(key, worker):
+            continue
+        view = dispatch.views.pop(key, None)
+        dispatch.changes.workers.add(key)
+        dispatch.boots_by_machine[worker.machine].discard(key)
+        if key in state.cluster.jobs.placed:
+            effects += _propose_loss(state, key, view, "new boot", worker.key)
     return effects
 
 
@@ -175,104 +194,60 @@
     return replication.propose(state, Proposal("", "", command))
 
 
+def _note_checkpoints(state: EntryState, view: WorkerView) -> None:
+    """Note the checkpoints of a report that are not yet in the log."""
+    table = state.cluster.jobs
+    for run, progress in view.running.items():
+        if not progress.checkpoint:
+            continue
+        task = table.task_if_current(run)
+        if task is None or progress.checkpoint == task.checkpoint:
+            continue
+        gang = table.jobs[run.task.job_id].steps[run.task.step].gang
+        # All members of a gang share one checkpoint.
+        index = -1 if gang else run.task.index
+        saved = SavedCheckpoint(run, progress.checkpoint)
+        state.dispatch.unsaved_checkpoints[run.task.step_key, index] = saved
+
+
 def propose_checkpoints(state: EntryState) -> list[Effect]:
     """Propose to record the checkpoints that are not yet in the log."""
     dispatch = current_dispatch(state)
     if state.now_ms - dispatch.checkpoints_proposed_ms < CHECKPOINT_INTERVAL_MS:
         return []
     dispatch.checkpoints_proposed_ms = state.now_ms
-    table = state.cluster.jobs
-    newest: dict[tuple[StepKey, int], SavedCheckpoint] = {}
-    for view in dispatch.views.values():
-        for run, progress in view.running.items():
-            task = table.task_if_current(run)
-            if task is None or progress.checkpoint in ("", task.checkpoint):
-                continue
-            gang = table.jobs[run.task.job_id].steps[run.task.step].gang
-            # All members of a gang share one checkpoint.
-            index = -1 if gang else run.task.index
-            newest[run.task.step_key, index] = SavedCheckpoint(run, progress.checkpoint)
-    if not newest:
-        return []
-    return _propose(state, RecordCheckpoints(tuple(newest.values())))
-
-
-# --- orders --------------------------------------------------------------
-
-
-def is_wanted(state: EntryState, run: RunId) -> bool:
-    """Tell whether a placed run should continue."""
-    table = state.cluster.jobs
-    job = table.jobs.get(run.task.job_id)
-    if job is None or not job.is_open or table.task_if_current(run) is None:
-        return False
-    if run in state.dispatch.stopping:
-        return False
-    if not job.steps[run.task.step].gang:
-        return True
-    # A gang cannot continue unless all of its members are in this run.
-    return all(
-        task.phase is TaskPhase.PLACED and task.run == run.number
-        for task in table.step_tasks(run.task)
+    unsaved, dispatch.unsaved_checkpoints = dispatch.unsaved_checkpoints, {}
+    newest = tuple(
+        saved
+        for saved in unsaved.values()
+        if state.cluster.jobs.task_if_current(saved.run) is not None
     )
-
-
-def send_orders(state: EntryState, view: WorkerView) -> list[Effect]:
-    """Send the starts and stops that a worker was not sent yet."""
-    table = state.cluster.jobs
-    key = view.worker.key
-    starts: list[StartRun] = []
-    stops: list[StopRun] = []
-    placed = table.placed.get(key, {})
-    for task_id, number in placed.items():
-        run = RunId(task_id, number)
-        if not is_wanted(state, run):
-            stops += _stop_once(view, run)
-        elif run not in view.running and run not in view.ordered_starts:
-            view.ordered_starts.add(run)
-            task = table.task(task_id)
-            job = table.jobs[task_id.job_id]
-            checkpoint = task.checkpoint if task else ""
-            starts.append(StartRun(run, job.payload, checkpoint))
-    for run in view.running:
-        if placed.get(run.task) != run.number:
-            stops += _stop_once(view, run)
-    if not starts and not stops:
-        return []
-    orders = RunOrders(state.consensus.term, key, tuple(starts), tuple(stops))
-    return [SendAgent(view.stream_id, orders)]
-
-
-def _stop_once(view: WorkerView, run: RunId) -> list[StopRun]:
-    if run in view.ordered_stops:
-        return []
-    view.ordered_stops.add(run)
-    return [StopRun(run)]
-
-
-def send_all_orders(state: EntryState) -> list[Effect]:
-    """Send all reachable workers the orders that they were not sent yet."""
-    effects: list[Effect] = []
-    for view in current_dispatch(state).views.values():
-        effects += send_orders(state, view)
-    return effects
+    return _propose(state, RecordCheckpoints(newest)) if newest else []
 
 
 # --- lost workers --------------------------------------------------------
 
 
 def expire_leases(state: EntryState) -> list[Effect]:
-    """Propose the loss of workers whose lease has certainly expired."""
+    """Propose the loss of workers whose lease has certainly expired.
+
+    Only workers that are out of contact are looked at.
+    """
     dispatch = current_dispatch(state)
+    placed = state.cluster.jobs.placed
     effects: list[Effect] = []
-    for key in list(state.cluster.jobs.placed):
+    silent = dict(_silent_views(state))
+    for key in sorted(dispatch.lost_contact | silent.keys()):
         view = dispatch.views.get(key)
-        if state.now_ms >= _lease_end_ms(state, view):
+        if key in placed and state.now_ms >= _lease_end_ms(state, view):
             effects += _propose_loss(state, key, view, "lease over")
-    for key, view in list(dispatch.views.items()):
-        silent_ms = state.now_ms - view.last_report_ms
-        if silent_ms > 2 * state.cfg.task_lease_ms:
+        elif key not in placed and view is None:
+            dispatch.lost_contact.discard(key)
+    for key, view in silent.items():
+        if state.now_ms - view.last_report_ms > 2 * state.cfg.task_lease_ms:
             del dispatch.views[key]
+            dispatch.lost_contact.add(key)
+            dispatch.changes.workers.add(key)
             effects.append(_worker_log_line("worker_out_of_reach", key))
     for key, since_ms in list(dispatch.pending_losses.items()):
         if state.now_ms - since_ms > PROPOSAL_TIMEOUT_MS:
@@ -280,6 +255,14 @@
     return effects
 
 
+def _silent_views(state: EntryState) -> Iterator[tuple[str, WorkerView]]:
+    """Yield the workers whose newest report is older than a lease."""
+    for key, view in state.dispatch.views.items():
+        if state.now_ms - view.last_report_ms < state.cfg.task_lease_ms:
+            return
+        yield key, view
+
+
 def _lease_end_ms(state: EntryState, view: WorkerView | None) -> int:
     """Return the time in ms after which a boot's runs have certainly ended.
 
--- /dev/null
+++ b/packages/core/crocuswell_core/dispatching/worker_view.py
@@ -0,0 +1,66 @@
+"""What the leader knows of a worker from its runner's reports."""
+
+import attrs
+
+from crocuswell_core.jobs.job_records import RunId, RunProgress
+from crocuswell_core.links.link_messages import WorkerDescription
+
+
+@attrs.define
+class LastProgress:
+    """Newest progress of a run, for the detection of stalls.
+
+    Attributes
+    ----------
+    unchanged_ms : int
+        Time in ms for which run lists have shown the same percentage.
+    """
+
+    percent: int
+    unchanged_ms: int = 0
+
+
+@attrs.define
+class WorkerView:
+    """A boot of a worker whose runner reports to this leader.
+
+    Attributes
+    ----------
+    stream_id : int
+        Stream of its runner.
+    last_report_ms : int
+        Time in ms of the newest report.
+    lease_end_ms : int
+        Time in ms after which no run of this boot continues without a new
+        lease.
+    last_proposed_end : int
+        Highest number of a run's end that was proposed for recording.
+    ordered_starts, ordered_stops : set of RunId
+        Orders sent on this stream.
+    absent : set of RunId
+        Runs whose absence was proposed for recording.
+    list_number, list_received_ms : int
+        Number of the newest run list, and the time in ms of its receipt.
+    last_progress : dict
+        Progress of the listed runs.
+    unplaced : tuple of RunId
+        Listed runs of tasks that are not placed on this boot.
+    events : dict
+        Counters of the runner's events on this stream.
+    """
+
+    worker: WorkerDescription
+    stream_id: int
+    last_report_ms: int = 0
+    reachable: bool = False
+    lease_end_ms: int = 0
+    last_proposed_end: int = 0
+    running: dict[RunId, RunProgress] = attrs.Factory(dict)
+    ordered_starts: set[RunId] = attrs.Factory(set)
+    ordered_stops: set[RunId] = attrs.Factory(set)
+    absent: set[RunId] = attrs.Factory(set)
+    list_number: int = 0
+    list_received_ms: int = 0
+    last_progress: dict[RunId, LastProgress] = attrs.Factory(dict)
+    unplaced: tuple[RunId, ...] = ()
+    events: dict[str, int] = attrs.Factory(dict)
--- a/packages/core/crocuswell_core/jobs/job_command_handlers.py
+++ b/packages/core/crocuswell_core/jobs/job_command_handlers.py
@@ -1,5 +1,7 @@
 """Handlers of the commands on jobs and the catalog."""
 
+from collections.abc import Iterable
+
 from crocuswell_core.cluster.cluster_state import ClusterState
 from crocuswell_core.cluster.commands import Done, LogEntry, Refused
 from crocuswell_core.jobs.catalog import (
@@ -42,6 +44,7 @@
     EmitLogEvent,
     Label,
     Observe,
+    PlacementsChanged,
 )
 from crocuswell_core.runtime.errors import ErrorKind
 
@@ -75,7 +78,9 @@
             Label("queues", str(len(new.queues))),
         ),
     )
-    return ApplyResult(CatalogInForce(new.version), (log,))
+    return ApplyResult(
+        CatalogInForce(new.version), (log, PlacementsChanged(everything=True))
+    )
 
 
 def resolve_queue(cluster: ClusterState, address: QueueAddress) -> Refused | str:
@@ -135,7 +140,8 @@
         ),
     )
     count = Count("jobs_accepted_total", labels=(Label("queue", queue.name),))
-    return ApplyResult(JobAccepted(command.job_id), (log, count))
+    changed = PlacementsChanged((job.id,))
+    return ApplyResult(JobAccepted(command.job_id), (log, count, changed))
 
 
 def _report_refused_call(
@@ -191,6 +197,7 @@
     return (
         EmitLogEvent("job_ended", labels),
         Observe("job_completion_seconds", age_ms / 1_000, metric_labels),
+        PlacementsChanged((job.id,)),
     )
 
 
@@ -206,7 +213,15 @@
             effects += _place_run(cluster, placement)
     table.applied_plan = command.plan
     table.revision += 1
-    return ApplyResult(Done(), tuple(effects))
+    changed = PlacementsChanged(
+        _job_ids(placement.run for placement in command.placements),
+        tuple(sorted({placement.worker for placement in command.placements})),
+    )
+    return ApplyResult(Done(), (*effects, changed))
+
+
+def _job_ids(runs: Iterable[RunId]) -> tuple[str, ...]:
+    return tuple(sorted({run.task.job_id for run in runs}))
 
 
 def _may_place(table: JobTable, placement: RunPlacement) -> bool:
@@ -267,7 +282,9 @@
         acknowledged, command.acknowledged_end
     )
     table.revision += 1
-    return ApplyResult(Done(), tuple(effects))
+    job_ids = _job_ids(end.run for end in command.ends)
+    changed = PlacementsChanged(job_ids, (command.worker,))
+    return ApplyResult(Done(), (*effects, changed))
 
 
 def _record_run_end(
@@ -393,7 +410,9 @@
     log = EmitLogEvent(
         "worker_lost", (_worker_label(command.worker), Label("runs", str(len(placed))))
     )
-    return ApplyResult(Done(), (log, *effects))
+    job_ids = tuple(sorted({task_id.job_id for task_id in placed}))
+    changed = PlacementsChanged(job_ids, (command.worker,))
+    return ApplyResult(Done(), (log, *effects, changed))
 
 
 @apply_command.register
--- a/packages/core/crocuswell_core/runtime/effects.py
+++ b/packages/core/crocuswell_core/runtime/effects.py
@@ -290,8 +290,28 @@
     sequence: int
 
 
+@attrs.frozen
+class PlacementsChanged:
+    """Jobs or workers changed in a way that is relevant to dispatching.
+
+    Attributes
+    ----------
+    jobs : tuple of str
+        Jobs that were accepted or have ended, or whose tasks changed.
+    workers : tuple of str
+        Keys of boots whose placed runs changed.
+    everything : bool
+        Whether any job may be affected.
+    """
+
+    jobs: tuple[str, ...] = ()
+    workers: tuple[str, ...] = ()
+    everything: bool = False
+
+
 ClusterEffect = (
-    OrderWorker
+    PlacementsChanged
+    | OrderWorker
     | RequestEnded
     | WorkerAnnounced
     | ReportsRecorded
