Refuse calls at once while no leader is in reach

Change: after 2 s without a leader a front refuses at once, with a Retry-After that grows with the absence (1 s to 4 s); a leader that is silent for 900 ms is sent no call; a read that was not answered is refused as not run.

--- a/packages/core/crocuswell_core/front/front.py
+++ b/packages/core/crocuswell_core/front/front.py
@@ -56,6 +56,9 @@
 
 FRONT_TICK_MS = 100
 RETRY_AFTER_MS = 1_000
+# Callers come back a few times only, so that after a long absence of the
+# leader they are told to wait longer, up to this time.
+MAX_RETRY_AFTER_MS = 4_000
 
 
 @handle.register
@@ -129,6 +132,8 @@
 def _(state: FrontState, event: CallReceived) -> list[Effect]:
     call = PendingCall(event.call_id, event.call, state.now_ms)  # type: ignore[arg-type]
     state.calls[event.call_id] = call
+    if _is_leaderless(state):
+        return _expire_call(state, call)
     return _send(state, call)
 
 
@@ -139,6 +144,11 @@
 
 
 def _send(state: FrontState, call: PendingCall) -> list[Effect]:
+    silence_ms = state.now_ms - state.uplink.last_leader_ms
+    if silence_ms > state.cfg.silence_limit_ms:
+        # The leader may be gone. A call that is not sent to it certainly has
+        # not run, and its caller can be told so.
+        return []
     effects = uplink_stream.send(
         state.uplink, state.now_ms, ForwardCall(call.call_id, call.call)
     )
@@ -185,16 +195,44 @@
 def _(timer: FrontTimer, state: FrontState) -> list[Effect]:
     effects: list[Effect] = [StartTimer(timer, FRONT_TICK_MS)]
     for call in list(state.calls.values()):
-        if state.now_ms - call.received_ms >= state.cfg.call_limit_ms:
+        waited_ms = state.now_ms - call.received_ms
+        is_hopeless = _is_leaderless(state) and not _may_have_run(call.call, call)
+        if is_hopeless or waited_ms >= state.cfg.call_limit_ms:
             effects += _expire_call(state, call)
         elif not call.sent or state.now_ms - call.sent_ms >= state.cfg.retry_ms:
             effects += _send(state, call)
     return [*effects, *_update_readiness(state), *_halt_when_idle(state)]
 
 
+@singledispatch
+def _may_have_run(forwarded: CommandCall | JobRead, call: PendingCall) -> bool:
+    """Tell whether a call may have had an effect; a read has none."""
+    return False
+
+
+@_may_have_run.register
+def _(forwarded: CommandCall, call: PendingCall) -> bool:
+    return call.sent
+
+
+def _is_leaderless(state: FrontState) -> bool:
+    """Tell whether a leader has been out of reach for longer than usual."""
+    absence_ms = uplink_stream.leaderless_ms(state.uplink, state.now_ms)
+    return absence_ms >= state.cfg.leaderless_limit_ms
+
+
+def _retry_after_ms(state: FrontState) -> int:
+    """Return when a caller should come back, in ms.
+
+    The longer the leader has been absent, the longer it may stay so.
+    """
+    absence_ms = uplink_stream.leaderless_ms(state.uplink, state.now_ms)
+    return max(RETRY_AFTER_MS, min(absence_ms, MAX_RETRY_AFTER_MS))
+
+
 def _expire_call(state: FrontState, call: PendingCall) -> list[Effect]:
     del state.calls[call.call_id]
-    if call.sent:
+    if _may_have_run(call.call, call):
         kind, detail = ErrorKind.UNAVAILABLE, "the leader has not answered in time"
     else:
         kind, detail = ErrorKind.OVERLOADED, "no leader is in reach"
@@ -208,7 +246,7 @@
     return [
         EmitLogEvent("call_given_up", labels),
         *_count_answer(state, call, kind.value),
-        AnswerCall(call.call_id, Refused(kind, detail, RETRY_AFTER_MS)),
+        AnswerCall(call.call_id, Refused(kind, detail, _retry_after_ms(state))),
     ]
 
 
--- a/packages/core/crocuswell_core/front/front_state.py
+++ b/packages/core/crocuswell_core/front/front_state.py
@@ -19,6 +19,12 @@
     ----------
     call_limit_ms : int
         Longest time in ms that a call waits for the leader's answer.
+    leaderless_limit_ms : int
+        Time in ms without a leader after which calls are refused at once;
+        an election and the new connection usually take less.
+    silence_limit_ms : int
+        Time in ms without a message of the attached leader after which no
+        call is sent to it; it sends one each 500 ms.
     retry_ms : int
         Time in ms after which an unanswered call is sent again.
     ready_grace_ms : int
@@ -31,6 +37,8 @@
     """
 
     call_limit_ms: int = 2_400
+    leaderless_limit_ms: int = 2_000
+    silence_limit_ms: int = 900
     retry_ms: int = 300
     ready_grace_ms: int = 1_500
     drain_ms: int = 2_500
--- a/packages/core/crocuswell_core/links/uplink.py
+++ b/packages/core/crocuswell_core/links/uplink.py
@@ -68,6 +68,9 @@
     last_attached_ms, last_lost_ms : int
         Time in ms at which the leader last attached this client, and at
         which it was last lost.
+    last_leader_ms : int
+        Time in ms of the newest message of a leader that had attached this
+        client; at first the start of the process.
     """
 
     sender: str
@@ -86,6 +89,7 @@
     last_sent_ms: int = 0
     last_attached_ms: int = 0
     last_lost_ms: int = 0
+    last_leader_ms: int = 0
 
     @property
     def is_attached(self) -> bool:
@@ -93,9 +97,14 @@
         return self.phase is UplinkPhase.ATTACHED
 
 
+def leaderless_ms(uplink: Uplink, now_ms: int) -> int:
+    """Return for how long in ms no leader was heard; 0 while attached."""
+    return 0 if uplink.is_attached else now_ms - uplink.last_leader_ms
+
+
 def start(uplink: Uplink, now_ms: int) -> list[Effect]:
     """Open the first stream and start the timer."""
-    uplink.last_lost_ms = now_ms
+    uplink.last_lost_ms = uplink.last_leader_ms = now_ms
     return [*_open(uplink, now_ms), StartTimer(UplinkTimer(), UPLINK_TICK_MS)]
 
 
@@ -151,6 +160,8 @@
     if stream_id != uplink.stream_id or uplink.phase is UplinkPhase.IDLE:
         return []
     uplink.last_received_ms = now_ms
+    if uplink.is_attached:
+        uplink.last_leader_ms = now_ms
     if isinstance(message, Attached):
         return _attach(uplink, now_ms, message)
     if isinstance(message, Redirect):
@@ -166,6 +177,7 @@
         return []
     uplink.phase = UplinkPhase.ATTACHED
     uplink.phase_changed_ms = uplink.last_attached_ms = now_ms
+    uplink.last_leader_ms = now_ms
     labels = (
         Label("address", uplink.address),
         Label("term", str(message.term)),
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,8 +1,9 @@
 """Handlers of a front: forwarding, retries, timeouts and relaying."""
 
-from crocuswell_core.cluster.commands import Refused
+from crocuswell_core.cluster.commands import Proposal, Refused
+from crocuswell_core.entry.calls import CommandCall
 from crocuswell_core.front.front_state import FrontConfig, FrontState
-from crocuswell_core.jobs.job_commands import GetJob, JobView
+from crocuswell_core.jobs.job_commands import CancelJob, GetJob, JobView
 from crocuswell_core.jobs.job_records import JobPhase
 from crocuswell_core.links.link_messages import (
     Attach,
@@ -10,6 +11,7 @@
     CallAnswered,
     ForwardCall,
     LeaseGrant,
+    LinkKeepalive,
     Redirect,
     WorkerReport,
 )
@@ -42,6 +44,7 @@
 from tests.job_harness import LONG, address
 
 CALL = GetJob("j", address(LONG))
+COMMAND = CommandCall(Proposal("", "", CancelJob("j", address(LONG))))
 VIEW = JobView("j", JobPhase.RUNNING)
 SEEDS = ("h1:2", "h2:2")
 
@@ -127,17 +130,69 @@
 
 def test_only_an_unsent_call_is_reported_as_not_run() -> None:
     """Guards against reporting a job as not run after it was accepted."""
-    for attached, not_run in ((False, True), (True, False)):
+    for attached, call, not_run in (
+        (False, COMMAND, True),
+        (True, COMMAND, False),
+        (False, CALL, True),
+        (True, CALL, True),
+    ):
         front = Front()
         if attached:
             front.attach()
-        front.post(CallReceived(7, CALL))
+        front.post(CallReceived(7, call))
         effects = front.tick(front.state.cfg.call_limit_ms)
         (answer,) = answers(effects)
         assert isinstance(answer.reply, Refused)
         assert ERROR_CONTRACTS[answer.reply.kind].not_run is not_run
 
 
+def test_command_is_not_sent_to_a_silent_leader() -> None:
+    """Guards against a job whose fate is unknown since its leader is gone."""
+    front = Front()
+    front.attach()
+    front.now_ms += front.state.cfg.silence_limit_ms + 1
+    assert not forwarded(front.post(CallReceived(7, COMMAND)))
+    front.receive(LinkKeepalive())
+    assert forwarded(front.tick(100)) == [ForwardCall(7, COMMAND)]
+
+
+def test_call_without_a_leader_for_long_is_refused_at_once() -> None:
+    """Guards against callers that wait for a leader who is not coming."""
+    front = Front()
+    front.attach()
+    front.lose_leader()
+    front.now_ms += front.state.cfg.leaderless_limit_ms
+    (answer,) = answers(front.post(CallReceived(7, CALL)))
+    assert isinstance(answer.reply, Refused)
+    assert ERROR_CONTRACTS[answer.reply.kind].not_run
+    assert 0 < answer.reply.retry_after_ms <= 4_000
+    front.now_ms += 60_000
+    (later,) = answers(front.post(CallReceived(8, CALL)))
+    assert later.reply.retry_after_ms == 4_000
+
+
+def test_held_call_is_refused_once_an_election_should_be_over() -> None:
+    """Guards against calls that are held until their caller gives up."""
+    front = Front()
+    front.attach()
+    front.lose_leader()
+    front.now_ms += 1_000
+    assert not answers(front.post(CallReceived(7, CALL)))
+    (answer,) = answers(front.tick(front.state.cfg.leaderless_limit_ms - 1_000))
+    assert ERROR_CONTRACTS[answer.reply.kind].not_run
+
+
+def test_sent_call_is_not_reported_as_not_run_without_a_leader() -> None:
+    """Guards against refusing a call that the lost leader may have run."""
+    front = Front()
+    front.attach()
+    front.post(CallReceived(7, COMMAND))
+    front.lose_leader()
+    assert not answers(front.tick(front.state.cfg.leaderless_limit_ms))
+    (answer,) = answers(front.tick(front.state.cfg.call_limit_ms))
+    assert not ERROR_CONTRACTS[answer.reply.kind].not_run
+
+
 def test_redirect_is_followed_at_once() -> None:
     """Guards against an idle timer period at each change of leader."""
     front = Front()
