Wait for room when the disk is full

Change: the storage keeps the records that it could not write, cuts an incomplete frame off the log and removes an incomplete file; the runtime tries again each 100 ms and executes no effect until the batch is on disk, as with a disk that stalls. Other errors stay final.

--- a/packages/daemon/crocuswell_daemon/counters.py
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -79,6 +79,7 @@
     ),
     "jobs_accepted_total": Metric("Accepted jobs", ("queue",)),
     "jobs_open": Metric("Jobs that have not ended", is_gauge=True),
+    "disk_full": Metric("Whether the disk takes no bytes, 1 or 0", is_gauge=True),
     "leader": Metric("Whether this host leads, 1 or 0", is_gauge=True),
     "leader_absence_seconds": Metric(
         "Time without a stream to the leader", buckets=LATENCY_BUCKETS_S
--- a/packages/daemon/crocuswell_daemon/frames.py
+++ b/packages/daemon/crocuswell_daemon/frames.py
@@ -7,6 +7,7 @@
 invalid frame before a valid one is corruption.
 """
 
+import errno
 import struct
 import zlib
 from collections.abc import Sequence
@@ -45,6 +46,14 @@
         self.kind = kind
 
 
+class DiskFullError(StorageError):
+    """The disk takes no bytes now; nothing that was synced is lost."""
+
+
+# Errors after which a write succeeds once there is room again.
+NO_SPACE_CODES = frozenset({errno.ENOSPC, errno.EDQUOT})
+
+
 def corruption_error(path: Path, offset: int, detail: str) -> StorageError:
     """Return the error for corruption found in a file."""
     return StorageError(
@@ -54,7 +63,10 @@
 
 def system_call_error(action: str, exc: OSError) -> StorageError:
     """Return the error for a failed system call."""
-    return StorageError(ErrorKind.STORAGE_FAILED, f"{action}: {exc.strerror or exc}")
+    detail = f"{action}: {exc.strerror or exc}"
+    if exc.errno in NO_SPACE_CODES:
+        return DiskFullError(ErrorKind.STORAGE_FAILED, detail)
+    return StorageError(ErrorKind.STORAGE_FAILED, detail)
 
 
 def header_length(magic: bytes) -> int:
--- a/packages/daemon/crocuswell_daemon/runtime.py
+++ b/packages/daemon/crocuswell_daemon/runtime.py
@@ -19,15 +19,18 @@
     Observe,
     Persist,
     Record,
+    SetGauge,
 )
 from crocuswell_core.runtime.errors import ErrorKind
 from crocuswell_core.runtime.events import ClockAdvanced, EntriesSynced, Event
-from crocuswell_daemon.frames import StorageError
+from crocuswell_daemon.frames import DiskFullError, StorageError
 from crocuswell_daemon.snapshots import decode_event_state, encode_effect_state
 from crocuswell_daemon.wire import CodecError
 
 # Bounds how long a full queue blocks the event loop, and with it the streams.
 BATCH_EVENTS = 512
+# A full disk is tried again this often.
+DISK_FULL_RETRY_S = 0.1
 
 Reducer = Callable[[Any, Event], tuple[Any, list[Effect]]]
 
@@ -165,7 +168,7 @@
         if records:
             started_s = time.monotonic()
             try:
-                await self._write(records)
+                await self._write(records, interpreter)
             except StorageError as exc:
                 return Halt(exc.kind, str(exc))
             except Exception as exc:  # a record that can't be encoded or stored
@@ -184,10 +187,16 @@
         self._state, effects = self._reduce(self._state, event)
         return [part for effect in effects for part in _encode_effect(effect)]
 
-    async def _write(self, records: list[Record]) -> None:
-        if self._writer is None:
+    async def _write(
+        self, records: list[Record], interpreter: EffectInterpreter
+    ) -> None:
+        if self._writer is None or self._storage is None:
             raise TypeError("this role has no storage")
-        await self._loop.run_in_executor(self._writer, self._append_and_sync, records)
+        try:
+            await self._call_storage(self._storage.append, records)
+            await self._call_storage(self._storage.sync)
+        except DiskFullError as exc:
+            await self._wait_for_room(self._storage, str(exc), interpreter)
         last_record = next(
             (r for r in reversed(records) if isinstance(r, EntriesRecord)), None
         )
@@ -195,11 +204,30 @@
             entry = last_record.entries[-1]
             self.post(EntriesSynced(entry.index, entry.term))
 
-    def _append_and_sync(self, records: list[Record]) -> None:
-        if self._storage is None:
-            return
-        self._storage.append(records)
-        self._storage.sync()
+    async def _call_storage(self, call: Callable[..., None], *args: object) -> None:
+        await self._loop.run_in_executor(self._writer, call, *args)
+
+    async def _wait_for_room(
+        self, storage: RecordWriter, detail: str, interpreter: EffectInterpreter
+    ) -> None:
+        """Write the records of a batch once the disk takes them.
+
+        Until then the host is like one whose disk stalls: it executes no
+        effect, so another host is elected if it led, and it loses its lease.
+        """
+        started_s = time.monotonic()
+        full = EmitLogEvent("disk_full", (Label("reason", detail),), LogLevel.WARNING)
+        interpreter.execute([full, SetGauge("disk_full", 1.0)])
+        while True:
+            await asyncio.sleep(DISK_FULL_RETRY_S)
+            try:
+                await self._call_storage(storage.sync)
+                break
+            except DiskFullError:
+                continue
+        waited_ms = round((time.monotonic() - started_s) * 1_000)
+        has_room = EmitLogEvent("disk_writable", (Label("full_ms", str(waited_ms)),))
+        interpreter.execute([has_room, SetGauge("disk_full", 0.0)])
 
 
 def _encode_effect(effect: Effect) -> list[Effect]:
--- a/packages/daemon/crocuswell_daemon/storage.py
+++ b/packages/daemon/crocuswell_daemon/storage.py
@@ -6,8 +6,9 @@
 
 import fcntl
 import os
+from collections import deque
 from collections.abc import Iterable
-from contextlib import AbstractContextManager
+from contextlib import AbstractContextManager, ExitStack
 from functools import singledispatchmethod
 from pathlib import Path
 from types import TracebackType
@@ -27,6 +28,7 @@
 from crocuswell_daemon import wire
 from crocuswell_daemon.frames import (
     MARKER_BYTES,
+    DiskFullError,
     StorageError,
     corruption_error,
     find_frame,
@@ -171,7 +173,8 @@
 
     After a failed write or sync every later call fails as well, because the
     kernel may have dropped the dirty pages and a retry could succeed
-    without them.
+    without them. A full disk is no such failure: what was not synced is cut
+    off the log, and the next `sync` writes it again from memory.
 
     Parameters
     ----------
@@ -185,8 +188,11 @@
         self._folder = folder
         self._disk = disk or SystemDisk()
         self._stored = _StoredState()
+        self._deferred: deque[Record] = deque()
         self._pending: list[bytes] = []
         self._log_fd = -1
+        self._log_length = 0
+        self._log_is_outdated = False
         self._lock_fd = -1
         self._marker = b""
         self._failure: StorageError | None = None
@@ -250,27 +256,50 @@
             If a snapshot among the records can't be written.
         """
         self._raise_if_failed()
-        for record in records:
-            self._append_record(record)
+        self._deferred.extend(records)
+        self._append_deferred()
 
     def sync(self) -> None:
         """Write the buffered records as one frame and sync it.
 
         Raises
         ------
+        DiskFullError
+            If the disk is full; the records stay buffered for the next call.
         StorageError
-            If the disk is full or the sync fails.
+            If the write or the sync fails.
         """
         self._raise_if_failed()
+        self._append_deferred()
+        self._sync_pending()
+
+    def _append_deferred(self) -> None:
+        while self._deferred:
+            self._append_record(self._deferred[0])
+            self._deferred.popleft()
+
+    def _sync_pending(self) -> None:
         if not self._pending:
             return
         frame = pack_frame(self._marker, self._pending)
-        self._pending.clear()
         try:
             self._write_all(self._log_fd, frame)
             self._disk.fdatasync(self._log_fd)
         except OSError as exc:
-            raise self._record_failure(f"write {self._folder / LOG_FILE}", exc) from exc
+            error = self._record_failure(f"write {self._folder / LOG_FILE}", exc)
+            self._cut_unsynced_tail()
+            raise error from exc
+        self._log_length += len(frame)
+        self._pending.clear()
+
+    def _cut_unsynced_tail(self) -> None:
+        """Cut an incomplete frame off the log, unless the log has failed."""
+        if self._failure:
+            return
+        try:
+            os.ftruncate(self._log_fd, self._log_length)
+        except OSError as exc:
+            raise self._record_failure(f"cut {self._folder / LOG_FILE}", exc) from exc
 
     # --- records ---------------------------------------------------------
 
@@ -290,13 +319,16 @@
 
     @_append_record.register
     def _(self, record: SnapshotRecord) -> None:
-        if record.index <= self._stored.snapshot_index:
-            return
-        self.sync()
+        self._sync_pending()
         try:
-            self._write_file(SNAPSHOT_FILE, SNAPSHOT_MAGIC, [wire.encode(record)])
-            self._stored.install(record)
-            self._rewrite_log()
+            if record.index > self._stored.snapshot_index:
+                self._write_file(SNAPSHOT_FILE, SNAPSHOT_MAGIC, [wire.encode(record)])
+                self._stored.install(record)
+                self._log_is_outdated = True
+            if self._log_is_outdated:
+                # Entries after the snapshot need a log that starts there.
+                self._rewrite_log()
+                self._log_is_outdated = False
         except OSError as exc:
             raise self._record_failure(
                 f"write {self._folder / SNAPSHOT_FILE}", exc
@@ -309,8 +341,11 @@
             raise self._failure
 
     def _record_failure(self, action: str, exc: OSError) -> StorageError:
-        self._failure = system_call_error(action, exc)
-        return self._failure
+        """Return the error; all later calls fail, unless it can pass."""
+        error = system_call_error(action, exc)
+        if not isinstance(error, DiskFullError):
+            self._failure = error
+        return error
 
     def _write_all(self, fd: int, data: bytes) -> None:
         view = memoryview(data)
@@ -333,11 +368,14 @@
         fd = os.open(
             temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600
         )
-        try:
+        with ExitStack() as stack:
+            stack.callback(os.close, fd)
+            # Room that an incomplete file takes would be missed elsewhere.
+            unlink = stack.enter_context(ExitStack())
+            unlink.callback(temporary.unlink)
             self._write_all(fd, data)
             self._disk.fdatasync(fd)
-        finally:
-            os.close(fd)
+            unlink.pop_all()
         self._disk.rename(temporary, self._folder / name)
         self._sync_folder()
         return marker
@@ -366,6 +404,7 @@
         self._log_fd = os.open(
             self._folder / LOG_FILE, os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC
         )
+        self._log_length = os.fstat(self._log_fd).st_size
 
     def _close(self) -> None:
         for fd in (self._log_fd, self._lock_fd):
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -24,7 +24,7 @@
     SnapshotReceived,
 )
 from crocuswell_daemon import wire
-from crocuswell_daemon.frames import StorageError
+from crocuswell_daemon.frames import DiskFullError, StorageError
 from crocuswell_daemon.runtime import BATCH_EVENTS, Runtime
 
 # Time limit of a test that hangs.
@@ -185,6 +185,34 @@
     assert trace.count(TICK) == 2
 
 
+def test_a_full_disk_is_waited_for() -> None:
+    """Guards against a host that ends, or answers early, with a full disk."""
+    trace: list[Any] = []
+    storage = FillingStorage(trace)
+    script: dict[Event, list[fx.Effect]] = {
+        ONE: [persist_entries(1), send("a")],
+        EntriesSynced(1, 2): [fx.Halt()],
+    }
+    halt, _ = run(script, [ONE], storage=storage, trace=trace)
+    assert halt == fx.Halt()
+    events = [item.event for item in trace if isinstance(item, fx.EmitLogEvent)]
+    assert events == ["disk_full", "disk_writable"]
+    assert trace.index("synced") < trace.index(send("a"))
+
+
+@attrs.define
+class FillingStorage(FakeStorage):
+    """Takes no bytes for some calls."""
+
+    full_calls: int = 3
+
+    def sync(self) -> None:
+        if self.full_calls:
+            self.full_calls -= 1
+            raise DiskFullError(ErrorKind.STORAGE_FAILED, "no space")
+        super().sync()
+
+
 def test_no_entries_synced_without_entries() -> None:
     """Guards against a synced vote that is reported as a synced log entry."""
     halt, trace = run({ONE: [fx.Persist(fx.TermRecord(3, "a"))]}, [ONE, STOP])
