--- a/packages/core/crocuswell_core/dispatching/indexing.py
+++ b/packages/core/crocuswell_core/dispatching/indexing.py
@@ -50,7 +50,7 @@
         _start_anew(state)
     dispatch.changes = DispatchChanges(everything=False, orders=changes.orders)
     rank_jobs(state, changes.jobs | find_outdated_jobs(state))
-    for key in changes.workers:
+    for key in sorted(changes.workers):
         refresh_worker(state, key)
     _remove_silent_workers(state)
     _drop_ended_waits(state)
