Let urgent work displace as much work as it does

Cause: urgent steps beyond their workspace's guarantee waited behind long work whenever room for them cost more than 300 core seconds, and a gang with several members on one worker was counted once for each of them. Change: a step that can still meet its objective may displace as much work as its tasks do; the members of a gang are counted once. tests/test_load_patterns.py plays six heavy patterns on 48 workers; the one for the burst on a full fleet fails before.

--- a/packages/core/crocuswell_core/dispatching/preemption.py
+++ b/packages/core/crocuswell_core/dispatching/preemption.py
@@ -207,15 +207,19 @@
 ) -> VictimSet | None:
     """Return the first victims that let one more task fit, if enough exist.
 
-    `victims` is ordered by cost; runs in `chosen` add no further cost.
+    `victims` is ordered by cost. Runs in `chosen`, and further members of a
+    gang, add no cost.
     """
     target = available.max_copies(demand) + 1
     taken: list[Victim] = []
+    stopped: set[RunId] = set()
     cost = 0.0
     for victim in victims:
         taken.append(victim)
         available = available + victim.demand
-        cost += 0.0 if victim.run in chosen else victim.cost
+        if victim.run not in chosen and victim.run not in stopped:
+            cost += victim.cost
+            stopped.update(victim.gang)
         if available.max_copies(demand) >= target:
             return VictimSet(tuple(taken), cost)
     return None
--- a/packages/core/crocuswell_core/dispatching/ranking.py
+++ b/packages/core/crocuswell_core/dispatching/ranking.py
@@ -16,9 +16,9 @@
 ZERO_VALUE_FACTOR = 3
 # Slack, as a share of the critical path, above which a job is deferrable.
 DEFERRABLE_SLACK_SHARE = 0.5
-# Most work that may be lost to preemption for urgent work that exceeds its
-# workspace's guarantee.
-PREEMPTION_LIMIT_CORE_S = 300.0
+# Work that may always be lost to preemption for urgent work, even for a small
+# step that exceeds its workspace's guarantee.
+MIN_PREEMPTION_LIMIT_CORE_S = 300.0
 NEVER_MS = 1 << 62
 
 
@@ -128,7 +128,10 @@
     deadline_ms = occurrence.due_ms + objective
     zero_value_ms = occurrence.due_ms + ZERO_VALUE_FACTOR * objective
     defer_until_ms = deadline_ms - critical_ms - critical_ms * DEFERRABLE_SLACK_SHARE
-    crossings = [ms for ms in (zero_value_ms, defer_until_ms) if ms >= now_ms]
+    last_start_ms = deadline_ms - critical_ms
+    crossings = [
+        ms for ms in (zero_value_ms, defer_until_ms, last_start_ms) if ms >= now_ms
+    ]
     urgent = queue.priority == 0
     for step_index, step in enumerate(job.steps):
         tasks = occurrence.tasks[step_index]
@@ -157,7 +160,9 @@
                 priority=queue.priority,
                 may_preempt=urgent,
                 preemption_limit_core_s=(
-                    math.inf if guaranteed else PREEMPTION_LIMIT_CORE_S
+                    math.inf
+                    if guaranteed
+                    else _preemption_limit(step, len(waiting), now_ms <= last_start_ms)
                 ),
                 is_deferrable=(
                     not urgent and not step.long_running and now_ms < defer_until_ms
@@ -168,6 +173,16 @@
     return ranked
 
 
+def _preemption_limit(step: StepSpec, tasks: int, in_time: bool) -> float:
+    """Return how much work in core seconds may be lost for a step's tasks.
+
+    For a step that can still meet its objective this is as much as the tasks
+    do themselves.
+    """
+    work = step.demand.core_equivalents * tasks * step.estimated_ms / 1_000
+    return max(MIN_PREEMPTION_LIMIT_CORE_S, work if in_time else 0.0)
+
+
 def _priority_tier(guaranteed: bool, urgent: bool, step: StepSpec, late: bool) -> int:
     """Return the priority tier of a step; smaller comes first."""
     if guaranteed:
