Keep the runs of workers that are cut off for as long as a lease

Change: a grant lasts 1.8 s longer than the longest lease of a worker; the runner renews the lease meanwhile, and the leader waits for the end of the grant. Urgent steps count once, for 1.2 s at most, on runs that should end within 0.8 s instead of stopping them.

--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -15,6 +15,7 @@
 import attrs
 
 from bench.loads import JobClass, Load, WorkerFault
+from crocuswell_core.dispatching.worker_reports import contactless_limit_ms
 from crocuswell_core.jobs.catalog import Catalog, CatalogWorkspace, Queue, Service
 from crocuswell_core.jobs.job_commands import (
     CancelJob,
@@ -37,6 +38,7 @@
 from crocuswell_core.runtime.effects import EmitLogEvent, SendAgent
 from tests.job_harness import Leader
 
+WORKER_LEASE_MS = 6_000
 REPORT_INTERVAL_MS = 500
 TICK_INTERVAL_MS = 250
 HEARTBEAT_INTERVAL_MS = 100
@@ -194,7 +196,7 @@
 
     def __init__(self, load: Load, seed: int = 1) -> None:
         self.load = load
-        self.leader = Leader()
+        self.leader = Leader(contactless_limit_ms(WORKER_LEASE_MS))
         self.jobs: dict[str, SubmittedJob] = {}
         self._random = random.Random(seed)
         self._events: list[tuple[int, int, Callable[[], None]]] = []
--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -41,13 +41,13 @@
     ----------
     tasks_by_worker : dict
         Number of the step's tasks by the key of the worker's boot.
-    created_ms : int
-        Time in ms at which the preemption was ordered.
+    expires_ms : int
+        Time in ms after which the step is considered anew.
     """
 
     demand: ResourceVector
     tasks_by_worker: dict[str, int]
-    created_ms: int
+    expires_ms: int
 
 
 @attrs.define
@@ -120,6 +120,8 @@
         job, such as a preemption or a stall.
     reservations : dict
         Reservations by key of the step.
+    awaited_ends : set of StepKey
+        Waiting steps that have counted on runs to end by themselves.
     unsaved_checkpoints : dict
         Checkpoints that are not in the log yet, by step and index of the
         task; -1 stands for all members of a gang.
@@ -152,6 +154,7 @@
     pending_losses: dict[str, int] = attrs.Factory(dict)
     stopping: set[RunId] = attrs.Factory(set)
     reservations: dict[StepKey, Reservation] = attrs.Factory(dict)
+    awaited_ends: set[StepKey] = attrs.Factory(set)
     unsaved_checkpoints: dict[tuple[StepKey, int], SavedCheckpoint] = attrs.Factory(
         dict
     )
--- a/packages/core/crocuswell_core/dispatching/indexing.py
+++ b/packages/core/crocuswell_core/dispatching/indexing.py
@@ -4,7 +4,10 @@
 from crocuswell_core.dispatching.dispatch_state import DispatchChanges, Reservation
 from crocuswell_core.dispatching.fleet import Fleet, PreemptibleWork
 from crocuswell_core.dispatching.ranking import find_outdated_jobs, rank_jobs
-from crocuswell_core.dispatching.waiting_steps import WaitingSteps
+from crocuswell_core.dispatching.waiting_steps import (
+    NEVER_CONSIDERED_MS,
+    WaitingSteps,
+)
 from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.catalog import find_queue_by_name
@@ -15,8 +18,6 @@
 # Runners report every 500 ms: after two missed reports a worker gets no new
 # tasks.
 REPORT_TIMEOUT_MS = 1_200
-# Covers the longest stop of a preempted run and the recording of its end.
-RESERVATION_TIMEOUT_MS = 2_500
 
 
 @translate_effect.register
@@ -143,12 +144,15 @@
     for by_step in (dispatch.reserved_racks, dispatch.ample_since_ms):
         for key in [key for key in by_step if key not in waiting]:
             del by_step[key]
+    dispatch.awaited_ends &= waiting.keys()
     for key in [key for key in dispatch.held_workers if key not in waiting]:
         dispatch.fleet.release(dispatch.held_workers.pop(key), key)
     for key, reservation in list(dispatch.reservations.items()):
-        age_ms = state.now_ms - reservation.created_ms
-        if key not in waiting or age_ms > RESERVATION_TIMEOUT_MS:
+        if key not in waiting:
             release_reservation(state, key)
+        elif state.now_ms > reservation.expires_ms:
+            release_reservation(state, key)
+            waiting[key].considered_ms = NEVER_CONSIDERED_MS
 
 
 # --- reservations --------------------------------------------------------
--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -39,6 +39,11 @@
 # Limits the size of a log entry; the next plan takes the remaining starts.
 MAX_STARTS_PER_PLAN = 256
 RECONSIDER_MS = 500
+# Covers the longest stop of a preempted run and the recording of its end.
+RESERVATION_TIMEOUT_MS = 2_500
+# Runs that should have ended by then are stopped after all, early enough for
+# a guaranteed step.
+ENDS_TIMEOUT_MS = 1_200
 
 
 @attrs.define
@@ -53,10 +58,13 @@
     """Plan if something changed, or if time may have changed a limit."""
     dispatch = current_dispatch(state)
     waited_ms = state.now_ms - dispatch.last_plan_ms
-    reconsider = bool(dispatch.waiting.by_key) and waited_ms >= RECONSIDER_MS
-    if dispatch.changes.affect_plan or reconsider or find_due_jobs(state):
-        return plan_starts(state)
-    return []
+    is_due = (
+        dispatch.changes.affect_plan
+        or (dispatch.waiting.by_key and waited_ms >= RECONSIDER_MS)
+        or any(state.now_ms > r.expires_ms for r in dispatch.reservations.values())
+        or find_due_jobs(state)
+    )
+    return plan_starts(state) if is_due else []
 
 
 def plan_starts(state: EntryState) -> list[Effect]:
@@ -184,8 +192,12 @@
         if ranked.limits_backfill:
             limit_backfill(state, waiting, shape)
         return []
+    timeout_ms = RESERVATION_TIMEOUT_MS
+    if preemption.awaits_ends:
+        timeout_ms = ENDS_TIMEOUT_MS
+        state.dispatch.awaited_ends.add(ranked.key)
     reservation = Reservation(
-        ranked.step.demand, preemption.tasks_by_worker, state.now_ms
+        ranked.step.demand, preemption.tasks_by_worker, state.now_ms + timeout_ms
     )
     indexing.reserve(state, ranked.key, reservation)
     return _preempt_runs(state, ranked, preemption)
--- a/packages/core/crocuswell_core/dispatching/preemption.py
+++ b/packages/core/crocuswell_core/dispatching/preemption.py
@@ -15,6 +15,11 @@
 
 # Time that a preempted run takes to restart, in addition to its lost work.
 RESUME_COST_S = 0.5
+# A run that should end within this time is not stopped: a stop takes up to
+# half as long.
+ENDING_SOON_MS = 800
+# Below this percentage the remaining time of a run is too uncertain.
+MIN_ENDING_PERCENT = 60
 # Bounds the workers and racks whose runs are compared one by one.
 MIN_PREEMPTION_WORKERS = 16
 MAX_PREEMPTION_RACKS = 4
@@ -30,11 +35,14 @@
         Lost work in core seconds.
     tasks_by_worker : dict
         Number of the step's tasks by the key of the worker's boot.
+    awaits_ends : bool
+        Whether it counts on runs that should end soon by themselves.
     """
 
     runs: tuple[RunId, ...]
     cost: float
     tasks_by_worker: dict[str, int]
+    awaits_ends: bool
 
 
 def choose_preemption(
@@ -138,7 +146,7 @@
     None if they cannot be made to fit.
     """
     demand = ranked.step.demand
-    free = {id(candidate): _free_after_stops(state, candidate) for candidate in group}
+    free = {id(c): _free_after_stops(state, ranked, c) for c in group}
     needed = ranked.waiting_count - sum(
         available.max_copies(demand) for available in free.values()
     )
@@ -170,7 +178,14 @@
         cost += chosen.cost
     stopping = state.dispatch.stopping
     victims = tuple(run for run in runs if run not in stopping)
-    return Preemption(victims, cost, _distribute_tasks(ranked, group, free))
+    tasks_by_worker = _distribute_tasks(ranked, group, free)
+    awaits_ends = any(
+        _counts_on_end(state, ranked, candidate, run)
+        for candidate in group
+        if candidate.key in tasks_by_worker
+        for run in candidate.view.running
+    )
+    return Preemption(victims, cost, tasks_by_worker, awaits_ends)
 
 
 @attrs.frozen
@@ -241,18 +256,45 @@
     return tasks_by_worker
 
 
-def _free_after_stops(state: EntryState, candidate: CandidateWorker) -> ResourceVector:
-    """Return the resources that are free once stopping runs have ended."""
+def _free_after_stops(
+    state: EntryState, ranked: RankedStep, candidate: CandidateWorker
+) -> ResourceVector:
+    """Return the resources that are free once some runs have ended.
+
+    These are the runs that are being stopped, and those that should end soon.
+    """
     free = candidate.available
     key = candidate.key
     placed = state.cluster.jobs.placed.get(key, {})
     for task_id, demand in candidate.placed.items():
         number = placed.get(task_id)
-        if number is not None and RunId(task_id, number) in state.dispatch.stopping:
+        if number is None:
+            continue
+        run = RunId(task_id, number)
+        is_stopping = run in state.dispatch.stopping
+        if is_stopping or _counts_on_end(state, ranked, candidate, run):
             free = free + demand
     return free
 
 
+def _counts_on_end(
+    state: EntryState, ranked: RankedStep, candidate: CandidateWorker, run: RunId
+) -> bool:
+    """Tell whether a step counts on a run to end before a stop is worth it.
+
+    A step does so only once: the run may not end as expected.
+    """
+    if ranked.key in state.dispatch.awaited_ends:
+        return False
+    progress = candidate.view.running.get(run)
+    last = candidate.view.last_progress.get(run)
+    if progress is None or last is None or progress.percent < MIN_ENDING_PERCENT:
+        return False
+    worked_ms = state.now_ms - last.first_listed_ms
+    left_percent = max(0, 100 - progress.percent)
+    return worked_ms * left_percent / progress.percent <= ENDING_SOON_MS
+
+
 def _find_victims(
     state: EntryState, ranked: RankedStep, candidate: CandidateWorker
 ) -> list[Victim]:
@@ -267,6 +309,8 @@
             continue
         if run in state.dispatch.stopping:
             continue
+        if _counts_on_end(state, ranked, candidate, run):
+            continue
         if table.jobs[task_id.job_id].steps[task_id.step].max_unavailable:
             continue
         gang = tuple(_gang_runs(state, run))
--- a/packages/core/crocuswell_core/dispatching/waiting_steps.py
+++ b/packages/core/crocuswell_core/dispatching/waiting_steps.py
@@ -12,6 +12,7 @@
 )
 
 SortKey = tuple[int, int, int]
+NEVER_CONSIDERED_MS = -1_000_000
 
 
 @attrs.frozen(eq=False)
@@ -84,7 +85,7 @@
     Attributes
     ----------
     considered_ms : int
-        Time in ms of that consideration; -1 if there was none.
+        Time in ms of that consideration.
     opened, released : int
         Counters of the fleet at that time; others mean that workers could
         hold more of its tasks since.
@@ -97,7 +98,7 @@
     """
 
     ranked: RankedStep
-    considered_ms: int = -1
+    considered_ms: int = NEVER_CONSIDERED_MS
     opened: int = -1
     released: int = -1
     fit_membership: int = -1
--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -39,12 +39,26 @@
     SendAgent,
 )
 
+# A runner without contact to the leader renews its worker's lease for this
+# long, so that no run is given up for a cut as long as the lease itself.
+LEASE_RENEWAL_MS = 1_800
 # Covers the time from a worker's lease check to the end of its runs.
 LEASE_MARGIN_MS = 400
 # Limits the work that is lost if a worker and the leader fail together.
 CHECKPOINT_INTERVAL_MS = 2_000
 
 
+def contactless_limit_ms(worker_lease_ms: int) -> int:
+    """Return for how long in ms runs may go on without contact to the leader.
+
+    Parameters
+    ----------
+    worker_lease_ms : int
+        Longest lease in ms that a worker accepts at a time.
+    """
+    return worker_lease_ms + LEASE_RENEWAL_MS
+
+
 @handle_agent_message.register
 def _(message: WorkerReport, state: EntryState, stream_id: int) -> list[Effect]:
     if not election.holds_lease(state) or stream_id not in state.clients:
--- a/tests/job_harness.py
+++ b/tests/job_harness.py
@@ -145,9 +145,16 @@
 class Leader:
     """A control host as the only voter, with simulated runner streams."""
 
-    def __init__(self) -> None:
+    def __init__(self, task_lease_ms: int = 6_000) -> None:
         host = EntryHost("h1", "h1:1", "zone", stream_address="h1:2")
-        cfg = EntryConfig(host, (host,), ("h1",), seeds=("h1:2",), founds_group=True)
+        cfg = EntryConfig(
+            host,
+            (host,),
+            ("h1",),
+            seeds=("h1:2",),
+            founds_group=True,
+            task_lease_ms=task_lease_ms,
+        )
         self.state = EntryState(cfg, random.Random(1))
         self.now_ms = 10_000
         self.sent: list[SendAgent] = []
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -17,7 +17,7 @@
     RunProgress,
     StepSpec,
 )
-from tests.job_harness import TIGHT, URGENT, Leader, catalog, step, worker
+from tests.job_harness import BATCH, TIGHT, URGENT, Leader, catalog, step, worker
 
 TARGET_VALUE = 0.63
 SEEDS = (1, 2, 3)
@@ -76,6 +76,14 @@
     assert mean_value(play(PATTERNS[pattern])) >= TARGET_VALUE
 
 
+def test_no_work_is_lost_on_workers_that_are_cut_off_for_six_seconds() -> None:
+    """Guards against giving up the runs of workers that are only cut off."""
+    cut = WorkerFault("silent", 8_000, 0.25, for_ms=6_000)
+    for outcome in play(fleet(0.8, faults=(cut,))):
+        causes = ("lapsed", "gang_broken")
+        assert not any(outcome.wasted_core_s.get(cause) for cause in causes)
+
+
 @pytest.mark.parametrize(
     ("urgent_tasks", "preempts"),
     [(2, False), (3, True)],
@@ -105,3 +113,67 @@
     leader.apply(PutCatalog(catalog(2, guaranteed=0)))
     leader.submit("urgent", urgent, queue=URGENT)
     assert bool(leader.state.dispatch.stopping) is preempts
+
+
+def list_runs(leader: Leader, stream_id: int, description, percent: int) -> None:
+    """Report the runs that are placed on a worker, at one percentage."""
+    runs = [
+        RunProgress(RunId(task, number), "", percent)
+        for task, number in leader.placed(description).items()
+    ]
+    leader.report(stream_id, description, runs)
+
+
+def test_run_that_ends_within_a_second_is_not_stopped() -> None:
+    """Guards against urgent jobs that stop runs which make room anyway."""
+    leader, only = Leader(), worker("w1")
+    leader.report(1, only)
+    leader.submit("long", step(8, gang=True), queue=TIGHT)
+    for percent in (45, 60, 75, 90):
+        list_runs(leader, 1, only, percent)
+        leader.advance(700)
+    list_runs(leader, 1, only, 95)
+    leader.submit("urgent", step(1, accelerators=8), queue=URGENT)
+    assert not leader.state.dispatch.stopping
+    for _ in range(5):
+        leader.advance(300)
+        list_runs(leader, 1, only, 96)
+        leader.tick()
+    # The runs have not ended as expected, and the urgent job must start.
+    assert len(leader.state.dispatch.stopping) == 8
+
+
+def test_stop_is_weighed_by_the_time_that_a_run_has_worked() -> None:
+    """Guards against stopping long work whose declared run time is short.
+
+    The run is declared with 5 s, of which 20 percent are 18 core seconds; it
+    has worked for 18 s, which are 324.
+    """
+    leader, only = Leader(), worker("w1")
+    leader.report(1, only)
+    leader.submit("long", step(1), queue=TIGHT)
+    for percent in range(2, 20):
+        list_runs(leader, 1, only, percent)
+        leader.advance(1_000)
+    list_runs(leader, 1, only, 20)
+    leader.apply(PutCatalog(catalog(2, guaranteed=0)))
+    small = StepSpec(1, ResourceVector(1_000, 1_000, 8), 1_000)
+    leader.submit("urgent", small, queue=URGENT)
+    assert not leader.state.dispatch.stopping
+
+
+def test_no_work_fills_the_gap_that_an_urgent_job_waits_for() -> None:
+    """Guards against tasks that start in each gap and are stopped again."""
+    leader, only = Leader(), worker("w1")
+    leader.report(1, only)
+    leader.submit("first", step(7, gang=True), queue=TIGHT)
+    for percent in range(5, 60, 5):
+        list_runs(leader, 1, only, percent)
+        leader.advance(1_000)
+    list_runs(leader, 1, only, 60)
+    leader.apply(PutCatalog(catalog(2, guaranteed=0)))
+    leader.submit("urgent", step(1, accelerators=8), queue=URGENT)
+    assert not leader.state.dispatch.stopping
+    short = attrs.evolve(step(1), estimated_ms=500)
+    leader.submit("filler", short, queue=BATCH)
+    assert {task.job_id for task in leader.placed(only)} == {"first"}
