Refuse what cannot be computed with, and outlast an unexpected event

Cause: a job with estimated_ms 10**400 (or cpu, or gpus), or a configuration with a stretch of Infinity or NaN, raised OverflowError when the leader planned: the process halted, and so did each leader after it, since the job was in the log. Rows of a worker's run list with NaN or a digit that int() does not read raised other errors than a refusal.

--- a/packages/core/crocuswell_core/jobs/catalog.py
+++ b/packages/core/crocuswell_core/jobs/catalog.py
@@ -8,6 +8,9 @@
 
 import attrs
 
+# Larger factors, infinity and NaN give objectives that cannot be computed.
+MAX_STRETCH = 1_000_000.0
+
 
 @attrs.frozen
 class Queue:
@@ -122,6 +125,8 @@
             return f"queue {queue.name} names the unknown service {queue.service}"
         if queue.timeout_ms <= 0:
             return f"queue {queue.name} has a timeout of {queue.timeout_ms} ms"
+        if not 0 <= queue.stretch <= MAX_STRETCH:
+            return f"queue {queue.name} has a stretch of {queue.stretch}"
         address = (queue.host, queue.prefix)
         if address in addresses:
             return f"two queues share the host {queue.host} and {queue.prefix}"
--- a/packages/core/crocuswell_core/jobs/job_command_handlers.py
+++ b/packages/core/crocuswell_core/jobs/job_command_handlers.py
@@ -32,6 +32,7 @@
     SavedCheckpoint,
     Task,
     TaskPhase,
+    find_steps_problem,
     parse_worker_id,
 )
 from crocuswell_core.jobs.job_table import JobTable
@@ -111,6 +112,12 @@
     _delete_expired_jobs(cluster)
     if command.job_id in table.jobs:
         return ApplyResult(JobAccepted(command.job_id))
+    problem = find_steps_problem(command.steps)
+    if problem:
+        refused = Refused(ErrorKind.INVALID_REQUEST, problem)
+        return ApplyResult(
+            refused, _report_refused_call(command.job_id, "submit", refused)
+        )
     if queue.needs_placement_advice:
         detail = f"queue {queue_name} needs advice, which is not supported"
         refused = Refused(ErrorKind.OVERLOADED, detail)
--- a/packages/core/crocuswell_core/jobs/job_records.py
+++ b/packages/core/crocuswell_core/jobs/job_records.py
@@ -80,6 +80,9 @@
 
 # Limit on the tasks of one step; bounds the size of a log entry.
 MAX_TASKS_PER_STEP = 4_096
+# Limit on durations in ms and amounts of resources in a job, so that they can
+# be computed with as floats.
+MAX_AMOUNT = 2**53
 # Limit on the occurrences of one job; bounds its size in memory.
 MAX_OCCURRENCES_PER_JOB = 1_024
 
@@ -131,6 +134,29 @@
     max_unavailable: int = 0
 
 
+def find_steps_problem(steps: tuple[StepSpec, ...]) -> str:
+    """Return why the steps of a job are invalid, an empty string if valid."""
+    if not steps:
+        return "the job has no steps"
+    for position, step in enumerate(steps):
+        if not 1 <= step.count <= MAX_TASKS_PER_STEP:
+            return f"step {position} has {step.count} tasks"
+        if any(not 0 <= earlier < position for earlier in step.after):
+            return f"step {position} does not depend on earlier steps only"
+        demand = step.demand
+        amounts = (
+            demand.cpu_millis,
+            demand.memory_mb,
+            demand.accelerators,
+            step.estimated_ms,
+            step.per_worker_limit,
+            step.max_unavailable,
+        )
+        if any(not 0 <= amount <= MAX_AMOUNT for amount in amounts):
+            return f"step {position} has an amount that is out of range"
+    return ""
+
+
 class JobPhase(enum.Enum):
     """Phase in the life cycle of a job."""
 
--- a/packages/daemon/crocuswell_daemon/counters.py
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -59,6 +59,7 @@
     "election_seconds": Metric(
         "Time from the last word of a leader to leading", buckets=LATENCY_BUCKETS_S
     ),
+    "events_dropped_total": Metric("Events that could not be handled"),
     "front_answers_late": Metric("Answers of the leader that came too late"),
     "host_catch_up_seconds": Metric(
         "Time from the leader's first message to a host until it is made a voter",
--- a/packages/daemon/crocuswell_daemon/runtime.py
+++ b/packages/daemon/crocuswell_daemon/runtime.py
@@ -10,6 +10,7 @@
 from typing import Any, Protocol
 
 from crocuswell_core.runtime.effects import (
+    Count,
     Effect,
     EmitLogEvent,
     EntriesRecord,
@@ -80,6 +81,10 @@
         not emit them.
     clock : callable, optional
         Returns the current time; called at the start of each batch.
+    isolates_events : bool, optional
+        Whether an event that cannot be reduced is dropped, as if it had been
+        lost, instead of halting the process. Only for roles without storage,
+        whose state is rebuilt from later messages.
     """
 
     def __init__(
@@ -88,7 +93,10 @@
         state: Any,
         storage: RecordWriter | None = None,
         clock: Callable[[], ClockAdvanced] = read_clock,
+        *,
+        isolates_events: bool = False,
     ) -> None:
+        self._isolates_events = isolates_events
         self._reduce = reduce
         self._state = state
         self._storage = storage
@@ -163,7 +171,9 @@
             try:
                 effects += self._reduce_one(event)
             except Exception as exc:  # the state may be half updated
-                return _halt_for_exception(f"reducing {type(event).__name__}", exc)
+                if not self._isolates_events:
+                    return _halt_for_exception(f"reducing {type(event).__name__}", exc)
+                effects += _report_dropped_event(event, exc)
         records = [e.record for e in effects if isinstance(e, Persist)]
         if records:
             started_s = time.monotonic()
@@ -243,6 +253,14 @@
     return Halt(ErrorKind.INTERNAL, f"fault while {action}: {exc!r}")
 
 
+def _report_dropped_event(event: Event, exc: Exception) -> list[Effect]:
+    labels = (Label("type", type(event).__name__), Label("reason", repr(exc)))
+    return [
+        EmitLogEvent("event_dropped", labels, LogLevel.ERROR),
+        Count("events_dropped_total"),
+    ]
+
+
 def _snapshot_refused_event(exc: CodecError) -> EmitLogEvent:
     return EmitLogEvent(
         "snapshot_refused", (Label("reason", str(exc)),), LogLevel.ERROR
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -22,6 +22,7 @@
     SubmitJob,
 )
 from crocuswell_core.jobs.job_records import (
+    ResourceVector,
     RunEndKind,
     SavedCheckpoint,
     TaskId,
@@ -29,14 +30,18 @@
 )
 from crocuswell_core.runtime.errors import ErrorKind
 from tests.job_harness import (
+    BATCH,
     HOST,
     LONG,
+    URGENT,
+    Leader,
     ReplicatedTable,
     address,
     catalog,
     end_of,
     run_of,
     step,
+    worker,
 )
 
 WORKER = "m1/w1@5"
@@ -247,3 +252,32 @@
     assert found is not None
     assert found.name == "b"
     assert find_queue_by_path(current, "other.example", "/a/") is None
+
+
+@pytest.mark.parametrize(
+    "steps",
+    [
+        (),
+        (attrs.evolve(step(), count=0),),
+        (attrs.evolve(step(), after=(0,)),),
+        (attrs.evolve(step(), estimated_ms=10**400),),
+        (attrs.evolve(step(), demand=ResourceVector(10**400, 1, 1)),),
+        (attrs.evolve(step(), demand=ResourceVector(1, -1, 1)),),
+    ],
+)
+@pytest.mark.parametrize("queue", [URGENT, LONG])
+def test_job_that_cannot_be_computed_with_is_refused(steps, queue) -> None:
+    """Guards against one job that ends each leader in turn."""
+    leader = Leader()
+    leader.report(1, worker("w1"))
+    leader.submit("good", step(8, gang=True), queue=BATCH)
+    leader.submit("bad", *steps, queue=queue)
+    leader.tick()
+    assert set(leader.state.cluster.jobs.jobs) == {"good"}
+
+
+@pytest.mark.parametrize("stretch", [float("inf"), float("nan"), 1e300, -1.0])
+def test_catalog_whose_objectives_cannot_be_computed_is_invalid(stretch) -> None:
+    """Guards against one configuration that ends each leader in turn."""
+    queue = attrs.evolve(catalog().queues[0], stretch=stretch)
+    assert find_catalog_problem(catalog(queues=(queue,)))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -391,3 +391,26 @@
     """Guards against an error that does not say which setting is wrong."""
     with pytest.raises(NodeSettingsError, match=key):
         parse_node_settings({**NODE_SETTINGS, **change})
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        ["a.0.0.\u00b2", 1, "", 5],
+        ["a.0.0.0", 1, "", float("nan")],
+        ["a.0.0.0", 1, "", float("inf")],
+        ["a.0.0.0", 1, "", -1],
+    ],
+)
+def test_malformed_run_lists_are_refused(row) -> None:
+    """Guards against a row of a list that raises another error."""
+    with pytest.raises(BadBodyError):
+        parse_run_lists({"clock_ms": 1, "running": [row], "ended": []})
+
+
+@pytest.mark.parametrize("value", [2**53 + 1, 10**400])
+@pytest.mark.parametrize("key", ["estimated_ms", "cpu", "mem_mb", "gpus"])
+def test_amounts_out_of_range_are_refused(key, value) -> None:
+    """Guards against numbers that overflow when the leader plans."""
+    with pytest.raises(BadBodyError):
+        parse_call("POST", {"spec": "", "steps": [{"count": 1, key: value}]})
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -213,6 +213,33 @@
         super().sync()
 
 
+@pytest.mark.parametrize("isolates_events", [True, False])
+def test_an_event_that_cannot_be_reduced_is_dropped(isolates_events: bool) -> None:
+    """Guards against a message that ends a process without storage."""
+    trace: list[Any] = []
+
+    def reduce(state: Any, event: Event) -> tuple[Any, list[fx.Effect]]:
+        if event == ONE:
+            raise KeyError("unexpected")
+        effects: dict[Event, fx.Effect] = {TWO: send("a"), STOP: fx.Halt()}
+        return state, [effects[event]] if event in effects else []
+
+    async def main() -> fx.Halt:
+        with Runtime(
+            reduce, object(), clock=lambda: TICK, isolates_events=isolates_events
+        ) as runtime:
+            for event in (ONE, TWO, STOP):
+                runtime.post(event)
+            async with asyncio.timeout(HANG_LIMIT_S):
+                return await runtime.run(FakeInterpreter(trace))
+
+    halt = asyncio.run(main())
+    assert (halt == fx.Halt()) is isolates_events
+    assert (send("a") in trace) is isolates_events
+    logged = [e.event for e in trace if isinstance(e, fx.EmitLogEvent)]
+    assert logged == ["event_dropped"] * isolates_events
+
+
 def test_no_entries_synced_without_entries() -> None:
     """Guards against a synced vote that is reported as a synced log entry."""
     halt, trace = run({ONE: [fx.Persist(fx.TermRecord(3, "a"))]}, [ONE, STOP])
