--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -159,6 +159,44 @@
     assert not runner.open_start_calls()
 
 
+@pytest.mark.parametrize("pause_ms", [6_000, 8_000, 60_000])
+def test_paused_runner_acts_on_no_grant_that_has_ended(
+    runner: Runner, pause_ms: int
+) -> None:
+    """Guards against a lease or a start after the leader gave the runs up."""
+    runner.order(run_of("j"))
+    runner.reply(StartOnWorker, NoAnswer("timed out", sent=True))
+    runner.reply_with_list()
+    runner.calls.clear()
+    runner.now_ms += pause_ms
+    runner.order(run_of("k"))
+    runner.tick(0)
+    runner.post(TimerFired(RunnerTimer()))
+    assert not runner.open_start_calls()
+    assert not any(getattr(call, "lease_end_ms", 0) for call in runner.calls)
+
+
+def test_runner_without_contact_renews_the_lease_up_to_the_end_of_the_grant(
+    runner: Runner,
+) -> None:
+    """Guards against runs that end although their grant still holds."""
+    granted_until_ms = runner.state.granted_until_ms
+    ends = []
+    for _ in range(9):
+        runner.now_ms += 1_000
+        runner.post(TimerFired(RunnerTimer()))
+        if any(isinstance(call, ListRuns) for call in runner.calls):
+            runner.reply_with_list()
+        ends += [
+            (runner.now_ms, call.lease_end_ms)
+            for call in runner.calls
+            if isinstance(call, ListRuns)
+        ]
+    for now_ms, lease_end_ms in ends:
+        assert bool(lease_end_ms) == (now_ms < granted_until_ms)
+        assert lease_end_ms <= WORKER_CLOCK_MS + granted_until_ms
+
+
 def test_unanswered_start_is_repeated_as_the_same_run(runner: Runner) -> None:
     """Guards against a second run while the first may still begin."""
     runner.order(run_of("j"))
