Look up queues, keys and old jobs without walking over all of them

Cause: with 1,400 queues in a configuration each rank of a job, each refresh of a worker and each call scanned the tuple of queues; each submission looked at all jobs. Change: a catalog indexes its queues by name and host and its keys; the search for expired jobs ends at the first one that is too new. Result: tests pass, the catalog compares and copies as before.

--- a/packages/core/crocuswell_core/jobs/catalog.py
+++ b/packages/core/crocuswell_core/jobs/catalog.py
@@ -6,6 +6,8 @@
 wins.
 """
 
+from functools import cached_property
+
 import attrs
 
 # Larger factors, infinity and NaN give objectives that cannot be computed.
@@ -90,13 +92,35 @@
     workspaces: tuple[CatalogWorkspace, ...] = ()
     document: str = ""
 
+    @cached_property
+    def queues_by_name(self) -> dict[str, Queue]:
+        """Queues by their names."""
+        return {queue.name: queue for queue in reversed(self.queues)}
+
+    @cached_property
+    def queues_by_host(self) -> dict[str, list[Queue]]:
+        """Queues of each host."""
+        by_host: dict[str, list[Queue]] = {}
+        for queue in self.queues:
+            by_host.setdefault(queue.host, []).append(queue)
+        return by_host
+
+    @cached_property
+    def workspaces_by_key(self) -> dict[str, str]:
+        """Names of the workspaces by their keys."""
+        return {
+            key: declared.workspace
+            for declared in self.workspaces
+            for key in declared.keys
+        }
+
 
 def find_queue_by_path(catalog: Catalog, host: str, path: str) -> Queue | None:
     """Return the host's queue whose prefix is the longest match of a path."""
     matches = [
         queue
-        for queue in catalog.queues
-        if queue.host == host and path.startswith(queue.prefix)
+        for queue in catalog.queues_by_host.get(host, ())
+        if path.startswith(queue.prefix)
     ]
     return max(matches, key=lambda queue: len(queue.prefix), default=None)
 
@@ -105,15 +129,12 @@
     """Return the queue with a name, None if the catalog has none."""
     if catalog is None:
         return None
-    return next((queue for queue in catalog.queues if queue.name == name), None)
+    return catalog.queues_by_name.get(name)
 
 
 def find_key_owner(catalog: Catalog, key: str) -> str | None:
     """Return the workspace that a key belongs to, None for an unknown key."""
-    for declared in catalog.workspaces:
-        if key in declared.keys:
-            return declared.workspace
-    return None
+    return catalog.workspaces_by_key.get(key)
 
 
 def find_catalog_problem(catalog: Catalog) -> str:
--- a/packages/core/crocuswell_core/jobs/job_command_handlers.py
+++ b/packages/core/crocuswell_core/jobs/job_command_handlers.py
@@ -1,6 +1,7 @@
 """Handlers of the commands on jobs and the catalog."""
 
 from collections.abc import Iterable
+from itertools import takewhile
 
 from crocuswell_core.cluster.cluster_state import ClusterState
 from crocuswell_core.cluster.commands import Done, LogEntry, Refused
@@ -166,7 +167,9 @@
     """Delete jobs without runs whose retention period is over."""
     jobs = cluster.jobs.jobs
     cutoff_ms = cluster.now_ms - JOB_RETENTION_MS
-    expired = [job.id for job in jobs.values() if 0 < job.ended_ms < cutoff_ms]
+    # Jobs are in order of acceptance, so that the newer ones need no look.
+    old = takewhile(lambda job: job.accepted_ms < cutoff_ms, jobs.values())
+    expired = [job.id for job in old if 0 < job.ended_ms < cutoff_ms]
     for job_id in expired:
         if not any(cluster.jobs.placed_tasks(jobs[job_id])):
             del jobs[job_id]
