Split the simulation of the fleet by its parts

Change: bench/simulated_workers.py and bench/load_outcomes.py; errors of the storage say whether they are final.

--- a/bench/dispatch_loads.py
+++ b/bench/dispatch_loads.py
@@ -9,7 +9,8 @@
 
 import attrs
 
-from bench.fleet_simulation import FleetSimulation, Outcome
+from bench.fleet_simulation import FleetSimulation
+from bench.load_outcomes import Outcome
 from bench.loads import load_named, load_names
 
 
--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -14,7 +14,9 @@
 
 import attrs
 
+from bench.load_outcomes import Outcome, SubmittedJob, summarise
 from bench.loads import JobClass, Load, WorkerFault
+from bench.simulated_workers import NEVER_MS, SimulatedRun, SimulatedWorker
 from crocuswell_core.dispatching.worker_reports import contactless_limit_ms
 from crocuswell_core.jobs.catalog import Catalog, CatalogWorkspace, Queue, Service
 from crocuswell_core.jobs.job_commands import (
@@ -50,137 +52,6 @@
 STOP_EVENTS = ("run_preempted", "run_stalled", "run_evacuated")
 HOST = "load.example"
 SERVICE = "press"
-NEVER_MS = 1 << 60
-
-
-@attrs.define
-class SimulatedRun:
-    """A run on a simulated worker.
-
-    Attributes
-    ----------
-    work_ms : float
-        Time in ms that the run needs on a sound worker.
-    done_ms : float
-        Part of `work_ms` that is done.
-    """
-
-    run: RunId
-    step: StepSpec
-    work_ms: float
-    done_ms: float = 0.0
-    updated_ms: int = 0
-    at_work: bool = False
-    stop_ms: int = NEVER_MS
-
-    @property
-    def percent(self) -> int:
-        """Completed share of the work in percent."""
-        return min(99, int(100 * self.done_ms / max(self.work_ms, 1.0)))
-
-
-@attrs.define
-class SimulatedWorker:
-    """A worker with its runner, as the leader sees them.
-
-    Attributes
-    ----------
-    speed : float
-        Share of a sound worker's speed.
-    silent_until_ms : int
-        Time in ms before which no message passes in either direction.
-    lost : bool
-        Whether the worker ended for good.
-    """
-
-    stream_id: int
-    description: WorkerDescription
-    runs: dict[RunId, SimulatedRun] = attrs.Factory(dict)
-    ended: list[RunEnd] = attrs.Factory(list)
-    ends: int = 0
-    speed: float = 1.0
-    fails_all: bool = False
-    silent_until_ms: int = 0
-    lease_end_ms: int = NEVER_MS
-    lost: bool = False
-    refused: set[RunId] = attrs.Factory(set)
-
-
-@attrs.define
-class SubmittedJob:
-    """A job of the load and what its caller saw of it.
-
-    Attributes
-    ----------
-    objective_ms, completed_ms : int
-        Objective as a duration, and time of completion, in ms.
-    """
-
-    job_class: JobClass
-    submitted_ms: int
-    objective_ms: int
-    work_core_s: float
-    cancelled: bool = False
-    hopeless: bool = False
-    started_ms: int = 0
-    completed_ms: int = 0
-
-
-@attrs.define
-class ClassOutcome:
-    """What the callers of one class of jobs got."""
-
-    owed: int = 0
-    in_aim: int = 0
-    late: int = 0
-    never: int = 0
-    waited_ms: list[int] = attrs.Factory(list)
-
-    @property
-    def share_in_aim(self) -> float:
-        """Share of the owed jobs that ended within their objective."""
-        return self.in_aim / self.owed if self.owed else 1.0
-
-    def waited_percentile(self, percent: float) -> int:
-        """Return a percentile of the time in ms until a job's first start."""
-        if not self.waited_ms:
-            return 0
-        ordered = sorted(self.waited_ms)
-        return ordered[min(len(ordered) - 1, int(len(ordered) * percent / 100))]
-
-
-@attrs.define
-class Outcome:
-    """Result of one simulated load.
-
-    Attributes
-    ----------
-    value, owed_value : float
-        Value of the jobs by their class and time of completion.
-    wasted_core_s : dict
-        Core seconds of work that was lost, by the cause.
-    runs : int
-        Number of started runs.
-    stops : dict
-        Number of stopped runs by the leader's reason.
-    """
-
-    classes: dict[str, ClassOutcome]
-    value: float
-    owed_value: float
-    wasted_core_s: dict[str, float]
-    runs: int
-    stops: dict[str, int]
-
-    @property
-    def share(self) -> float:
-        """Share of the owed value that was earned."""
-        return self.value / self.owed_value if self.owed_value else 1.0
-
-    @property
-    def total_wasted_core_s(self) -> float:
-        """Core seconds of lost work, over all causes."""
-        return sum(self.wasted_core_s.values())
 
 
 class FleetSimulation:
@@ -236,7 +107,13 @@
             action()
             self._handle_sent()
             self.check()
-        return self._make_outcome()
+        return summarise(
+            self.load.classes,
+            self.jobs.values(),
+            dict(self._wasted),
+            self._run_count,
+            dict(self._stops),
+        )
 
     def check(self) -> None:
         """Check the leader's state after an event; tests override it."""
@@ -622,42 +499,6 @@
             labels = {label.name: label.value for label in effect.ids}
             self._stop_reasons[labels["task"], labels["run"]] = effect.event
 
-    def _make_outcome(self) -> Outcome:
-        classes = {job_class.name: ClassOutcome() for job_class in self.load.classes}
-        mean_work = {
-            job_class.name: _mean(
-                [j.work_core_s for j in self.jobs.values() if j.job_class is job_class]
-            )
-            for job_class in self.load.classes
-        }
-        value = owed = 0.0
-        for job in self.jobs.values():
-            if job.cancelled or job.hopeless:
-                continue
-            outcome = classes[job.job_class.name]
-            weight = 0.3 + 0.7 * job.work_core_s / mean_work[job.job_class.name]
-            weight = min(4.0, weight)
-            outcome.owed += 1
-            owed += weight * job.job_class.worth
-            if job.started_ms:
-                outcome.waited_ms.append(job.started_ms - job.submitted_ms)
-            took_ms = job.completed_ms - job.submitted_ms
-            if not job.completed_ms or took_ms > 3 * job.objective_ms:
-                outcome.never += 1
-            elif took_ms <= job.objective_ms:
-                outcome.in_aim += 1
-                value += weight * job.job_class.worth
-            else:
-                outcome.late += 1
-                value += weight * job.job_class.late_worth
-        return Outcome(
-            classes, value, owed, dict(self._wasted), self._run_count, dict(self._stops)
-        )
-
-
-def _mean(values: list[float]) -> float:
-    return sum(values) / len(values) if values else 1.0
-
 
 def _lognormal(draw: random.Random, mean: float, spread: float) -> float:
     """Return a value around a mean, with a coefficient of variation."""
--- a/packages/daemon/crocuswell_daemon/frames.py
+++ b/packages/daemon/crocuswell_daemon/frames.py
@@ -39,8 +39,12 @@
     ----------
     kind : ErrorKind
         `CORRUPT_STATE` for corruption, `STORAGE_FAILED` for everything else.
+    is_final : bool
+        Whether no later call can succeed.
     """
 
+    is_final = True
+
     def __init__(self, kind: ErrorKind, detail: str) -> None:
         super().__init__(detail)
         self.kind = kind
@@ -49,6 +53,8 @@
 class DiskFullError(StorageError):
     """The disk takes no bytes now; nothing that was synced is lost."""
 
+    is_final = False
+
 
 # Errors after which a write succeeds once there is room again.
 NO_SPACE_CODES = frozenset({errno.ENOSPC, errno.EDQUOT})
--- a/packages/daemon/crocuswell_daemon/storage.py
+++ b/packages/daemon/crocuswell_daemon/storage.py
@@ -28,7 +28,6 @@
 from crocuswell_daemon import wire
 from crocuswell_daemon.frames import (
     MARKER_BYTES,
-    DiskFullError,
     StorageError,
     corruption_error,
     find_frame,
@@ -343,7 +342,7 @@
     def _record_failure(self, action: str, exc: OSError) -> StorageError:
         """Return the error; all later calls fail, unless it can pass."""
         error = system_call_error(action, exc)
-        if not isinstance(error, DiskFullError):
+        if error.is_final:
             self._failure = error
         return error
 
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -8,7 +8,8 @@
 import attrs
 import pytest
 
-from bench.fleet_simulation import FleetSimulation, Outcome
+from bench.fleet_simulation import FleetSimulation
+from bench.load_outcomes import Outcome
 from bench.loads import Burst, JobClass, Load, WorkerFault, load_named
 from crocuswell_core.jobs.job_commands import PutCatalog
 from crocuswell_core.jobs.job_records import (
