Rank a workspace's urgent jobs again only if its guarantee's cover changes

Cause: each accepted or ended urgent job ranked all urgent jobs of its workspace anew. Change: only where the guarantee begins or ceases to cover them; the check of the indexes compares this too. Result: tests pass.

--- a/packages/core/crocuswell_core/dispatching/index_checks.py
+++ b/packages/core/crocuswell_core/dispatching/index_checks.py
@@ -1,11 +1,12 @@
 """Comparison of the dispatching indexes with ones that are built anew."""
 
+import math
 from collections.abc import Iterator
 
 from crocuswell_core.dispatching import indexing
 from crocuswell_core.dispatching.fleet import Fleet, spare_resources
 from crocuswell_core.dispatching.ranking import rank_jobs
-from crocuswell_core.dispatching.waiting_steps import WaitingSteps
+from crocuswell_core.dispatching.waiting_steps import RankedStep, WaitingSteps
 from crocuswell_core.entry.entry_state import EntryState
 
 
@@ -82,6 +83,13 @@
             yield f"step {key} is {'not ' * (old is None)}among the waiting ones"
         elif old.ranked.waiting != new.ranked.waiting:
             yield f"step {key} waits with {old.ranked.waiting}"
+        elif _is_covered(old.ranked) != _is_covered(new.ranked):
+            yield f"step {key} and its workspace's guarantee do not agree"
+
+
+def _is_covered(ranked: RankedStep) -> bool:
+    """Tell whether a step is ranked as within its workspace's guarantee."""
+    return math.isinf(ranked.preemption_limit_core_s)
 
 
 def _order_problems(state: EntryState) -> Iterator[str]:
--- a/packages/core/crocuswell_core/dispatching/ranking.py
+++ b/packages/core/crocuswell_core/dispatching/ranking.py
@@ -28,9 +28,7 @@
     catalog = state.cluster.jobs.catalog
     outdated = set(job_ids)
     for job_id in tuple(outdated):
-        workspace = waiting.set_urgent_demand(job_id, _urgent_demand(state, job_id))
-        if workspace:
-            outdated |= waiting.jobs_by_workspace.get(workspace, set())
+        outdated |= _update_urgent_demand(state, job_id)
     for job_id in sorted(outdated):
         job = state.cluster.jobs.jobs.get(job_id)
         _note_next_occurrence(state, job_id, job)
@@ -38,6 +36,28 @@
         waiting.replace(job_id, steps)
 
 
+def _update_urgent_demand(state: EntryState, job_id: str) -> set[str]:
+    """Count what a job asks of its workspace's guarantee.
+
+    Returns
+    -------
+    set of str
+        All urgent jobs of a workspace that the guarantee covers since, or no
+        longer covers.
+    """
+    waiting = state.dispatch.waiting
+    demand = _urgent_demand(state, job_id)
+    known = waiting.urgent_demands.get(job_id)
+    workspaces = {each.workspace for each in (known, demand) if each is not None}
+    before = {name: is_guaranteed(state, name) for name in workspaces}
+    waiting.set_urgent_demand(job_id, demand)
+    affected: set[str] = set()
+    for name, was_guaranteed in before.items():
+        if is_guaranteed(state, name) != was_guaranteed:
+            affected |= waiting.jobs_by_workspace.get(name, set())
+    return affected
+
+
 def _note_next_occurrence(state: EntryState, job_id: str, job: Job | None) -> None:
     next_due_ms = state.dispatch.waiting.next_due_ms
     next_due_ms.pop(job_id, None)
--- a/packages/core/crocuswell_core/dispatching/waiting_steps.py
+++ b/packages/core/crocuswell_core/dispatching/waiting_steps.py
@@ -164,19 +164,10 @@
             self.is_sorted = True
         return self.in_order
 
-    def set_urgent_demand(self, job_id: str, demand: UrgentDemand | None) -> str:
-        """Set or remove what a job asks of its workspace's guarantee.
-
-        Returns
-        -------
-        str
-            The workspace whose demand changed; empty if none did.
-        """
-        before = self.urgent_demands.get(job_id)
-        if before == demand:
-            return ""
+    def set_urgent_demand(self, job_id: str, demand: UrgentDemand | None) -> None:
+        """Set or remove what a job asks of its workspace's guarantee."""
+        before = self.urgent_demands.pop(job_id, None)
         if before is not None:
-            del self.urgent_demands[job_id]
             self.demand_by_workspace[before.workspace] -= before.accelerators
             self.jobs_by_workspace[before.workspace].discard(job_id)
         if demand is not None:
@@ -184,5 +175,3 @@
             total = self.demand_by_workspace.get(demand.workspace, 0)
             self.demand_by_workspace[demand.workspace] = total + demand.accelerators
             self.jobs_by_workspace.setdefault(demand.workspace, set()).add(job_id)
-        changed = demand or before
-        return changed.workspace if changed else ""
