Restart the work of leaving workers sooner

Change: a worker that drains gets grants of 3 s, and the leader waits for the latest grant that it sent; runs that cannot be resumed leave too, if they need more than twice the time that is left and 2 s; a run's own pace replaces its declared time in all estimates.

--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -260,10 +260,13 @@
             checkpoint = "saved" if self._checkpointed(simulated) else ""
             running.append(RunProgress(simulated.run, checkpoint, simulated.percent))
         worker.lease_end_ms = now_ms + self.leader.state.cfg.task_lease_ms
-        self._log_effects(
-            self.leader.report(
-                worker.stream_id, worker.description, running, worker.ended
+        description = worker.description
+        if worker.leaves_ms < NEVER_MS:
+            description = attrs.evolve(
+                description, draining=True, remaining_ms=worker.leaves_ms - now_ms
             )
+        self._log_effects(
+            self.leader.report(worker.stream_id, description, running, worker.ended)
         )
 
     def _lapse(self, worker: SimulatedWorker) -> None:
@@ -457,9 +460,10 @@
     def _hit(self, worker: SimulatedWorker, fault: WorkerFault) -> None:
         until_ms = self.leader.now_ms + fault.for_ms
         if fault.kind == "lost":
-            for run in list(worker.runs):
-                self._end_run(worker, run, RunEndKind.LAPSED)
-            worker.lost = True
+            self._remove_worker(worker)
+        elif fault.kind == "leaving":
+            worker.leaves_ms = until_ms
+            self._schedule(fault.for_ms, partial(self._remove_worker, worker))
         elif fault.kind == "silent":
             worker.silent_until_ms = until_ms
         elif fault.kind == "failing":
@@ -471,6 +475,11 @@
         else:
             raise ValueError(f"unknown kind of fault: {fault.kind}")
 
+    def _remove_worker(self, worker: SimulatedWorker) -> None:
+        for run in list(worker.runs):
+            self._end_run(worker, run, RunEndKind.LAPSED)
+        worker.lost = True
+
     def _stop_failing(self, worker: SimulatedWorker) -> None:
         worker.fails_all = False
 
--- a/bench/loads/__init__.py
+++ b/bench/loads/__init__.py
@@ -67,7 +67,14 @@
 
 @attrs.frozen
 class WorkerFault:
-    """A fault of a share of the workers: lost, silent, failing or slow."""
+    """A fault of a share of the workers.
+
+    Attributes
+    ----------
+    kind : str
+        Lost, leaving (lost after `for_ms`, as announced), silent, failing or
+        slow.
+    """
 
     kind: str
     at_ms: int
--- a/bench/simulated_workers.py
+++ b/bench/simulated_workers.py
@@ -44,6 +44,8 @@
         Share of a sound worker's speed.
     silent_until_ms : int
         Time in ms before which no message passes in either direction.
+    leaves_ms : int
+        Time in ms at which it ends after it has said so.
     lost : bool
         Whether the worker ended for good.
     """
@@ -57,5 +59,6 @@
     fails_all: bool = False
     silent_until_ms: int = 0
     lease_end_ms: int = NEVER_MS
+    leaves_ms: int = NEVER_MS
     lost: bool = False
     refused: set[RunId] = attrs.Factory(set)
--- a/packages/core/crocuswell_core/dispatching/health.py
+++ b/packages/core/crocuswell_core/dispatching/health.py
@@ -5,7 +5,11 @@
 )
 from crocuswell_core.dispatching.worker_view import LastProgress, WorkerView
 from crocuswell_core.entry.entry_state import EntryState
-from crocuswell_core.jobs.job_records import RunEnd, RunEndKind, RunId
+from crocuswell_core.jobs.job_records import (
+    RunEnd,
+    RunEndKind,
+    RunId,
+)
 from crocuswell_core.jobs.run_labels import run_labels
 from crocuswell_core.runtime.effects import Count, Effect, EmitLogEvent, Label
 
@@ -24,6 +28,11 @@
 # If a larger share of the reachable workers is barred, the cause lies
 # elsewhere, and their capacity is needed.
 MAX_BARRED_SHARE = 0.5
+# A worker that leaves may stay longer than it says. A run that cannot be
+# resumed stays there unless it needs more than this multiple of the time and
+# this much more.
+HOPELESS_STAY_FACTOR = 2
+LINGERING_MS = 2_000
 # Members of a gang make no progress until all of them have started.
 GANG_START_ALLOWANCE_MS = 3_500
 
@@ -101,7 +110,7 @@
             continue
         last = view.last_progress.get(run)
         if last is None:
-            last = LastProgress(progress.percent, state.now_ms)
+            last = LastProgress(progress.percent, state.now_ms, progress.percent)
         elif last.percent != progress.percent:
             last.percent = progress.percent
             last.unchanged_ms = 0
@@ -130,8 +139,9 @@
 def evacuate_worker(state: EntryState, view: WorkerView) -> list[Effect]:
     """Stop runs on a draining worker that should continue elsewhere.
 
-    These are long-running runs, and resumable runs that would not finish
-    before the worker leaves.
+    These are long-running runs, resumable runs that would not finish before
+    the worker leaves, and other runs that are far from finished: their work
+    is lost anyway, and with it that of their gang.
     """
     if not view.worker.draining:
         return []
@@ -141,13 +151,15 @@
         if job is None or run in state.dispatch.stopping:
             continue
         step = job.steps[run.task.step]
-        remaining_ms = progress.estimate_remaining_ms(step.estimated_ms)
-        should_stay = not step.checkpointing or remaining_ms <= view.worker.remaining_ms
-        if should_stay and not step.long_running:
+        left_ms = view.remaining_ms(progress, step.estimated_ms, state.now_ms)
+        staying_ms = view.worker.remaining_ms
+        if not step.checkpointing:
+            staying_ms = HOPELESS_STAY_FACTOR * staying_ms + LINGERING_MS
+        if left_ms <= staying_ms and not step.long_running:
             continue
         labels = (
             Label("worker", view.worker.key),
-            Label("left_ms", str(remaining_ms)),
+            Label("left_ms", str(left_ms)),
             Label("remaining_ms", str(view.worker.remaining_ms)),
         )
         effects += stop_run("run_evacuated", state, run, *labels)
--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -395,6 +395,8 @@
     for run, progress in candidate.view.running.items():
         job = jobs.get(run.task.job_id)
         if job is not None:
-            estimated_ms = job.steps[run.task.step].estimated_ms
-            longest_ms = max(longest_ms, progress.estimate_remaining_ms(estimated_ms))
+            left_ms = candidate.view.remaining_ms(
+                progress, job.steps[run.task.step].estimated_ms, state.now_ms
+            )
+            longest_ms = max(longest_ms, left_ms)
     return longest_ms
--- a/packages/core/crocuswell_core/dispatching/preemption.py
+++ b/packages/core/crocuswell_core/dispatching/preemption.py
@@ -287,12 +287,12 @@
     if ranked.key in state.dispatch.awaited_ends:
         return False
     progress = candidate.view.running.get(run)
-    last = candidate.view.last_progress.get(run)
-    if progress is None or last is None or progress.percent < MIN_ENDING_PERCENT:
+    job = state.cluster.jobs.jobs.get(run.task.job_id)
+    if progress is None or job is None or progress.percent < MIN_ENDING_PERCENT:
         return False
-    worked_ms = state.now_ms - last.first_listed_ms
-    left_percent = max(0, 100 - progress.percent)
-    return worked_ms * left_percent / progress.percent <= ENDING_SOON_MS
+    estimated_ms = job.steps[run.task.step].estimated_ms
+    left_ms = candidate.view.remaining_ms(progress, estimated_ms, state.now_ms)
+    return left_ms <= ENDING_SOON_MS
 
 
 def _find_victims(
--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -42,6 +42,9 @@
 # A runner without contact to the leader renews its worker's lease for this
 # long, so that no run is given up for a cut as long as the lease itself.
 LEASE_RENEWAL_MS = 1_800
+# A worker that is about to leave gets grants for this time, so that its work
+# soon restarts elsewhere once it has gone; longer than a usual election.
+DRAINING_LEASE_MS = 3_000
 # Covers the time from a worker's lease check to the end of its runs.
 LEASE_MARGIN_MS = 400
 # Limits the work that is lost if a worker and the leader fail together.
@@ -73,6 +76,9 @@
         # Its runs are about to restart elsewhere: do not extend their lease.
         return []
     view, effects = _update_view(state, message, stream_id)
+    if view.worker.draining:
+        lease_ms = min(lease_ms, DRAINING_LEASE_MS)
+    view.granted_until_ms = max(view.granted_until_ms, state.now_ms + lease_ms)
     grant = LeaseGrant(
         message.sequence, term, lease_ms, key, table.acknowledged_ends.get(key, 0)
     )
@@ -109,7 +115,8 @@
     if view is None or is_new:
         if view is None:
             effects.append(_worker_log_line("worker_in_reach", key))
-        view = WorkerView(worker, stream_id)
+        granted_until_ms = view.granted_until_ms if view else 0
+        view = WorkerView(worker, stream_id, granted_until_ms=granted_until_ms)
         effects += _propose_loss_of_earlier_boots(state, worker)
         dispatch.add_boot(key)
     dispatch.views[key] = view
@@ -270,9 +277,9 @@
 
 
 def _silent_views(state: EntryState) -> Iterator[tuple[str, WorkerView]]:
-    """Yield the workers whose newest report is older than a lease."""
+    """Yield the workers whose newest report is older than a short lease."""
     for key, view in state.dispatch.views.items():
-        if state.now_ms - view.last_report_ms < state.cfg.task_lease_ms:
+        if state.now_ms - view.last_report_ms < DRAINING_LEASE_MS:
             return
         yield key, view
 
@@ -280,17 +287,19 @@
 def _lease_end_ms(state: EntryState, view: WorkerView | None) -> int:
     """Return the time in ms after which a boot's runs have certainly ended.
 
-    A silent runner may hold a lease from the reply to its newest report, or
-    one that an earlier leader granted before this term started.
+    A silent runner may hold any grant of this term, also one that it got
+    before its worker began to drain, and one that an earlier leader sent
+    before this term started.
     """
     max_lease_ms = state.cfg.task_lease_ms + LEASE_MARGIN_MS
-    since_ms = state.dispatch.started_ms + max_lease_ms
+    before_term_ms = state.dispatch.started_ms + max_lease_ms
     if view is None:
-        return since_ms
+        return before_term_ms
     if not view.reachable and state.now_ms - view.last_report_ms < LEASE_MARGIN_MS:
         # The runner is alive but cannot pass a new lease to its worker.
         return max(view.lease_end_ms, 0)
-    return max(view.last_report_ms + max_lease_ms, view.lease_end_ms)
+    granted_until_ms = view.granted_until_ms + LEASE_MARGIN_MS
+    return max(granted_until_ms, view.lease_end_ms, before_term_ms)
 
 
 def _propose_loss(
--- a/packages/core/crocuswell_core/dispatching/worker_view.py
+++ b/packages/core/crocuswell_core/dispatching/worker_view.py
@@ -5,6 +5,9 @@
 from crocuswell_core.jobs.job_records import RunId, RunProgress
 from crocuswell_core.links.link_messages import WorkerDescription
 
+# From this advance on the pace of a run is known.
+MIN_PACE_PERCENT = 10
+
 
 @attrs.define
 class LastProgress:
@@ -12,14 +15,16 @@
 
     Attributes
     ----------
-    first_listed_ms : int
-        Time in ms at which a run list first showed the run.
+    first_listed_ms, first_percent : int
+        Time in ms at which a run list first showed the run, and its
+        percentage then.
     unchanged_ms : int
         Time in ms for which run lists have shown the same percentage.
     """
 
     percent: int
     first_listed_ms: int = 0
+    first_percent: int = 0
     unchanged_ms: int = 0
 
 
@@ -35,7 +40,9 @@
         Time in ms of the newest report.
     lease_end_ms : int
         Time in ms after which no run of this boot continues without a new
-        lease.
+        lease, by its newest report.
+    granted_until_ms : int
+        Latest end in ms of a grant that was sent in this term.
     last_proposed_end : int
         Highest number of a run's end that was proposed for recording.
     ordered_starts, ordered_stops : set of RunId
@@ -57,6 +64,7 @@
     last_report_ms: int = 0
     reachable: bool = False
     lease_end_ms: int = 0
+    granted_until_ms: int = 0
     last_proposed_end: int = 0
     running: dict[RunId, RunProgress] = attrs.Factory(dict)
     ordered_starts: set[RunId] = attrs.Factory(set)
@@ -67,3 +75,18 @@
     last_progress: dict[RunId, LastProgress] = attrs.Factory(dict)
     unplaced: tuple[RunId, ...] = ()
     events: dict[str, int] = attrs.Factory(dict)
+
+    def remaining_ms(
+        self, progress: RunProgress, estimated_ms: int, now_ms: int
+    ) -> int:
+        """Return the expected time in ms until a run is done.
+
+        Once a run has advanced a little, its pace on this worker says more
+        than the declared run time.
+        """
+        last = self.last_progress.get(progress.run)
+        advanced = progress.percent - last.first_percent if last else 0
+        if last is None or advanced < MIN_PACE_PERCENT:
+            return progress.estimate_remaining_ms(estimated_ms)
+        worked_ms = now_ms - last.first_listed_ms
+        return worked_ms * max(0, 100 - progress.percent) // advanced
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -224,6 +224,49 @@
     assert leader.placed(W2) == {TaskId("j", 0, 0): 2}
 
 
+def test_work_of_a_worker_that_left_as_announced_restarts_soon() -> None:
+    """Guards against work that waits for the lease of a worker that is gone.
+
+    The grants from before it began to drain hold until their own end.
+    """
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("j", step())
+    leaving = attrs.evolve(W1, draining=True, remaining_ms=5_000)
+    for _ in range(9):
+        leader.advance(500)
+        leader.report(1, leaving, running_progress(leader, W1, percent=60))
+        leader.report(2, W2)
+    leader.post(AgentStreamClosed(1))
+    restarted_after_ms = 0
+    while not leader.placed(W2):
+        leader.advance(100)
+        restarted_after_ms += 100
+        leader.report(2, W2)
+        leader.tick()
+    assert 3_000 < restarted_after_ms <= 3_600
+
+
+def test_grant_from_before_a_worker_drained_is_waited_for() -> None:
+    """Guards against two runs while a long grant still holds."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("j", step())
+    leader.report(1, W1, running_progress(leader, W1))
+    leader.advance(500)
+    leaving = attrs.evolve(W1, draining=True, remaining_ms=5_000)
+    leader.report(1, leaving, running_progress(leader, W1, percent=60))
+    leader.post(AgentStreamClosed(1))
+    leader.advance(5_800)
+    leader.report(2, W2)
+    leader.tick()
+    assert not leader.placed(W2)
+    leader.advance(300)
+    leader.report(2, W2)
+    leader.tick()
+    assert leader.placed(W2)
+
+
 def test_lease_of_a_worker_being_given_up_is_not_extended() -> None:
     """Guards against a lease extension after the runs restart elsewhere."""
     leader = Leader()
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -61,6 +61,9 @@
     "a tenth of the workers out of contact": fleet(
         0.8, faults=(WorkerFault("silent", 8_000, 0.1, for_ms=5_500),)
     ),
+    "an eighth of the workers leave at short notice": fleet(
+        0.8, faults=(WorkerFault("leaving", 8_000, 0.125, for_ms=4_000),)
+    ),
     "cancellations in waves": with_class(fleet(), "cut-list", cancelled_share=0.5),
     "hopeless jobs among good ones": with_class(
         fleet(), "cut-list", hopeless_share=0.3
@@ -178,3 +181,22 @@
     short = attrs.evolve(step(1), estimated_ms=500)
     leader.submit("filler", short, queue=BATCH)
     assert {task.job_id for task in leader.placed(only)} == {"first"}
+
+
+@pytest.mark.parametrize(
+    ("pace_percent", "moved"),
+    [(2, True), (20, False)],
+)
+def test_hopeless_run_does_not_wait_for_its_worker_to_leave(
+    pace_percent: int, moved: bool
+) -> None:
+    """Guards against gangs that work on with a member that must be lost."""
+    leader, leaving = Leader(), worker("w1")
+    leader.report(1, leaving)
+    leader.submit("gang", step(8, gang=True), queue=TIGHT)
+    for count in range(1, 4):
+        list_runs(leader, 1, leaving, count * pace_percent)
+        leader.advance(1_000)
+    leaving = attrs.evolve(leaving, draining=True, remaining_ms=4_000)
+    list_runs(leader, 1, leaving, 4 * pace_percent)
+    assert bool(leader.state.dispatch.stopping) is moved
