Give up the runs of dead workers whose runners still report

Each report of the machine's runner got a new grant although the worker could not be reached, and the end of the lease was counted from the newest report, so that it never came while the runner reported. Change: a runner whose worker is unreachable gets no grant, and the leader waits for the last one that it sent; a runner reports at once when its worker answers again.

--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -76,9 +76,14 @@
         # Its runs are about to restart elsewhere: do not extend their lease.
         return []
     view, effects = _update_view(state, message, stream_id)
-    if view.worker.draining:
+    if not view.reachable:
+        # Its runs are given up once all earlier grants have ended. Another one
+        # would only delay that, or let the runner start runs after it.
+        lease_ms = 0
+    elif view.worker.draining:
         lease_ms = min(lease_ms, DRAINING_LEASE_MS)
-    view.granted_until_ms = max(view.granted_until_ms, state.now_ms + lease_ms)
+    if lease_ms:
+        view.granted_until_ms = max(view.granted_until_ms, state.now_ms + lease_ms)
     grant = LeaseGrant(
         message.sequence, term, lease_ms, key, table.acknowledged_ends.get(key, 0)
     )
@@ -141,7 +146,8 @@
     view.worker = worker
     view.last_report_ms = state.now_ms
     view.reachable = message.reachable
-    view.lease_end_ms = state.now_ms + message.lease_left_ms + LEASE_MARGIN_MS
+    if message.lease_left_ms:
+        view.lease_end_ms = state.now_ms + message.lease_left_ms + LEASE_MARGIN_MS
     view.running = running
     view.unplaced = unplaced
     return view, effects
@@ -295,9 +301,6 @@
     before_term_ms = state.dispatch.started_ms + max_lease_ms
     if view is None:
         return before_term_ms
-    if not view.reachable and state.now_ms - view.last_report_ms < LEASE_MARGIN_MS:
-        # The runner is alive but cannot pass a new lease to its worker.
-        return max(view.lease_end_ms, 0)
     granted_until_ms = view.granted_until_ms + LEASE_MARGIN_MS
     return max(granted_until_ms, view.lease_end_ms, before_term_ms)
 
--- a/packages/core/crocuswell_core/runner/run_lists.py
+++ b/packages/core/crocuswell_core/runner/run_lists.py
@@ -61,10 +61,10 @@
 def apply_run_list(state: RunnerState, reply: RunsListed) -> list[Effect]:
     """Apply a run list of the worker, and report changes to the leader."""
     effects: list[Effect] = []
-    if not state.reachable:
+    was_unreachable = not state.reachable
+    if was_unreachable:
         labels = (Label("worker", worker_id(state)),)
         effects.append(EmitLogEvent("worker_reached", labels))
-    is_first_list = not state.clock.read_ms
     state.reachable = True
     state.list_number += 1
     state.clock = WorkerClock(reply.clock_ms, state.now_ms)
@@ -74,7 +74,8 @@
         end for end in reply.ended if end.number > state.acknowledged_end
     )
     _update_absent_runs(state)
-    changed = before != set(state.running) or bool(state.ended) or is_first_list
+    # The leader grants no lease while the worker is unreachable.
+    changed = before != set(state.running) or bool(state.ended) or was_unreachable
     state.next_list_ms = state.now_ms
     if state.ended:
         # The worker does not hold the list back while it has unacknowledged
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -247,6 +247,43 @@
     assert 3_000 < restarted_after_ms <= 3_600
 
 
+@pytest.mark.parametrize(("draining", "limit_ms"), [(True, 4_000), (False, 7_000)])
+def test_work_of_a_dead_worker_restarts_while_its_runner_reports(
+    draining, limit_ms
+) -> None:
+    """Guards against a runner whose reports keep its dead worker's runs."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("j", step())
+    described = attrs.evolve(W1, draining=draining, remaining_ms=9_000)
+    for percent in range(30, 43):
+        leader.advance(500)
+        leader.report(1, described, running_progress(leader, W1, percent))
+    waited_ms = 0
+    while not leader.placed(W2) and waited_ms < 20_000:
+        if waited_ms % 500 == 0:
+            left_ms = max(0, limit_ms - 1_000 - waited_ms)
+            leader.report(1, described, reachable=False, lease_left_ms=left_ms)
+        leader.report(2, W2)
+        leader.tick()
+        leader.advance(250)
+        waited_ms += 250
+    assert limit_ms - 1_000 < waited_ms <= limit_ms
+
+
+def test_runner_of_an_unreachable_worker_gets_no_grant() -> None:
+    """Guards against runs that start there after they were given up."""
+    leader = Leader()
+    leader.report(1, W1)
+    effects = leader.report(1, W1, reachable=False, lease_left_ms=3_000)
+    (grant,) = [
+        e.message
+        for e in effects
+        if isinstance(e, SendAgent) and isinstance(e.message, LeaseGrant)
+    ]
+    assert grant.lease_ms == 0
+
+
 def test_grant_from_before_a_worker_drained_is_waited_for() -> None:
     """Guards against two runs while a long grant still holds."""
     leader = Leader()
