--- a/packages/core/crocuswell_core/dispatching/preemption.py
+++ b/packages/core/crocuswell_core/dispatching/preemption.py
@@ -290,8 +290,10 @@
     job = state.cluster.jobs.jobs.get(run.task.job_id)
     if progress is None or job is None or progress.percent < MIN_ENDING_PERCENT:
         return False
-    estimated_ms = job.steps[run.task.step].estimated_ms
-    left_ms = candidate.view.remaining_ms(progress, estimated_ms, state.now_ms)
+    step = job.steps[run.task.step]
+    if step.long_running:
+        return False
+    left_ms = candidate.view.remaining_ms(progress, step.estimated_ms, state.now_ms)
     return left_ms <= ENDING_SOON_MS
 
 
