--- a/packages/core/crocuswell_core/dispatching/fleet.py
+++ b/packages/core/crocuswell_core/dispatching/fleet.py
@@ -19,9 +19,9 @@
 from crocuswell_core.links.link_messages import WorkerDescription
 
 # Service, required label and demand of a task.
-ShapeKey = tuple[str, str, ResourceVector]
-# Shapes that no waiting step has are dropped beyond this number.
-MAX_SHAPES = 64
+DemandKey = tuple[str, str, ResourceVector]
+# Demands that no waiting step has are dropped beyond this number.
+MAX_DEMANDS = 64
 
 
 @attrs.frozen
@@ -137,7 +137,7 @@
 
 
 @attrs.define(eq=False)
-class Shape:
+class FittingWorkers:
     """The workers that could hold a task of one demand now.
 
     Attributes
@@ -199,7 +199,7 @@
         self.total_capacity -= self.capacity.pop(key, 0)
 
     def _fitting(self, available: ResourceVector) -> int:
-        # Called for each shape at each change of a worker.
+        # Called for each kept demand at each change of a worker.
         demand = self.demand
         copies = MAX_TASKS_PER_STEP
         if demand.cpu_millis:
@@ -233,7 +233,7 @@
         Free accelerators of each rack.
     services : dict
         Resources of each service's workers.
-    shapes : dict
+    by_demand : dict
         Demands that were looked up, with the workers that could hold them.
     membership : int
         Increases when a worker joins, leaves or changes its capacity.
@@ -245,7 +245,7 @@
     racks: dict[str, dict[str, CandidateWorker]] = attrs.Factory(dict)
     rack_accelerators: dict[str, int] = attrs.Factory(dict)
     services: dict[str, ServiceTotals] = attrs.Factory(dict)
-    shapes: dict[ShapeKey, Shape] = attrs.Factory(dict)
+    by_demand: dict[DemandKey, FittingWorkers] = attrs.Factory(dict)
     membership: int = 0
     released: int = 0
 
@@ -281,9 +281,9 @@
         totals.free = totals.free + candidate.free
         totals.capacity = totals.capacity + worker.capacity
         candidate.spare = spare_resources(candidate)
-        for shape in self.shapes.values():
-            if shape.accepts(candidate):
-                shape.add(candidate)
+        for fitting in self.by_demand.values():
+            if fitting.accepts(candidate):
+                fitting.add(candidate)
 
     def remove(self, key: str) -> None:
         """Remove a worker, if it is known."""
@@ -300,8 +300,8 @@
         totals = self.services[worker.service]
         totals.free = totals.free - candidate.free
         totals.capacity = totals.capacity - worker.capacity
-        for shape in self.shapes.values():
-            shape.remove(key)
+        for fitting in self.by_demand.values():
+            fitting.remove(key)
 
     def set_free(self, candidate: CandidateWorker, free: ResourceVector) -> None:
         """Set a worker's free resources and update the indexes."""
@@ -320,24 +320,26 @@
         if spare == candidate.spare:
             return
         candidate.spare = spare
-        for shape in self.shapes.values():
-            if candidate.key in shape.capacity:
-                shape.update(candidate)
+        for fitting in self.by_demand.values():
+            if candidate.key in fitting.capacity:
+                fitting.update(candidate)
 
-    def shape(self, service: str, label: str, demand: ResourceVector) -> Shape:
+    def fitting_workers(
+        self, service: str, label: str, demand: ResourceVector
+    ) -> FittingWorkers:
         """Return the workers that could hold a task; the index is kept."""
         key = (service, label, demand)
-        shape = self.shapes.pop(key, None)
-        if shape is None:
-            shape = Shape(service, label, demand)
+        fitting = self.by_demand.pop(key, None)
+        if fitting is None:
+            fitting = FittingWorkers(service, label, demand)
             for candidate in self.candidates.values():
-                if shape.accepts(candidate):
-                    shape.add(candidate)
-        # The shape that was not used for longest comes first.
-        self.shapes[key] = shape
-        if len(self.shapes) > MAX_SHAPES:
-            del self.shapes[next(iter(self.shapes))]
-        return shape
+                if fitting.accepts(candidate):
+                    fitting.add(candidate)
+        # The demand that was not used for longest comes first.
+        self.by_demand[key] = fitting
+        if len(self.by_demand) > MAX_DEMANDS:
+            del self.by_demand[next(iter(self.by_demand))]
+        return fitting
 
     def hold(self, keys: Iterable[str], step: StepKey, hold: Hold) -> None:
         """Keep workers free for a step."""
--- a/packages/core/crocuswell_core/dispatching/index_checks.py
+++ b/packages/core/crocuswell_core/dispatching/index_checks.py
@@ -21,7 +21,7 @@
         return []
     return [
         *_worker_problems(state),
-        *_shape_problems(dispatch.fleet),
+        *_demand_problems(dispatch.fleet),
         *_waiting_problems(state),
         *_order_problems(state),
     ]
@@ -44,7 +44,7 @@
             yield f"{key} counts its reservations wrongly"
 
 
-def _shape_problems(fleet: Fleet) -> Iterator[str]:
+def _demand_problems(fleet: Fleet) -> Iterator[str]:
     rebuilt = Fleet()
     for candidate in fleet.candidates.values():
         rebuilt.put(candidate.view, candidate.free, candidate.placed)
@@ -52,8 +52,8 @@
             rebuilt.reserve(candidate.key, step, demand)
     if rebuilt.rack_accelerators != fleet.rack_accelerators:
         yield "the racks' free accelerators are wrong"
-    for key, kept in fleet.shapes.items():
-        anew = rebuilt.shape(*key)
+    for key, kept in fleet.by_demand.items():
+        anew = rebuilt.fitting_workers(*key)
         service = kept.service
         if kept.copies != anew.copies or kept.total != anew.total:
             yield f"tasks of {service} that fit: {kept.total}, not {anew.total}"
--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -2,7 +2,12 @@
 
 from collections.abc import Iterable
 
-from crocuswell_core.dispatching.fleet import CandidateWorker, Fleet, Hold, Shape
+from crocuswell_core.dispatching.fleet import (
+    CandidateWorker,
+    FittingWorkers,
+    Fleet,
+    Hold,
+)
 from crocuswell_core.dispatching.waiting_steps import RankedStep, WaitingStep
 from crocuswell_core.entry.entry_state import EntryState
 
@@ -19,31 +24,31 @@
 IDLE_SHARE = 0.5
 
 
-def shape_of(state: EntryState, ranked: RankedStep) -> Shape:
+def fitting_workers(state: EntryState, ranked: RankedStep) -> FittingWorkers:
     """Return the index of the workers that could hold a task of the step."""
-    return state.dispatch.fleet.shape(
+    return state.dispatch.fleet.fitting_workers(
         ranked.service, ranked.step.required_label, ranked.step.demand
     )
 
 
-def update_fit(fleet: Fleet, waiting: WaitingStep, shape: Shape) -> None:
+def update_fit(fleet: Fleet, waiting: WaitingStep, fitting: FittingWorkers) -> None:
     """Update which workers could hold the step if they were empty."""
     if waiting.fit_membership == fleet.membership:
         return
     waiting.fit_membership = fleet.membership
     waiting.fits, waiting.fitting_racks = _fit(
-        fleet, waiting.ranked, shape, shape.capacity
+        fleet, waiting.ranked, fitting, fitting.capacity
     )
 
 
 def _fit(
-    fleet: Fleet, ranked: RankedStep, shape: Shape, keys: Iterable[str]
+    fleet: Fleet, ranked: RankedStep, fitting: FittingWorkers, keys: Iterable[str]
 ) -> tuple[bool, frozenset[str]]:
     """Return whether workers could hold the step, and the racks that could."""
     total = 0
     by_rack_copies: dict[str, int] = {}
     for key in keys:
-        copies = _limit_copies(ranked, shape.capacity[key])
+        copies = _limit_copies(ranked, fitting.capacity[key])
         total += copies
         rack = fleet.candidates[key].worker.rack
         by_rack_copies[rack] = by_rack_copies.get(rack, 0) + copies
@@ -53,7 +58,10 @@
 
 
 def exclude_failed_workers(
-    fleet: Fleet, ranked: RankedStep, shape: Shape, candidates: list[CandidateWorker]
+    fleet: Fleet,
+    ranked: RankedStep,
+    fitting: FittingWorkers,
+    candidates: list[CandidateWorker],
 ) -> list[CandidateWorker]:
     """Leave out workers on which a waiting task failed, if others suffice.
 
@@ -64,10 +72,10 @@
         return candidates
     others = [
         key
-        for key in shape.capacity
+        for key in fitting.capacity
         if fleet.candidates[key].worker.id not in ranked.failed_on
     ]
-    if not _fit(fleet, ranked, shape, others)[0]:
+    if not _fit(fleet, ranked, fitting, others)[0]:
         return candidates
     return [c for c in candidates if c.worker.id not in ranked.failed_on]
 
@@ -88,7 +96,7 @@
     return place_gang(fleet, ranked, candidates)
 
 
-def start_limit(ranked: RankedStep, shape: Shape) -> int:
+def start_limit(ranked: RankedStep, fitting: FittingWorkers) -> int:
     """Return how many tasks of a step may start now.
 
     Deferrable steps leave part of the fleet free, so that urgent steps can
@@ -97,11 +105,11 @@
     """
     if not ranked.is_deferrable:
         return ranked.waiting_count
-    spare = shape.total - round(shape.total_capacity * URGENT_HEADROOM_SHARE)
+    spare = fitting.total - round(fitting.total_capacity * URGENT_HEADROOM_SHARE)
     if ranked.step.gang:
         return ranked.waiting_count if spare >= ranked.waiting_count else 0
     running = ranked.step.count - ranked.waiting_count - ranked.done
-    share = max(1, round(shape.total_capacity * DEFERRABLE_STEP_SHARE))
+    share = max(1, round(fitting.total_capacity * DEFERRABLE_STEP_SHARE))
     return max(0, min(share - running, spare))
 
 
@@ -310,7 +318,9 @@
     )
 
 
-def limit_backfill(state: EntryState, waiting: WaitingStep, shape: Shape) -> None:
+def limit_backfill(
+    state: EntryState, waiting: WaitingStep, fitting: FittingWorkers
+) -> None:
     """Keep workers free for a waiting step, except for backfill.
 
     For a gang that needs one rack, the rack with the smallest shortfall is
@@ -326,10 +336,10 @@
         return
     chosen: list[CandidateWorker] = []
     unplaced = ranked.waiting_count
-    for candidate in _workers_to_hold(state, waiting, shape):
+    for candidate in _workers_to_hold(state, waiting, fitting):
         if unplaced <= 0:
             break
-        unplaced -= max(1, shape.copies.get(candidate.key, 0))
+        unplaced -= max(1, fitting.copies.get(candidate.key, 0))
         chosen.append(candidate)
     left_ms = 0
     if not ranked.may_preempt:
@@ -353,33 +363,35 @@
 
 
 def _workers_to_hold(
-    state: EntryState, waiting: WaitingStep, shape: Shape
+    state: EntryState, waiting: WaitingStep, fitting: FittingWorkers
 ) -> Iterable[CandidateWorker]:
     """Yield the workers on which a step may start first, most room first."""
     fleet = state.dispatch.fleet
     if waiting.ranked.needs_one_rack:
-        rack = fleet.racks[_choose_reserved_rack(state, waiting, shape)]
+        rack = fleet.racks[_choose_reserved_rack(state, waiting, fitting)]
         keys = sorted(
-            (key for key in rack if key in shape.capacity),
-            key=lambda key: -shape.copies.get(key, 0),
+            (key for key in rack if key in fitting.capacity),
+            key=lambda key: -fitting.copies.get(key, 0),
         )
         yield from (fleet.candidates[key] for key in keys)
         return
-    with_room = sorted(shape.copies, key=lambda key: -shape.copies[key])
+    with_room = sorted(fitting.copies, key=lambda key: -fitting.copies[key])
     yield from (fleet.candidates[key] for key in with_room)
-    for key in shape.capacity:
-        if key not in shape.copies:
+    for key in fitting.capacity:
+        if key not in fitting.copies:
             yield fleet.candidates[key]
 
 
-def _choose_reserved_rack(state: EntryState, waiting: WaitingStep, shape: Shape) -> str:
+def _choose_reserved_rack(
+    state: EntryState, waiting: WaitingStep, fitting: FittingWorkers
+) -> str:
     """Return the rack that is reserved for a gang."""
     reserved = state.dispatch.reserved_racks
     key = waiting.ranked.key
     rack = reserved.get(key, "")
     if rack not in waiting.fitting_racks:
         room = dict.fromkeys(sorted(waiting.fitting_racks), 0)
-        for worker_key, copies in shape.copies.items():
+        for worker_key, copies in fitting.copies.items():
             worker_rack = state.dispatch.fleet.candidates[worker_key].worker.rack
             if worker_rack in room:
                 room[worker_rack] += copies
--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -12,7 +12,7 @@
 from crocuswell_core.consensus import replication
 from crocuswell_core.dispatching import health, indexing
 from crocuswell_core.dispatching.dispatch_state import Reservation
-from crocuswell_core.dispatching.fleet import CandidateWorker, Shape
+from crocuswell_core.dispatching.fleet import CandidateWorker, FittingWorkers
 from crocuswell_core.dispatching.orders import (
     PROPOSAL_TIMEOUT_MS,
     current_dispatch,
@@ -21,10 +21,10 @@
 from crocuswell_core.dispatching.packing import (
     choose_placements,
     exclude_failed_workers,
+    fitting_workers,
     limit_backfill,
     place_on_idle_fleet,
     release_holds,
-    shape_of,
     start_limit,
     update_fit,
 )
@@ -81,19 +81,21 @@
     for waiting in dispatch.waiting.ordered():
         if len(plan.placements) >= MAX_STARTS_PER_PLAN:
             break
-        shape = shape_of(state, waiting.ranked)
-        if _should_consider(state, waiting, shape):
-            _consider(state, plan, waiting, shape)
+        fitting = fitting_workers(state, waiting.ranked)
+        if _should_consider(state, waiting, fitting):
+            _consider(state, plan, waiting, fitting)
             waiting.considered_ms = state.now_ms
-            waiting.opened = shape.opened
+            waiting.opened = fitting.opened
             waiting.released = dispatch.fleet.released
     return [*plan.effects, *send_due_orders(state), *_propose(state, plan.placements)]
 
 
-def _should_consider(state: EntryState, waiting: WaitingStep, shape: Shape) -> bool:
+def _should_consider(
+    state: EntryState, waiting: WaitingStep, fitting: FittingWorkers
+) -> bool:
     dispatch = state.dispatch
     return (
-        waiting.opened != shape.opened
+        waiting.opened != fitting.opened
         or waiting.released != dispatch.fleet.released
         or waiting.fit_membership != dispatch.fleet.membership
         or waiting.ranked.key in dispatch.reservations
@@ -102,21 +104,21 @@
 
 
 def _consider(
-    state: EntryState, plan: Plan, waiting: WaitingStep, shape: Shape
+    state: EntryState, plan: Plan, waiting: WaitingStep, fitting: FittingWorkers
 ) -> None:
     """Start a step's tasks if it can, or make room for it."""
     dispatch, ranked = state.dispatch, waiting.ranked
     fleet = dispatch.fleet
-    update_fit(fleet, waiting, shape)
-    with_room = _workers_with_room(state, ranked, shape)
-    sound = exclude_failed_workers(fleet, ranked, shape, with_room)
+    update_fit(fleet, waiting, fitting)
+    with_room = _workers_with_room(state, ranked, fitting)
+    sound = exclude_failed_workers(fleet, ranked, fitting, with_room)
     end_ms = state.now_ms + ranked.step.estimated_ms
     usable = [
         candidate
         for candidate in sound
         if not candidate.is_held_from(ranked.key, ranked.sort_key, end_ms)
     ]
-    limit = start_limit(ranked, shape)
+    limit = start_limit(ranked, fitting)
     placements = choose_placements(fleet, waiting, usable, limit) if limit else {}
     has_reservation = ranked.key in dispatch.reservations
     if not placements and not has_reservation:
@@ -126,15 +128,15 @@
         indexing.release_reservation(state, ranked.key)
         release_holds(state, waiting)
     elif limit and not has_reservation:
-        plan.effects += _make_room(state, waiting, shape)
+        plan.effects += _make_room(state, waiting, fitting)
 
 
 def _workers_with_room(
-    state: EntryState, ranked: RankedStep, shape: Shape
+    state: EntryState, ranked: RankedStep, fitting: FittingWorkers
 ) -> list[CandidateWorker]:
     """Return the workers that could hold a task of the step now."""
     dispatch = state.dispatch
-    keys = dict.fromkeys(shape.copies)
+    keys = dict.fromkeys(fitting.copies)
     reservation = dispatch.reservations.get(ranked.key)
     if reservation is not None:
         keys |= dict.fromkeys(reservation.tasks_by_worker)
@@ -180,17 +182,19 @@
     return replication.propose(state, proposal)
 
 
-def _make_room(state: EntryState, waiting: WaitingStep, shape: Shape) -> list[Effect]:
+def _make_room(
+    state: EntryState, waiting: WaitingStep, fitting: FittingWorkers
+) -> list[Effect]:
     """Preempt runs for an urgent step, or limit backfill for a waiting one."""
     ranked = waiting.ranked
     preemption = (
-        choose_preemption(state, waiting, shape) if ranked.may_preempt else None
+        choose_preemption(state, waiting, fitting) if ranked.may_preempt else None
     )
     if preemption is not None and preemption.cost > ranked.preemption_limit_core_s:
         preemption = None
     if preemption is None:
         if ranked.limits_backfill:
-            limit_backfill(state, waiting, shape)
+            limit_backfill(state, waiting, fitting)
         return []
     timeout_ms = RESERVATION_TIMEOUT_MS
     if preemption.awaits_ends:
--- a/packages/core/crocuswell_core/dispatching/preemption.py
+++ b/packages/core/crocuswell_core/dispatching/preemption.py
@@ -5,7 +5,7 @@
 import attrs
 
 from crocuswell_core.dispatching import health
-from crocuswell_core.dispatching.fleet import CandidateWorker, Shape
+from crocuswell_core.dispatching.fleet import CandidateWorker, FittingWorkers
 from crocuswell_core.dispatching.indexing import accepts_tasks
 from crocuswell_core.dispatching.packing import by_rack, exclude_failed_workers
 from crocuswell_core.dispatching.waiting_steps import RankedStep, WaitingStep
@@ -46,7 +46,7 @@
 
 
 def choose_preemption(
-    state: EntryState, waiting: WaitingStep, shape: Shape
+    state: EntryState, waiting: WaitingStep, fitting: FittingWorkers
 ) -> Preemption | None:
     """Return the cheapest preemption after which a step can start.
 
@@ -55,7 +55,7 @@
     """
     found = [
         preemption
-        for group in _promising_groups(state, waiting, shape)
+        for group in _promising_groups(state, waiting, fitting)
         if (preemption := _choose_from_group(state, waiting.ranked, group)) is not None
     ]
     return min(found, key=lambda preemption: preemption.cost, default=None)
@@ -88,14 +88,14 @@
 
 
 def _promising_groups(
-    state: EntryState, waiting: WaitingStep, shape: Shape
+    state: EntryState, waiting: WaitingStep, fitting: FittingWorkers
 ) -> list[list[CandidateWorker]]:
     """Return the groups of workers with the least expected loss.
 
     A single group must hold the whole step.
     """
     ranked = waiting.ranked
-    candidates = _usable_candidates(state, ranked, shape)
+    candidates = _usable_candidates(state, ranked, fitting)
     rooms = {c.key: _estimate_room(state, ranked, c) for c in candidates}
     with_room = [c for c in candidates if rooms[c.key].copies]
     if not ranked.needs_one_rack:
@@ -121,17 +121,17 @@
 
 
 def _usable_candidates(
-    state: EntryState, ranked: RankedStep, shape: Shape
+    state: EntryState, ranked: RankedStep, fitting: FittingWorkers
 ) -> list[CandidateWorker]:
     fleet = state.dispatch.fleet
     barred = health.excluded_worker_ids(state)
     candidates = [
         candidate
-        for key in shape.capacity
+        for key in fitting.capacity
         if (candidate := fleet.candidates[key]).worker.id not in barred
         and accepts_tasks(state, candidate.view)
     ]
-    candidates = exclude_failed_workers(fleet, ranked, shape, candidates)
+    candidates = exclude_failed_workers(fleet, ranked, fitting, candidates)
     for candidate in candidates:
         candidate.available = candidate.unreserved(ranked.key)
     return candidates
