Let runs that have worked long stay on a leaving worker

Change: a run that cannot be resumed leaves only if it also needs more than twice the time that it has worked.

--- a/packages/core/crocuswell_core/dispatching/health.py
+++ b/packages/core/crocuswell_core/dispatching/health.py
@@ -30,9 +30,10 @@
 MAX_BARRED_SHARE = 0.5
 # A worker that leaves may stay longer than it says. A run that cannot be
 # resumed stays there unless it needs more than this multiple of the time and
-# this much more.
+# this much more, and more than this multiple of the time it has worked.
 HOPELESS_STAY_FACTOR = 2
 LINGERING_MS = 2_000
+HOPELESS_WORK_FACTOR = 2
 # Members of a gang make no progress until all of them have started.
 GANG_START_ALLOWANCE_MS = 3_500
 
@@ -152,10 +153,11 @@
             continue
         step = job.steps[run.task.step]
         left_ms = view.remaining_ms(progress, step.estimated_ms, state.now_ms)
-        staying_ms = view.worker.remaining_ms
+        should_stay = left_ms <= view.worker.remaining_ms
         if not step.checkpointing:
-            staying_ms = HOPELESS_STAY_FACTOR * staying_ms + LINGERING_MS
-        if left_ms <= staying_ms and not step.long_running:
+            worked_ms = view.worked_ms(run, state.now_ms)
+            should_stay = not _is_hopeless(view, left_ms, worked_ms)
+        if should_stay and not step.long_running:
             continue
         labels = (
             Label("worker", view.worker.key),
@@ -166,6 +168,15 @@
     return effects
 
 
+def _is_hopeless(view: WorkerView, left_ms: int, worked_ms: int) -> bool:
+    """Tell whether a run on a draining worker is hardly worth waiting for.
+
+    It needs far longer than the worker stays, and little work is lost.
+    """
+    staying_ms = HOPELESS_STAY_FACTOR * view.worker.remaining_ms + LINGERING_MS
+    return left_ms > max(staying_ms, HOPELESS_WORK_FACTOR * worked_ms)
+
+
 def _is_stalled(last: LastProgress) -> bool:
     if last.percent >= COMPLETE_PERCENT:
         # The percentage is an estimate: a run may go on after reaching 100.
--- a/packages/core/crocuswell_core/dispatching/preemption.py
+++ b/packages/core/crocuswell_core/dispatching/preemption.py
@@ -353,9 +353,7 @@
     if progress is None or progress.percent == 0:
         return 0.0
     declared_ms = progress.percent / 100 * estimated_ms
-    last = candidate.view.last_progress.get(run)
-    listed_ms = state.now_ms - last.first_listed_ms if last else 0
-    return max(declared_ms, listed_ms)
+    return max(declared_ms, candidate.view.worked_ms(run, state.now_ms))
 
 
 def _gang_runs(state: EntryState, run: RunId) -> list[RunId]:
--- a/packages/core/crocuswell_core/dispatching/worker_view.py
+++ b/packages/core/crocuswell_core/dispatching/worker_view.py
@@ -90,3 +90,8 @@
             return progress.estimate_remaining_ms(estimated_ms)
         worked_ms = now_ms - last.first_listed_ms
         return worked_ms * max(0, 100 - progress.percent) // advanced
+
+    def worked_ms(self, run: RunId, now_ms: int) -> int:
+        """Return for how long in ms a run has been listed."""
+        last = self.last_progress.get(run)
+        return now_ms - last.first_listed_ms if last else 0
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -184,11 +184,11 @@
 
 
 @pytest.mark.parametrize(
-    ("pace_percent", "moved"),
-    [(2, True), (10, False)],
+    ("pace_percent", "remaining_ms", "moved"),
+    [(2, 4_000, True), (10, 4_000, False), (6, 500, False)],
 )
 def test_hopeless_run_does_not_wait_for_its_worker_to_leave(
-    pace_percent: int, moved: bool
+    pace_percent: int, remaining_ms: int, moved: bool
 ) -> None:
     """Guards against gangs that work on with a member that must be lost."""
     leader, leaving = Leader(), worker("w1")
@@ -197,6 +197,6 @@
     for seconds in range(1, 8):
         list_runs(leader, 1, leaving, seconds * pace_percent)
         leader.advance(1_000)
-    leaving = attrs.evolve(leaving, draining=True, remaining_ms=4_000)
+    leaving = attrs.evolve(leaving, draining=True, remaining_ms=remaining_ms)
     list_runs(leader, 1, leaving, 8 * pace_percent)
     assert bool(leader.state.dispatch.stopping) is moved
