Drop only messages that cannot be handled, never a timer

Cause: read again, a front or runner whose timer handler raised once would go on without that timer for ever, since the handler's effects start it again. Change: only calls, replies and messages of streams are dropped; anything else still halts the process, which then starts anew. Result: eight test cases.

--- a/packages/daemon/crocuswell_daemon/runtime.py
+++ b/packages/daemon/crocuswell_daemon/runtime.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import AbstractContextManager
+from functools import singledispatch
 from types import TracebackType
 from typing import Any, Protocol
 
@@ -23,7 +24,15 @@
     SetGauge,
 )
 from crocuswell_core.runtime.errors import ErrorKind
-from crocuswell_core.runtime.events import ClockAdvanced, EntriesSynced, Event
+from crocuswell_core.runtime.events import (
+    AgentMessageReceived,
+    CallReceived,
+    ClockAdvanced,
+    EntriesSynced,
+    EntryMessageReceived,
+    Event,
+    WorkerReplied,
+)
 from crocuswell_daemon.frames import DiskFullError, StorageError
 from crocuswell_daemon.snapshots import decode_event_state, encode_effect_state
 from crocuswell_daemon.wire import CodecError
@@ -82,7 +91,7 @@
     clock : callable, optional
         Returns the current time; called at the start of each batch.
     isolates_events : bool, optional
-        Whether an event that cannot be reduced is dropped, as if it had been
+        Whether a message that cannot be reduced is dropped, as if it had been
         lost, instead of halting the process. Only for roles without storage,
         whose state is rebuilt from later messages.
     """
@@ -171,7 +180,7 @@
             try:
                 effects += self._reduce_one(event)
             except Exception as exc:  # the state may be half updated
-                if not self._isolates_events:
+                if not (self._isolates_events and _is_message(event)):
                     return _halt_for_exception(f"reducing {type(event).__name__}", exc)
                 effects += _report_dropped_event(event, exc)
         records = [e.record for e in effects if isinstance(e, Persist)]
@@ -253,6 +262,23 @@
     return Halt(ErrorKind.INTERNAL, f"fault while {action}: {exc!r}")
 
 
+@singledispatch
+def _is_message(event: Event) -> bool:
+    """Tell whether an event is a message from outside, which may be lost.
+
+    A timer that was lost would never fire again.
+    """
+    return False
+
+
+@_is_message.register(AgentMessageReceived)
+@_is_message.register(CallReceived)
+@_is_message.register(EntryMessageReceived)
+@_is_message.register(WorkerReplied)
+def _(event: Event) -> bool:
+    return True
+
+
 def _report_dropped_event(event: Event, exc: Exception) -> list[Effect]:
     labels = (Label("type", type(event).__name__), Label("reason", repr(exc)))
     return [
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -11,18 +11,24 @@
 from crocuswell_core.cluster.cluster_state import ClusterState
 from crocuswell_core.cluster.commands import AdvanceTime, LogEntry, Proposal
 from crocuswell_core.consensus.peer_messages import InstallSnapshot, TimeoutNow
+from crocuswell_core.jobs.job_commands import GetCatalog
+from crocuswell_core.links.link_messages import LinkKeepalive
 from crocuswell_core.runtime import effects as fx
 from crocuswell_core.runtime.errors import ErrorKind
 from crocuswell_core.runtime.events import (
     AgentStreamClosed,
     CallAbandoned,
+    CallReceived,
     ClockAdvanced,
     EntriesSynced,
+    EntryMessageReceived,
     EntryStopRequested,
     Event,
     PeerMessageReceived,
     SnapshotReceived,
+    TimerFired,
 )
+from crocuswell_core.runtime.timers import FrontTimer
 from crocuswell_daemon import wire
 from crocuswell_daemon.frames import DiskFullError, StorageError
 from crocuswell_daemon.runtime import BATCH_EVENTS, Runtime
@@ -214,30 +220,45 @@
 
 
 @pytest.mark.parametrize("isolates_events", [True, False])
-def test_an_event_that_cannot_be_reduced_is_dropped(isolates_events: bool) -> None:
-    """Guards against a message that ends a process without storage."""
+@pytest.mark.parametrize(
+    ("event", "may_be_lost"),
+    [
+        (CallReceived(1, GetCatalog()), True),
+        (EntryMessageReceived(1, LinkKeepalive()), True),
+        (TimerFired(FrontTimer()), False),
+        (ONE, False),
+    ],
+)
+def test_a_message_that_cannot_be_reduced_is_dropped(
+    event: Event, may_be_lost: bool, isolates_events: bool
+) -> None:
+    """Guards against a message that ends a process without storage.
+
+    A timer's event must not be dropped, since it would never fire again.
+    """
     trace: list[Any] = []
 
-    def reduce(state: Any, event: Event) -> tuple[Any, list[fx.Effect]]:
-        if event == ONE:
+    def reduce(state: Any, each: Event) -> tuple[Any, list[fx.Effect]]:
+        if each == event:
             raise KeyError("unexpected")
         effects: dict[Event, fx.Effect] = {TWO: send("a"), STOP: fx.Halt()}
-        return state, [effects[event]] if event in effects else []
+        return state, [effects[each]] if each in effects else []
 
     async def main() -> fx.Halt:
         with Runtime(
             reduce, object(), clock=lambda: TICK, isolates_events=isolates_events
         ) as runtime:
-            for event in (ONE, TWO, STOP):
-                runtime.post(event)
+            for each in (event, TWO, STOP):
+                runtime.post(each)
             async with asyncio.timeout(HANG_LIMIT_S):
                 return await runtime.run(FakeInterpreter(trace))
 
     halt = asyncio.run(main())
-    assert (halt == fx.Halt()) is isolates_events
-    assert (send("a") in trace) is isolates_events
+    goes_on = isolates_events and may_be_lost
+    assert (halt == fx.Halt()) is goes_on
+    assert (send("a") in trace) is goes_on
     logged = [e.event for e in trace if isinstance(e, fx.EmitLogEvent)]
-    assert logged == ["event_dropped"] * isolates_events
+    assert logged == ["event_dropped"] * goes_on
 
 
 def test_no_entries_synced_without_entries() -> None:
