Count the copies of a demand in one place

Cause: fleet.py had a second version of ResourceVector.max_copies, without its list. Change: one function.

--- a/packages/core/crocuswell_core/dispatching/fleet.py
+++ b/packages/core/crocuswell_core/dispatching/fleet.py
@@ -10,7 +10,6 @@
 
 from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.jobs.job_records import (
-    MAX_TASKS_PER_STEP,
     ResourceVector,
     StepKey,
     StepSpec,
@@ -176,7 +175,7 @@
         """Count a worker's spare resources anew."""
         key = candidate.key
         before = self.copies.get(key, 0)
-        after = self._fitting(candidate.spare)
+        after = candidate.spare.max_copies(self.demand)
         if after == before:
             return
         self.total += after - before
@@ -188,7 +187,7 @@
 
     def add(self, candidate: CandidateWorker) -> None:
         """Count a worker that was not counted before."""
-        copies = self._fitting(candidate.worker.capacity)
+        copies = candidate.worker.capacity.max_copies(self.demand)
         self.capacity[candidate.key] = copies
         self.total_capacity += copies
         self.update(candidate)
@@ -198,18 +197,6 @@
         self.total -= self.copies.pop(key, 0)
         self.total_capacity -= self.capacity.pop(key, 0)
 
-    def _fitting(self, available: ResourceVector) -> int:
-        # Called for each kept demand at each change of a worker.
-        demand = self.demand
-        copies = MAX_TASKS_PER_STEP
-        if demand.cpu_millis:
-            copies = min(copies, available.cpu_millis // demand.cpu_millis)
-        if demand.memory_mb:
-            copies = min(copies, available.memory_mb // demand.memory_mb)
-        if demand.accelerators:
-            copies = min(copies, available.accelerators // demand.accelerators)
-        return max(copies, 0)
-
 
 @attrs.define
 class ServiceTotals:
--- a/packages/core/crocuswell_core/jobs/job_records.py
+++ b/packages/core/crocuswell_core/jobs/job_records.py
@@ -65,17 +65,16 @@
         )
 
     def max_copies(self, demand: "ResourceVector") -> int:
-        """Return how many times a demand fits into this amount."""
-        counts = [
-            have // want
-            for have, want in (
-                (self.cpu_millis, demand.cpu_millis),
-                (self.memory_mb, demand.memory_mb),
-                (self.accelerators, demand.accelerators),
-            )
-            if want > 0
-        ]
-        return max(0, min(counts)) if counts else MAX_TASKS_PER_STEP
+        """Return how many times a demand fits, at most `MAX_TASKS_PER_STEP`."""
+        # Called for each demand that is kept at each change of a worker.
+        copies = MAX_TASKS_PER_STEP
+        if demand.cpu_millis:
+            copies = min(copies, self.cpu_millis // demand.cpu_millis)
+        if demand.memory_mb:
+            copies = min(copies, self.memory_mb // demand.memory_mb)
+        if demand.accelerators:
+            copies = min(copies, self.accelerators // demand.accelerators)
+        return max(copies, 0)
 
 
 # Limit on the tasks of one step; bounds the size of a log entry.
