--- a/packages/core/crocuswell_core/jobs/job_records.py
+++ b/packages/core/crocuswell_core/jobs/job_records.py
@@ -65,7 +65,7 @@
         )
 
     def max_copies(self, demand: "ResourceVector") -> int:
-        """Return how many times a demand fits, at most `MAX_TASKS_PER_STEP`."""
+        """Return how often a demand fits, up to `MAX_TASKS_PER_STEP`."""
         # Called for each demand that is kept at each change of a worker.
         copies = MAX_TASKS_PER_STEP
         if demand.cpu_millis:
