--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -11,6 +11,7 @@
 from crocuswell_core.cluster.commands import Proposal
 from crocuswell_core.consensus import replication
 from crocuswell_core.dispatching import health, indexing
+from crocuswell_core.dispatching.backfill import limit_backfill, release_holds
 from crocuswell_core.dispatching.dispatch_state import Reservation
 from crocuswell_core.dispatching.fleet import CandidateWorker, FittingWorkers
 from crocuswell_core.dispatching.orders import (
@@ -22,9 +23,7 @@
     choose_placements,
     exclude_failed_workers,
     fitting_workers,
-    limit_backfill,
     place_on_idle_fleet,
-    release_holds,
     start_limit,
     update_fit,
 )
