Move the handlers of the commands on runs to a module of their own

Move-only: the end of a job goes to job_ends, placement, ends and losses of runs to run_command_handlers.

--- a/packages/core/crocuswell_core/entry/handlers.py
+++ b/packages/core/crocuswell_core/entry/handlers.py
@@ -10,6 +10,10 @@
     sessions,
     views,
 )
-from crocuswell_core.jobs import job_command_handlers, job_read_handlers  # noqa: F401
+from crocuswell_core.jobs import (  # noqa: F401
+    job_command_handlers,
+    job_read_handlers,
+    run_command_handlers,
+)
 from crocuswell_core.links import client_streams  # noqa: F401
 from crocuswell_core.runtime import shared_handlers  # noqa: F401
