Record which tasks were on a worker when it crashed

What was missing: a lost run said only 'lost'. Logs and metrics could not tell whether a task's losses are counted nowhere or forgotten, nor what else ran there.

Change: a runner witnesses that a boot of its worker was followed by another one without notice, and reports the runs that were there with their age until the leader has recorded it. The record is replicated with the loss of the worker, once a boot however late it becomes known; each task keeps its crashes. The leader notes whether other workers failed at the same time without a run that had just been ordered there; such crashes are not counted.

No decision uses the record yet.

--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -50,6 +50,20 @@
     expires_ms: int
 
 
+@attrs.frozen
+class Outage:
+    """A worker ceased to answer its runner.
+
+    Attributes
+    ----------
+    explained : bool
+        Whether one of its runs may be the cause.
+    """
+
+    since_ms: int
+    explained: bool
+
+
 @attrs.define
 class DispatchChanges:
     """What changed since the last plan, and is looked at again by the next.
@@ -115,6 +129,8 @@
     pending_losses : dict
         Time in ms at which the loss of a worker's boot was proposed, by its
         key.
+    outages : dict
+        Newest outage of workers' boots, by their key.
     stopping : set of RunId
         Runs that the leader stops for another reason than the end of their
         job, such as a preemption or a stall.
@@ -152,6 +168,7 @@
     plan_count: int = 0
     planned_workers: set[str] = attrs.Factory(set)
     pending_losses: dict[str, int] = attrs.Factory(dict)
+    outages: dict[str, Outage] = attrs.Factory(dict)
     stopping: set[RunId] = attrs.Factory(set)
     reservations: dict[StepKey, Reservation] = attrs.Factory(dict)
     awaited_ends: set[StepKey] = attrs.Factory(set)
--- a/packages/core/crocuswell_core/dispatching/orders.py
+++ b/packages/core/crocuswell_core/dispatching/orders.py
@@ -51,7 +51,7 @@
         if not is_wanted(state, run):
             stops += _stop_once(view, run)
         elif run not in view.running and run not in view.ordered_starts:
-            view.ordered_starts.add(run)
+            view.ordered_starts[run] = state.now_ms
             task = table.task(task_id)
             job = table.jobs[task_id.job_id]
             checkpoint = task.checkpoint if task else ""
--- /dev/null
+++ b/packages/core/crocuswell_core/dispatching/outages.py
@@ -0,0 +1,43 @@
+"""Workers that ceased to answer, to tell crashes with a common cause."""
+
+from crocuswell_core.dispatching.dispatch_state import DispatchState, Outage
+from crocuswell_core.dispatching.worker_view import WorkerView
+from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.jobs.crash_records import EARLY_CRASH_MS
+from crocuswell_core.jobs.job_records import RunId
+
+# Runners report an outage at once; workers that fail together are seen to do
+# so within this time.
+COINCIDENCE_MS = 500
+# A crash is reported once the worker has started again.
+OUTAGE_RETENTION_MS = 60_000
+
+
+def note_outage(state: EntryState, view: WorkerView) -> None:
+    """Note that a worker's runner can no longer reach it."""
+    outages = state.dispatch.outages
+    cutoff_ms = state.now_ms - OUTAGE_RETENTION_MS
+    for key in [key for key, each in outages.items() if each.since_ms < cutoff_ms]:
+        del outages[key]
+    explained = _has_young_run(state, view)
+    outages[view.worker.key] = Outage(state.now_ms, explained)
+
+
+def _has_young_run(state: EntryState, view: WorkerView) -> bool:
+    """Tell whether a run that was just ordered may be the cause."""
+    placed = state.cluster.jobs.placed.get(view.worker.key, {})
+    return any(
+        state.now_ms - ordered_ms <= EARLY_CRASH_MS + COINCIDENCE_MS
+        for run, ordered_ms in view.ordered_starts.items()
+        if RunId(run.task, placed.get(run.task, 0)) == run
+    )
+
+
+def is_coincident(dispatch: DispatchState, worker: str) -> bool:
+    """Tell whether others failed with a boot, without a cause of their own."""
+    own = dispatch.outages.get(worker)
+    return own is not None and any(
+        abs(other.since_ms - own.since_ms) <= COINCIDENCE_MS and not other.explained
+        for key, other in dispatch.outages.items()
+        if key != worker
+    )
--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -10,6 +10,7 @@
     current_dispatch,
     send_orders,
 )
+from crocuswell_core.dispatching.outages import is_coincident, note_outage
 from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_commands import (
@@ -21,6 +22,7 @@
     RunEnd,
     RunEndKind,
     SavedCheckpoint,
+    WorkerCrash,
     parse_boot_key,
 )
 from crocuswell_core.links.client_streams import redirect_client
@@ -76,6 +78,7 @@
         # Its runs are about to restart elsewhere: do not extend their lease.
         return []
     view, effects = _update_view(state, message, stream_id)
+    effects += _propose_crashes(state, message)
     if not view.reachable:
         # Its runs are given up once all earlier grants have ended. Another one
         # would only delay that, or let the runner start runs after it.
@@ -85,7 +88,12 @@
     if lease_ms:
         view.granted_until_ms = max(view.granted_until_ms, state.now_ms + lease_ms)
     grant = LeaseGrant(
-        message.sequence, term, lease_ms, key, table.acknowledged_ends.get(key, 0)
+        message.sequence,
+        term,
+        lease_ms,
+        key,
+        table.acknowledged_ends.get(key, 0),
+        table.recorded_crashes.get(view.worker.machine, 0),
     )
     effects += [SendAgent(stream_id, grant), Count("leases_granted_total")]
     effects += [
@@ -122,7 +130,7 @@
             effects.append(_worker_log_line("worker_in_reach", key))
         granted_until_ms = view.granted_until_ms if view else 0
         view = WorkerView(worker, stream_id, granted_until_ms=granted_until_ms)
-        effects += _propose_loss_of_earlier_boots(state, worker)
+        effects += _propose_loss_of_earlier_boots(state, message, worker)
         dispatch.add_boot(key)
     dispatch.views[key] = view
     if view.worker.draining != worker.draining:
@@ -139,6 +147,8 @@
         or view.unplaced != unplaced
     ):
         dispatch.changes.workers.add(key)
+    if view.reachable and not message.reachable:
+        note_outage(state, view)
     if message.reachable:
         dispatch.lost_contact.discard(key)
     else:
@@ -163,12 +173,13 @@
 
 
 def _propose_loss_of_earlier_boots(
-    state: EntryState, worker: WorkerDescription
+    state: EntryState, message: WorkerReport, worker: WorkerDescription
 ) -> list[Effect]:
     """Propose the loss of all earlier boots on the worker's machine.
 
     No run outlives the boot of its worker.
     """
+    crashes = {crash.worker: crash for crash in message.crashes}
     effects: list[Effect] = []
     dispatch = current_dispatch(state)
     for key in sorted(dispatch.boots_by_machine.get(worker.machine, ())):
@@ -178,10 +189,35 @@
         dispatch.changes.workers.add(key)
         dispatch.boots_by_machine[worker.machine].discard(key)
         if key in state.cluster.jobs.placed:
-            effects += _propose_loss(state, key, view, "new boot", worker.key)
+            effects += _propose_loss(
+                state, key, view, "new boot", worker.key, crashes.get(key)
+            )
     return effects
 
 
+def _propose_crashes(state: EntryState, message: WorkerReport) -> list[Effect]:
+    """Propose to record the crashes of boots that were given up before."""
+    dispatch = current_dispatch(state)
+    effects: list[Effect] = []
+    for crash in message.crashes:
+        key = crash.worker
+        if key in dispatch.pending_losses or state.cluster.jobs.has_recorded_crash(key):
+            continue
+        dispatch.pending_losses[key] = state.now_ms
+        effects += _propose(state, _worker_loss(state, key, (), crash))
+    return effects
+
+
+def _worker_loss(
+    state: EntryState,
+    key: str,
+    checkpoints: tuple[SavedCheckpoint, ...],
+    crash: WorkerCrash | None,
+) -> MarkWorkerLost:
+    coincident = crash is not None and is_coincident(state.dispatch, key)
+    return MarkWorkerLost(key, checkpoints, crash, coincident)
+
+
 def _is_earlier_boot(key: str, worker: WorkerDescription) -> bool:
     machine, born_ms = parse_boot_key(key)
     return machine == worker.machine and born_ms < worker.born_ms
@@ -311,6 +347,7 @@
     view: WorkerView | None,
     reason: str,
     successor: str = "",
+    crash: WorkerCrash | None = None,
 ) -> list[Effect]:
     dispatch = current_dispatch(state)
     if key in dispatch.pending_losses:
@@ -330,5 +367,5 @@
     return [
         EmitLogEvent("worker_losing", labels),
         Count("workers_lost_total", labels=(Label("reason", reason),)),
-        *_propose(state, MarkWorkerLost(key, saved)),
+        *_propose(state, _worker_loss(state, key, saved, crash)),
     ]
--- a/packages/core/crocuswell_core/dispatching/worker_view.py
+++ b/packages/core/crocuswell_core/dispatching/worker_view.py
@@ -45,8 +45,10 @@
         Latest end in ms of a grant that was sent in this term.
     last_proposed_end : int
         Highest number of a run's end that was proposed for recording.
-    ordered_starts, ordered_stops : set of RunId
-        Orders sent on this stream.
+    ordered_starts : dict
+        Starts sent on this stream, with the time in ms of sending.
+    ordered_stops : set of RunId
+        Stops sent on this stream.
     absent : set of RunId
         Runs whose absence was proposed for recording.
     list_number, list_received_ms : int
@@ -67,7 +69,7 @@
     granted_until_ms: int = 0
     last_proposed_end: int = 0
     running: dict[RunId, RunProgress] = attrs.Factory(dict)
-    ordered_starts: set[RunId] = attrs.Factory(set)
+    ordered_starts: dict[RunId, int] = attrs.Factory(dict)
     ordered_stops: set[RunId] = attrs.Factory(set)
     absent: set[RunId] = attrs.Factory(set)
     list_number: int = 0
--- a/packages/core/crocuswell_core/jobs/job_commands.py
+++ b/packages/core/crocuswell_core/jobs/job_commands.py
@@ -10,6 +10,7 @@
     SavedCheckpoint,
     Schedule,
     StepSpec,
+    WorkerCrash,
 )
 
 
@@ -88,10 +89,18 @@
     ----------
     checkpoints : tuple of SavedCheckpoint
         Newest checkpoints that were reported to the leader.
+    crash : WorkerCrash or None
+        How the boot crashed; None if nobody witnessed a crash. It may become
+        known only after the boot was marked as lost.
+    coincident : bool
+        Whether other workers failed at the same time without a cause of their
+        own, so that the cause lies outside of the runs.
     """
 
     worker: str
     checkpoints: tuple[SavedCheckpoint, ...] = ()
+    crash: WorkerCrash | None = None
+    coincident: bool = False
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/jobs/job_records.py
+++ b/packages/core/crocuswell_core/jobs/job_records.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from crocuswell_core.jobs.crash_history import CrashHistory
+
 # Processor cores that one accelerator is worth when work is compared.
 CORES_PER_ACCELERATOR = 8
 
@@ -238,6 +240,8 @@
         Ids of the workers on which runs failed.
     placed_ms : int
         Cluster time in ms at which the newest run was placed.
+    crashes : CrashHistory or None
+        Crashes of workers under the task; None if there were none.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -247,6 +251,7 @@
     failures: int = 0
     failed_on: tuple[str, ...] = ()
     placed_ms: int = 0
+    crashes: CrashHistory | None = None
 
 
 @attrs.frozen
@@ -435,6 +440,35 @@
     checkpoint: str
 
 
+@attrs.frozen
+class CrashedRun:
+    """A run that was on a worker when it crashed.
+
+    Attributes
+    ----------
+    ran_ms : int
+        Time in ms since the worker confirmed the run; 0 if it may just have
+        begun.
+    """
+
+    run: RunId
+    ran_ms: int
+
+
+@attrs.frozen
+class WorkerCrash:
+    """The crash of a worker's boot, as its runner witnessed it.
+
+    Attributes
+    ----------
+    worker : str
+        Key of the boot that crashed.
+    """
+
+    worker: str
+    runs: tuple[CrashedRun, ...]
+
+
 def boot_key(machine: str, worker_id: str, born_ms: int) -> str:
     """Return the key of a worker's boot."""
     return f"{machine}/{worker_id}@{born_ms}"
--- a/packages/core/crocuswell_core/jobs/job_table.py
+++ b/packages/core/crocuswell_core/jobs/job_table.py
@@ -5,7 +5,14 @@
 import attrs
 
 from crocuswell_core.jobs.catalog import Catalog
-from crocuswell_core.jobs.job_records import Job, RunId, Task, TaskId, TaskPhase
+from crocuswell_core.jobs.job_records import (
+    Job,
+    RunId,
+    Task,
+    TaskId,
+    TaskPhase,
+    parse_boot_key,
+)
 
 
 @attrs.define
@@ -27,6 +34,8 @@
     placed : dict
         Numbers of the runs that may be on a worker's boot, by the key of
         the boot and the task.
+    recorded_crashes : dict
+        Start in ms of the newest boot whose crash is recorded, by machine.
     """
 
     revision: int = 0
@@ -36,6 +45,12 @@
     jobs: dict[str, Job] = attrs.Factory(dict)
     acknowledged_ends: dict[str, int] = attrs.Factory(dict)
     placed: dict[str, dict[TaskId, int]] = attrs.Factory(dict)
+    recorded_crashes: dict[str, int] = attrs.Factory(dict)
+
+    def has_recorded_crash(self, worker: str) -> bool:
+        """Tell whether the crash of a boot is recorded."""
+        machine, born_ms = parse_boot_key(worker)
+        return born_ms <= self.recorded_crashes.get(machine, -1)
 
     def task(self, task_id: TaskId) -> Task | None:
         """Return a task, None if it does not exist."""
--- a/packages/core/crocuswell_core/jobs/run_command_handlers.py
+++ b/packages/core/crocuswell_core/jobs/run_command_handlers.py
@@ -5,6 +5,7 @@
 from crocuswell_core.cluster.cluster_state import ClusterState
 from crocuswell_core.cluster.commands import Done, LogEntry
 from crocuswell_core.jobs.catalog import find_queue_by_name
+from crocuswell_core.jobs.crash_records import record_crash
 from crocuswell_core.jobs.job_commands import (
     MarkWorkerLost,
     PlaceRuns,
@@ -233,6 +234,8 @@
     placed = table.placed.pop(command.worker, {})
     _store_checkpoints(table, command.checkpoints)
     effects: list[ClusterEffect] = []
+    if command.crash is not None:
+        effects += record_crash(cluster, command.crash, command.coincident)
     for task_id, number in placed.items():
         run = RunId(task_id, number)
         task = table.task_if_current(run)
--- a/packages/core/crocuswell_core/links/link_messages.py
+++ b/packages/core/crocuswell_core/links/link_messages.py
@@ -14,6 +14,7 @@
     RunEnd,
     RunId,
     RunProgress,
+    WorkerCrash,
     boot_key,
 )
 from crocuswell_core.runtime.counter_values import CounterValue
@@ -118,6 +119,9 @@
         will refuse from now on.
     events : tuple of CounterValue
         Counts that changed since the previous report on this stream.
+    crashes : tuple of WorkerCrash
+        Crashes of earlier boots that are not known to be recorded, oldest
+        first.
     """
 
     sequence: int
@@ -130,6 +134,7 @@
     has_exited: bool = False
     list_number: int = 0
     events: tuple[CounterValue, ...] = ()
+    crashes: tuple[WorkerCrash, ...] = ()
 
 
 ClientMessage = Attach | LinkKeepalive | ForwardCall | JoinGroup | WorkerReport
@@ -220,6 +225,9 @@
     ----------
     acknowledged_end : int
         Ends of `worker` up to this number are durably recorded.
+    recorded_crash_ms : int
+        Crashes of boots that started up to this time in ms since the epoch are
+        durably recorded.
     """
 
     sequence: int
@@ -227,6 +235,7 @@
     lease_ms: int
     worker: str = ""
     acknowledged_end: int = 0
+    recorded_crash_ms: int = 0
 
 
 HostMessage = (
--- a/packages/core/crocuswell_core/runner/run_lists.py
+++ b/packages/core/crocuswell_core/runner/run_lists.py
@@ -5,6 +5,7 @@
     WorkerDescription,
     WorkerReport,
 )
+from crocuswell_core.runner.crash_witness import note_listed_runs
 from crocuswell_core.runner.run_orders import extend_worker_lease, send_due_starts
 from crocuswell_core.runner.runner_state import (
     OrderPhase,
@@ -66,6 +67,7 @@
         labels = (Label("worker", worker_id(state)),)
         effects.append(EmitLogEvent("worker_reached", labels))
     state.reachable = True
+    state.unreachable_since_ms = None
     state.list_number += 1
     state.clock = WorkerClock(reply.clock_ms, state.now_ms)
     before = set(state.running)
@@ -73,6 +75,7 @@
     state.ended = tuple(
         end for end in reply.ended if end.number > state.acknowledged_end
     )
+    note_listed_runs(state)
     _update_absent_runs(state)
     # The leader grants no lease while the worker is unreachable.
     changed = before != set(state.running) or bool(state.ended) or was_unreachable
@@ -120,6 +123,7 @@
     if state.heartbeat is None or state.list_in_flight:
         return []
     state.list_in_flight = True
+    state.list_sent_ms = state.now_ms
     granted = state.granted_until_ms > state.now_ms and state.clock.read_ms > 0
     # The first list and the effect of a stop are needed at once, so the worker
     # must not hold the list back until a run ends.
@@ -175,5 +179,6 @@
         has_exited=state.is_leaving and not state.reachable,
         list_number=state.list_number,
         events=_changed_events(state),
+        crashes=state.crashes,
     )
     return uplink_stream.send(state.uplink, state.now_ms, message)
--- a/packages/core/crocuswell_core/runner/run_orders.py
+++ b/packages/core/crocuswell_core/runner/run_orders.py
@@ -1,8 +1,10 @@
 """Start and stop orders for the worker, and the end of its lease."""
 
+from crocuswell_core.jobs.job_records import RunId
 from crocuswell_core.runner.runner_state import (
     OrderPhase,
     RunnerState,
+    StartOrder,
     StopOrder,
 )
 from crocuswell_core.runner.worker_calls import (
@@ -24,11 +26,21 @@
     A start that was sent may have been carried out, so it stays; the next
     leader finds the run in a report, or orders it again.
     """
-    state.starts = {
-        run: start
-        for run, start in state.starts.items()
-        if start.phase is OrderPhase.CALLING
-    }
+    for run, start in list(state.starts.items()):
+        if start.phase is not OrderPhase.CALLING:
+            drop_start(state, run)
+
+
+def drop_start(state: RunnerState, run: RunId) -> None:
+    """Drop a start, which the worker may nevertheless have carried out."""
+    start = state.starts.pop(run, None)
+    if start is not None and may_have_reached_worker(start):
+        state.confirmed_ms.setdefault(run, state.now_ms)
+
+
+def may_have_reached_worker(start: StartOrder) -> bool:
+    """Tell whether the worker may have the run of a start."""
+    return start.was_sent or start.phase is OrderPhase.CALLING
 
 
 def send_due_starts(state: RunnerState) -> list[Effect]:
@@ -47,7 +59,7 @@
         if state.heartbeat.draining:
             # A draining worker must not start runs; the stop makes the run
             # absent, which is reported to the leader.
-            del state.starts[run]
+            drop_start(state, run)
             state.stops.setdefault(run, StopOrder())
             continue
         start.phase = OrderPhase.CALLING
--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -15,6 +15,7 @@
     LeaseGrant,
     RunOrders,
 )
+from crocuswell_core.runner.crash_witness import drop_recorded_crashes, witness_crash
 from crocuswell_core.runner.run_lists import (
     apply_run_list,
     count_event,
@@ -25,6 +26,7 @@
     worker_id,
 )
 from crocuswell_core.runner.run_orders import (
+    drop_start,
     drop_unsent_starts,
     send_due_starts,
     send_due_stops,
@@ -186,6 +188,7 @@
         draining_changed = previous.draining != call.draining
         state.heartbeat = call
         return send_report(state) if draining_changed else []
+    crashed = witness_crash(state, worker_boot_key(state))
     state.heartbeat = call
     _reset_boot_state(state)
     labels = (
@@ -194,7 +197,7 @@
         Label("service", call.service),
         Label("rack", call.rack),
     )
-    return [EmitLogEvent("worker_registered", labels), *list_runs(state)]
+    return [*crashed, EmitLogEvent("worker_registered", labels), *list_runs(state)]
 
 
 @_handle_worker_call.register
@@ -212,6 +215,7 @@
 def _reset_boot_state(state: RunnerState) -> None:
     """Reset what belongs to a boot; a new one has no runs, ends or lease."""
     state.reachable = False
+    state.unreachable_since_ms = None
     state.is_leaving = False
     state.clock = WorkerClock()
     state.lease_until_ms = 0
@@ -219,6 +223,7 @@
     state.list_in_flight = False
     state.next_list_ms = state.now_ms
     state.running.clear()
+    state.confirmed_ms.clear()
     state.ended = ()
     state.starts.clear()
     state.stops.clear()
@@ -238,6 +243,7 @@
     state.fence = max(state.fence, message.term)
     until_ms = sent_ms + message.lease_ms
     state.granted_until_ms = max(state.granted_until_ms, until_ms)
+    drop_recorded_crashes(state, message.recorded_crash_ms)
     effects = send_due_starts(state)
     if (
         message.worker == worker_boot_key(state)
@@ -262,7 +268,7 @@
             state.starts.setdefault(start.run, StartOrder(start))
     for stop in message.stops:
         state.stops.setdefault(stop.run, StopOrder())
-        state.starts.pop(stop.run, None)
+        drop_start(state, stop.run)
     return [*send_due_starts(state), *send_due_stops(state)]
 
 
@@ -291,6 +297,7 @@
     count_event(state, f"start {_reply_kind(reply)}")
     if isinstance(reply, OrderAccepted):
         del state.starts[call.run]
+        state.confirmed_ms.setdefault(call.run, state.now_ms)
         return []
     labels = (*run_labels(call.run), Label("reply", _reply_reason(reply)))
     effects: list[Effect] = [EmitLogEvent("start_not_taken", labels)]
@@ -301,6 +308,7 @@
         state.stops.setdefault(call.run, StopOrder())
         return [*effects, *send_due_stops(state)]
     start.phase = OrderPhase.WAITING
+    start.was_sent = start.was_sent or _may_have_been_carried_out(reply)
     start.retry_at_ms = state.now_ms + state.cfg.call_retry_ms
     return effects
 
@@ -329,6 +337,7 @@
         if not state.reachable:
             return []
         state.reachable = False
+        state.unreachable_since_ms = state.now_ms
         count_event(state, "worker unreachable")
         labels = (Label("worker", call.worker), Label("reply", _reply_reason(reply)))
         return [EmitLogEvent("worker_unreachable", labels), *send_report(state)]
@@ -360,6 +369,17 @@
     return "other_boot"
 
 
+@singledispatch
+def _may_have_been_carried_out(reply: WorkerReply) -> bool:
+    """Tell whether the worker may have carried out an order."""
+    return False
+
+
+@_may_have_been_carried_out.register
+def _(reply: NoAnswer) -> bool:
+    return reply.sent
+
+
 @singledispatch
 def _reply_kind(reply: WorkerReply) -> str:
     """Return the label value that counts a reply; from a bounded set."""
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -4,7 +4,12 @@
 
 import attrs
 
-from crocuswell_core.jobs.job_records import RunEnd, RunId, RunProgress
+from crocuswell_core.jobs.job_records import (
+    RunEnd,
+    RunId,
+    RunProgress,
+    WorkerCrash,
+)
 from crocuswell_core.links.link_messages import StartRun
 from crocuswell_core.links.uplink import Uplink
 from crocuswell_core.runner.worker_calls import WorkerHeartbeat
@@ -51,11 +56,18 @@
 
 @attrs.define
 class StartOrder:
-    """A start that the leader ordered."""
+    """A start that the leader ordered.
+
+    Attributes
+    ----------
+    was_sent : bool
+        Whether an earlier call without an answer may have reached the worker.
+    """
 
     order: StartRun
     phase: OrderPhase = OrderPhase.WAITING
     retry_at_ms: int = 0
+    was_sent: bool = False
 
 
 @attrs.define
@@ -99,10 +111,19 @@
     lease_until_ms : int
         Latest end in ms, on the runner's clock, of a lease that was sent
         to the worker.
+    unreachable_since_ms : int or None
+        Time in ms at which the worker ceased to answer; None while it does.
     list_in_flight : bool
         Whether a call for a run list is in flight.
+    list_sent_ms : int
+        Time in ms at which the newest call for a run list was made.
     list_number : int
         Number of run lists received from the worker's boots.
+    confirmed_ms : dict
+        Time in ms at which the worker confirmed a run, for all runs that may
+        be on it.
+    crashes : tuple of WorkerCrash
+        Crashes of earlier boots that are not known to be recorded.
     events, events_sent : dict
         Event counts, and the values last sent to the leader on this stream.
     """
@@ -122,10 +143,14 @@
     granted_until_ms: int = 0
     lease_until_ms: int = 0
     acknowledged_end: int = 0
+    unreachable_since_ms: int | None = None
     list_in_flight: bool = False
+    list_sent_ms: int = 0
     next_list_ms: int = 0
     list_number: int = 0
     running: dict[RunId, RunProgress] = attrs.Factory(dict)
+    confirmed_ms: dict[RunId, int] = attrs.Factory(dict)
+    crashes: tuple[WorkerCrash, ...] = ()
     ended: tuple[RunEnd, ...] = ()
     starts: dict[RunId, StartOrder] = attrs.Factory(dict)
     stops: dict[RunId, StopOrder] = attrs.Factory(dict)
--- a/packages/daemon/crocuswell_daemon/counters.py
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -125,6 +125,7 @@
     "usage_contradictions_total": Metric(
         "Usage reports that contradict the tables", ("kind",)
     ),
+    "worker_crashes_total": Metric("Crashes of workers that had runs", ("coincident",)),
     "workers": Metric("Workers in reach of the leader", ("state",), is_gauge=True),
     "workers_lost_total": Metric("Workers whose runs were given up", ("reason",)),
     "yields_total": Metric("Long borrowers stopped for short work"),
--- a/packages/daemon/crocuswell_daemon/tags.py
+++ b/packages/daemon/crocuswell_daemon/tags.py
@@ -11,7 +11,13 @@
 )
 from crocuswell_core.consensus import peer_messages
 from crocuswell_core.entry import calls
-from crocuswell_core.jobs import catalog, job_commands, job_records, job_table
+from crocuswell_core.jobs import (
+    catalog,
+    crash_history,
+    job_commands,
+    job_records,
+    job_table,
+)
 from crocuswell_core.links import link_messages
 from crocuswell_core.policy import policies
 from crocuswell_core.runtime import counter_values, effects
@@ -158,6 +164,9 @@
     job_commands.RecordCheckpoints,
     job_records.Schedule,
     job_records.Occurrence,
+    crash_history.CrashHistory,
+    job_records.CrashedRun,
+    job_records.WorkerCrash,
 )
 
 TAG_OF: dict[type, int] = {
--- a/tests/job_harness.py
+++ b/tests/job_harness.py
@@ -129,12 +129,18 @@
         return self.cluster.jobs.jobs[job_id].phase.value
 
 
-def worker(name: str, rack: str = "r1-1", **fields: object) -> WorkerDescription:
+def worker(
+    name: str,
+    rack: str = "r1-1",
+    machine: str = "",
+    born_ms: int = 5,
+    **fields: object,
+) -> WorkerDescription:
     values: dict[str, object] = {"labels": ("a", rack), "capacity": CAPACITY, **fields}
     return WorkerDescription(
-        f"m-{name}",
+        machine or f"m-{name}",
         name,
-        5,
+        born_ms,
         "press",
         "zone",
         rack,
