Give up tasks that crash worker after worker, and only those

Cause: a run that is lost with its worker is not an attempt. Nothing counted such losses, and the task was placed again at once. The class: something is tried again without a bound although it harms who tries it.

Ruled out: that a count is forgotten with the boot or the leader (there was none); that machines are at fault (the new lines show the same task on up to eight machines, 5 ms to 166 ms after its start).

The record of crashes tells the culprit from its neighbours: early after a start, the sole candidate, on several machines, not together with other workers. A suspect runs alone at first, on another machine, one trial after the other, until it has outlived the earlier crashes; the rest of its step waits. Proof fails the job with a reason that names the task and the crashes, at the latest at the fifth one, or the eighth with those that had another cause.

--- a/bench/crashing_fleet.py
+++ b/bench/crashing_fleet.py
@@ -28,6 +28,8 @@
 # Time from a crash until the worker accepts work again.
 RESTART_MS = 3_000
 RESTART_SPREAD_MS = 500
+# Crashes that prove a task to be the cause.
+PROVEN = 3
 
 
 @attrs.define
@@ -54,15 +56,18 @@
 
     Attributes
     ----------
-    starts : Counter
-        Number of starts of each task that crashes its workers.
+    crashes_under : Counter
+        Number of crashes that each task has caused.
+    late_starts : Counter
+        Number of starts of each task after it had crashed `PROVEN` workers.
     crashes : int
         Number of crashes.
     """
 
     def __init__(self, load: Load, seed: int = 1) -> None:
         super().__init__(load, seed)
-        self.starts: Counter[TaskId] = Counter()
+        self.crashes_under: Counter[TaskId] = Counter()
+        self.late_starts: Counter[TaskId] = Counter()
         self.crashes = 0
         self._crashed = {worker.stream_id: CrashedWorker() for worker in self.workers}
         self._started_ms: dict[tuple[str, RunId], int] = {}
@@ -124,7 +129,7 @@
             return
         self._started_ms[worker.description.key, run] = self.leader.now_ms
         if submitted.crashes_workers and run.task.index == 0:
-            self.starts[run.task] += 1
+            self.late_starts[run.task] += self.crashes_under[run.task] >= PROVEN
             self._schedule(
                 submitted.job_class.crash_after_ms,
                 partial(self._crash_under, worker, simulated),
@@ -134,6 +139,7 @@
 
     def _crash_under(self, worker: SimulatedWorker, simulated: SimulatedRun) -> None:
         if worker.runs.get(simulated.run) is simulated:
+            self.crashes_under[simulated.run.task] += 1
             self._crash(worker, RESTART_MS)
 
     def _crash(self, worker: SimulatedWorker, down_ms: int) -> None:
--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -131,6 +131,15 @@
         key.
     outages : dict
         Newest outage of workers' boots, by their key.
+    trials : dict
+        End in ms of the time during which a run has its worker to itself.
+    trials_checked_ms : int
+        Time in ms at which trials were last looked at.
+    last_trial_ms : int
+        Time in ms at which a trial last began.
+    trial_waits : dict
+        Time in ms since which a step waits for a worker for a trial, by key
+        of the step.
     stopping : set of RunId
         Runs that the leader stops for another reason than the end of their
         job, such as a preemption or a stall.
@@ -169,6 +178,10 @@
     planned_workers: set[str] = attrs.Factory(set)
     pending_losses: dict[str, int] = attrs.Factory(dict)
     outages: dict[str, Outage] = attrs.Factory(dict)
+    trials: dict[RunId, int] = attrs.Factory(dict)
+    trials_checked_ms: int = 0
+    last_trial_ms: int = 0
+    trial_waits: dict[StepKey, int] = attrs.Factory(dict)
     stopping: set[RunId] = attrs.Factory(set)
     reservations: dict[StepKey, Reservation] = attrs.Factory(dict)
     awaited_ends: set[StepKey] = attrs.Factory(set)
--- a/packages/core/crocuswell_core/dispatching/fleet.py
+++ b/packages/core/crocuswell_core/dispatching/fleet.py
@@ -90,8 +90,10 @@
         Steps for which the worker is kept free, by their keys.
     preemptible : dict
         Runs that may be stopped, by the priority of their queue.
+    is_closed : bool
+        Whether a task on trial has the worker to itself.
     spare : ResourceVector
-        Free resources without all reservations.
+        Free resources without all reservations; none if it is closed.
     available : ResourceVector
         Resources that the step under consideration may use.
     """
@@ -104,6 +106,7 @@
     reservations: dict[StepKey, ResourceVector] = attrs.Factory(dict)
     holds: dict[StepKey, Hold] = attrs.Factory(dict)
     preemptible: dict[int, PreemptibleWork] = attrs.Factory(dict)
+    is_closed: bool = False
     spare: ResourceVector = attrs.field(init=False, factory=ResourceVector)
     available: ResourceVector = attrs.field(init=False, factory=ResourceVector)
 
@@ -131,7 +134,7 @@
 
     def unreserved(self, key: StepKey) -> ResourceVector:
         """Return the free resources that are not reserved for other steps."""
-        own = self.reservations.get(key)
+        own = None if self.is_closed else self.reservations.get(key)
         return self.spare if own is None else self.spare + own
 
 
@@ -241,6 +244,7 @@
         view: WorkerView,
         free: ResourceVector,
         placed: dict[TaskId, ResourceVector],
+        is_closed: bool = False,
     ) -> None:
         """Add a worker, or set its free resources and placed tasks."""
         worker = view.worker
@@ -249,13 +253,17 @@
         if candidate is not None and _is_described_alike(candidate.worker, worker):
             candidate.view = view
             candidate.placed = placed
+            candidate.is_closed = is_closed
             self.set_free(candidate, free)
             return
         reservations, holds = {}, {}
         if candidate is not None:
             reservations, holds = candidate.reservations, candidate.holds
             self.remove(key)
-        self._add(CandidateWorker(key, worker, view, free, placed, reservations, holds))
+        candidate = CandidateWorker(
+            key, worker, view, free, placed, reservations, holds, is_closed=is_closed
+        )
+        self._add(candidate)
 
     def _add(self, candidate: CandidateWorker) -> None:
         worker = candidate.worker
@@ -357,6 +365,8 @@
 
 def spare_resources(candidate: CandidateWorker) -> ResourceVector:
     """Return a worker's free resources without all reservations."""
+    if candidate.is_closed:
+        return ResourceVector()
     spare = candidate.free
     for reserved in candidate.reservations.values():
         spare = spare - reserved
--- a/packages/core/crocuswell_core/dispatching/index_checks.py
+++ b/packages/core/crocuswell_core/dispatching/index_checks.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Iterator
 
-from crocuswell_core.dispatching import indexing
+from crocuswell_core.dispatching import indexing, trials
 from crocuswell_core.dispatching.fleet import Fleet, spare_resources
 from crocuswell_core.dispatching.ranking import rank_jobs
 from crocuswell_core.dispatching.waiting_steps import RankedStep, WaitingSteps
@@ -42,12 +42,21 @@
             yield f"{key} has {free} free, not {candidate.free}"
         if candidate.spare != spare_resources(candidate):
             yield f"{key} counts its reservations wrongly"
+        if candidate.is_closed != _is_on_trial(state, key):
+            yield f"{key} is closed or open against the trials there"
+
+
+def _is_on_trial(state: EntryState, key: str) -> bool:
+    """Tell whether a trial was open when trials were last looked at."""
+    return trials.is_open_after(state, key, state.dispatch.trials_checked_ms)
 
 
 def _demand_problems(fleet: Fleet) -> Iterator[str]:
     rebuilt = Fleet()
     for candidate in fleet.candidates.values():
-        rebuilt.put(candidate.view, candidate.free, candidate.placed)
+        rebuilt.put(
+            candidate.view, candidate.free, candidate.placed, candidate.is_closed
+        )
         for step, demand in candidate.reservations.items():
             rebuilt.reserve(candidate.key, step, demand)
     if rebuilt.rack_accelerators != fleet.rack_accelerators:
--- a/packages/core/crocuswell_core/dispatching/indexing.py
+++ b/packages/core/crocuswell_core/dispatching/indexing.py
@@ -4,6 +4,7 @@
 from crocuswell_core.dispatching.dispatch_state import DispatchChanges, Reservation
 from crocuswell_core.dispatching.fleet import Fleet, PreemptibleWork
 from crocuswell_core.dispatching.ranking import find_outdated_jobs, rank_jobs
+from crocuswell_core.dispatching.trials import note_trials
 from crocuswell_core.dispatching.waiting_steps import (
     NEVER_CONSIDERED_MS,
     WaitingSteps,
@@ -79,7 +80,7 @@
         return
     is_new = key not in dispatch.fleet.candidates
     free, placed, preemptible = measure_worker(state, view)
-    dispatch.fleet.put(view, free, placed)
+    dispatch.fleet.put(view, free, placed, note_trials(state, key))
     dispatch.fleet.candidates[key].preemptible = preemptible
     if is_new:
         for step, reservation in dispatch.reservations.items():
@@ -141,7 +142,8 @@
     """Forget what was kept for steps that no longer wait."""
     dispatch = state.dispatch
     waiting = dispatch.waiting.by_key
-    for by_step in (dispatch.reserved_racks, dispatch.ample_since_ms):
+    waits = (dispatch.reserved_racks, dispatch.ample_since_ms, dispatch.trial_waits)
+    for by_step in waits:
         for key in [key for key in by_step if key not in waiting]:
             del by_step[key]
     dispatch.awaited_ends &= waiting.keys()
--- a/packages/core/crocuswell_core/dispatching/outages.py
+++ b/packages/core/crocuswell_core/dispatching/outages.py
@@ -1,14 +1,17 @@
 """Workers that ceased to answer, to tell crashes with a common cause."""
 
 from crocuswell_core.dispatching.dispatch_state import DispatchState, Outage
+from crocuswell_core.dispatching.trials import note_trials
 from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.entry.entry_state import EntryState
-from crocuswell_core.jobs.crash_records import EARLY_CRASH_MS
+from crocuswell_core.jobs.crash_history import EARLY_CRASH_MS
 from crocuswell_core.jobs.job_records import RunId
 
 # Runners report an outage at once; workers that fail together are seen to do
 # so within this time.
-COINCIDENCE_MS = 500
+COINCIDENCE_MS = 150
+# In larger fleets more workers fail at the same time by chance.
+WORKERS_PER_CHANCE_OUTAGE = 50
 # A crash is reported once the worker has started again.
 OUTAGE_RETENTION_MS = 60_000
 
@@ -19,25 +22,36 @@
     cutoff_ms = state.now_ms - OUTAGE_RETENTION_MS
     for key in [key for key, each in outages.items() if each.since_ms < cutoff_ms]:
         del outages[key]
-    explained = _has_young_run(state, view)
+    explained = _has_possible_cause(state, view)
     outages[view.worker.key] = Outage(state.now_ms, explained)
 
 
-def _has_young_run(state: EntryState, view: WorkerView) -> bool:
-    """Tell whether a run that was just ordered may be the cause."""
+def _has_possible_cause(state: EntryState, view: WorkerView) -> bool:
+    """Tell whether a run on trial, or one just ordered, may be the cause."""
+    if note_trials(state, view.worker.key):
+        return True
     placed = state.cluster.jobs.placed.get(view.worker.key, {})
     return any(
-        state.now_ms - ordered_ms <= EARLY_CRASH_MS + COINCIDENCE_MS
+        state.now_ms - ordered_ms <= EARLY_CRASH_MS
         for run, ordered_ms in view.ordered_starts.items()
         if RunId(run.task, placed.get(run.task, 0)) == run
     )
 
 
 def is_coincident(dispatch: DispatchState, worker: str) -> bool:
-    """Tell whether others failed with a boot, without a cause of their own."""
+    """Tell whether a boot failed with others for a common cause.
+
+    Either others failed without a cause of their own, or too many at once
+    for each to have one.
+    """
     own = dispatch.outages.get(worker)
-    return own is not None and any(
-        abs(other.since_ms - own.since_ms) <= COINCIDENCE_MS and not other.explained
+    if own is None:
+        return False
+    others = [
+        other
         for key, other in dispatch.outages.items()
-        if key != worker
-    )
+        if key != worker and abs(other.since_ms - own.since_ms) <= COINCIDENCE_MS
+    ]
+    by_chance = len(dispatch.views) // WORKERS_PER_CHANCE_OUTAGE
+    unexplained = sum(not other.explained for other in others)
+    return unexplained > by_chance or len(others) > 2 * by_chance + 1
--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from crocuswell_core.dispatching import trials
 from crocuswell_core.dispatching.fleet import (
     CandidateWorker,
     FittingWorkers,
@@ -80,14 +81,21 @@
 
 
 def choose_placements(
-    fleet: Fleet, waiting: WaitingStep, candidates: list[CandidateWorker], limit: int
+    state: EntryState,
+    waiting: WaitingStep,
+    candidates: list[CandidateWorker],
+    limit: int,
 ) -> Placements:
     """Return a worker for each task to start; empty if none can start.
 
     A gang is placed as a whole or not at all. Of other steps, at most
-    `limit` tasks are placed.
+    `limit` tasks are placed, and only one that needs a trial.
     """
-    ranked = waiting.ranked
+    fleet, ranked = state.dispatch.fleet, waiting.ranked
+    if trials.is_held_back(state, ranked):
+        return {}
+    if ranked.suspects and not ranked.step.gang:
+        return _place_on_trial(state, ranked, candidates, ranked.suspects[0])
     if not ranked.step.gang:
         return _place_independent_tasks(fleet, ranked, candidates, limit)
     if ranked.step.prefers_one_rack:
@@ -95,6 +103,21 @@
     return place_gang(fleet, ranked, candidates)
 
 
+def _place_on_trial(
+    state: EntryState, ranked: RankedStep, candidates: list[CandidateWorker], index: int
+) -> Placements:
+    fleet = state.dispatch.fleet
+    with_room = [c for c in candidates if _copies_left(ranked, c)]
+    with_room.sort(key=lambda candidate: _preference(fleet, ranked, candidate))
+    is_busy = not _is_idle(fleet, ranked.service)
+    chosen = trials.choose_trial_worker(state, ranked, index, with_room, is_busy)
+    if chosen is None:
+        return {}
+    state.dispatch.last_trial_ms = state.now_ms
+    state.dispatch.trial_waits.pop(ranked.key, None)
+    return {index: chosen}
+
+
 def start_limit(ranked: RankedStep, fitting: FittingWorkers) -> int:
     """Return how many tasks of a step may start now.
 
@@ -250,9 +273,14 @@
 ) -> Placements:
     """Place all tasks, filling the fullest workers first."""
     failed_on = _failed_worker_ids(ranked)
+    is_suspect = bool(ranked.suspects)
+    crashed = {name for task in ranked.tasks for name in task.crashed_machines}
     ordered = sorted(
         (candidate for candidate in candidates if max_copies_on(ranked, candidate)),
         key=lambda c: (
+            # What a suspect gang may crash should run nothing else.
+            is_suspect and bool(c.placed),
+            is_suspect and c.worker.machine in crashed,
             c.worker.id in failed_on,
             _is_remote(ranked, c),
             c.available.accelerators,
@@ -299,7 +327,7 @@
     if state.now_ms - idle_since_ms < AMPLE_CAPACITY_MS:
         return {}
     fleet = state.dispatch.fleet
-    placements = choose_placements(fleet, waiting, candidates, limit or 1)
+    placements = choose_placements(state, waiting, candidates, limit or 1)
     if placements or not ranked.step.gang:
         return placements
     return place_gang(fleet, ranked, candidates)
--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -29,6 +29,7 @@
 )
 from crocuswell_core.dispatching.preemption import Preemption, choose_preemption
 from crocuswell_core.dispatching.ranking import find_due_jobs
+from crocuswell_core.dispatching.trials import awaits_trial, end_trials
 from crocuswell_core.dispatching.waiting_steps import RankedStep, WaitingStep
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_commands import PlaceRuns
@@ -56,6 +57,7 @@
 def plan_if_due(state: EntryState) -> list[Effect]:
     """Plan if something changed, or if time may have changed a limit."""
     dispatch = current_dispatch(state)
+    end_trials(state)
     waited_ms = state.now_ms - dispatch.last_plan_ms
     is_due = (
         dispatch.changes.affect_plan
@@ -118,7 +120,7 @@
         if not candidate.is_held_from(ranked.key, ranked.sort_key, end_ms)
     ]
     limit = start_limit(ranked, fitting)
-    placements = choose_placements(fleet, waiting, usable, limit) if limit else {}
+    placements = choose_placements(state, waiting, usable, limit) if limit else {}
     has_reservation = ranked.key in dispatch.reservations
     if not placements and not has_reservation:
         placements = place_on_idle_fleet(state, waiting, sound, limit)
@@ -126,7 +128,7 @@
         plan.placements += _assign_tasks(state, ranked, placements)
         indexing.release_reservation(state, ranked.key)
         release_holds(state, waiting)
-    elif limit and not has_reservation:
+    elif limit and not has_reservation and not (sound and awaits_trial(state, ranked)):
         plan.effects += _make_room(state, waiting, fitting)
 
 
--- a/packages/core/crocuswell_core/dispatching/ranking.py
+++ b/packages/core/crocuswell_core/dispatching/ranking.py
@@ -172,6 +172,7 @@
                 step=step,
                 service=queue.service,
                 waiting=waiting,
+                suspects=tuple(index for index in waiting if tasks[index].is_suspect),
                 failed_on=frozenset(
                     worker for index in waiting for worker in tasks[index].failed_on
                 ),
--- a/packages/core/crocuswell_core/dispatching/waiting_steps.py
+++ b/packages/core/crocuswell_core/dispatching/waiting_steps.py
@@ -25,6 +25,8 @@
         Job id, number of the occurrence and index of the step.
     waiting : tuple of int
         Indices of the tasks to start; all of them for a gang.
+    suspects : tuple of int
+        Indices of those that may be what crashes their workers.
     failed_on : frozenset of str
         Ids of the workers on which a waiting task failed.
     sort_key : tuple
@@ -48,6 +50,7 @@
     step: StepSpec
     service: str
     waiting: tuple[int, ...]
+    suspects: tuple[int, ...]
     failed_on: frozenset[str]
     sort_key: SortKey
     outdated_ms: int
--- a/packages/core/crocuswell_core/jobs/crash_history.py
+++ b/packages/core/crocuswell_core/jobs/crash_history.py
@@ -1,9 +1,37 @@
-"""What the crashes of workers say about a task."""
+"""What the crashes of workers say about a task.
+
+Most tasks on a worker that crashes are innocent. A culprit differs from its
+neighbours: it is there each time, the crash follows its start after about the
+same time, and it crashes a worker on which nothing else runs. It differs from
+a faulty machine in that it crashes others too.
+"""
 
 from typing import Self
 
 import attrs
 
+# A crash within this time of a run's start points to the run.
+EARLY_CRASH_MS = 1_000
+# A run that has lasted for this long does not crash its workers.
+MAX_BLAME_MS = 60_000
+# Crashes after a time that differs by more than this have different causes.
+SAME_CAUSE_FACTOR = 4
+SAME_CAUSE_MARGIN_MS = 2_000
+# From these counts on a task runs alone, so that its neighbours are safe and
+# a further crash is proof.
+SUSPECT_EARLY = 1
+SUSPECT_COUNT = 2
+# Counts that prove a task to be the cause, if in one of the crashes nothing
+# else came into question, and they were on several machines.
+PROOF_MACHINES = 2
+PROOF_EARLY = 3
+PROOF_COUNT_SOLE = 4
+# Count that is proof in any case.
+PROOF_COUNT = 5
+# Crashes that ended the task's runs, whatever their cause, after which it is
+# not tried again.
+MAX_CRASHES = 8
+
 
 @attrs.frozen
 class CrashHistory:
@@ -15,26 +43,60 @@
         Crashes of a worker that had a run of the task.
     early : int
         Those soon after the run's start.
-    alone : int
-        Those of a worker that ran nothing else.
+    sole : int
+        Those for which nothing else on the worker comes into question.
     longest_ms : int
         Longest time in ms for which such a run had been there.
+    machines : tuple of str
+        Machines of the workers that crashed.
+    excused : int
+        Crashes under the task that are not counted, since they had another
+        cause.
     """
 
     count: int = 0
     early: int = 0
-    alone: int = 0
+    sole: int = 0
     longest_ms: int = 0
+    machines: tuple[str, ...] = ()
+    excused: int = 0
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the task should run alone."""
+        return self.early >= SUSPECT_EARLY or self.count >= SUSPECT_COUNT
 
-    def after_crash(self, ran_ms: int, early: bool, alone: bool) -> Self:
-        """Return the history with one more crash."""
+    @property
+    def is_proof(self) -> bool:
+        """Whether the crashes prove that the task causes them."""
+        if self.count >= PROOF_COUNT or self.count + self.excused >= MAX_CRASHES:
+            return True
+        if self.sole == 0 or len(self.machines) < PROOF_MACHINES:
+            return False
+        return self.early >= PROOF_EARLY or self.count >= PROOF_COUNT_SOLE
+
+    def after_crash(self, machine: str, ran_ms: int, sole: bool) -> Self:
+        """Return the history with one more crash.
+
+        A run that has outlived the earlier crashes by far did not cause them.
+        """
+        if ran_ms > MAX_BLAME_MS:
+            return type(self)()
+        known = self
+        if ran_ms > SAME_CAUSE_FACTOR * self.longest_ms + SAME_CAUSE_MARGIN_MS:
+            known = type(self)()
         return attrs.evolve(
-            self,
-            count=self.count + 1,
-            early=self.early + early,
-            alone=self.alone + alone,
-            longest_ms=max(self.longest_ms, ran_ms),
+            known,
+            count=known.count + 1,
+            early=known.early + (ran_ms <= EARLY_CRASH_MS),
+            sole=known.sole + sole,
+            longest_ms=max(known.longest_ms, ran_ms),
+            machines=tuple(dict.fromkeys((*known.machines, machine))),
         )
 
+    def after_excused_crash(self) -> Self:
+        """Return the history with one more crash that had another cause."""
+        return attrs.evolve(self, excused=self.excused + 1)
+
 
 NO_CRASHES = CrashHistory()
--- a/packages/core/crocuswell_core/jobs/crash_records.py
+++ b/packages/core/crocuswell_core/jobs/crash_records.py
@@ -1,25 +1,49 @@
-"""Records of workers' crashes, with the tasks that were there."""
+"""Records of workers' crashes, and the end of jobs that cause them."""
+
+from collections.abc import Iterator
+
+import attrs
 
 from crocuswell_core.cluster.cluster_state import ClusterState
-from crocuswell_core.jobs.crash_history import NO_CRASHES
+from crocuswell_core.jobs.crash_history import EARLY_CRASH_MS, NO_CRASHES
+from crocuswell_core.jobs.job_ends import end_job
 from crocuswell_core.jobs.job_records import (
     CrashedRun,
-    StepKey,
+    Job,
+    JobPhase,
+    Task,
     WorkerCrash,
     parse_boot_key,
 )
-from crocuswell_core.jobs.run_labels import run_labels
+from crocuswell_core.jobs.run_labels import run_labels, task_label
 from crocuswell_core.runtime.effects import ClusterEffect, Count, EmitLogEvent, Label
 
-# A crash within this time of a run's start points to the run.
-EARLY_CRASH_MS = 1_000
 MAX_LISTED_TASKS = 16
 
 
+@attrs.frozen
+class _TaskUnderCrash:
+    """An open job's task with the run that was there."""
+
+    crashed: CrashedRun
+    job: Job
+    task: Task
+
+    @property
+    def is_repeated(self) -> bool:
+        """Whether the task has crashed a worker early before, and again."""
+        known = self.task.crashes or NO_CRASHES
+        return known.early > 0 and self.crashed.ran_ms <= EARLY_CRASH_MS
+
+
 def record_crash(
     cluster: ClusterState, crash: WorkerCrash, coincident: bool
 ) -> list[ClusterEffect]:
-    """Record the crash of a worker's boot, once."""
+    """Record the crash of a worker's boot, once.
+
+    It counts against the tasks that were there, or only against those that
+    explain it, unless it has a cause outside of them.
+    """
     table = cluster.jobs
     if table.has_recorded_crash(crash.worker):
         return []
@@ -32,16 +56,26 @@
             labels=(Label("coincident", str(coincident).lower()),),
         ),
     ]
-    for crashed in crash.runs:
-        effects += _record_run(cluster, crash, crashed, coincident)
+    present = list(_present_tasks(cluster, crash))
+    explaining = [each for each in present if each.is_repeated]
+    for each in present:
+        counted = not coincident and each in (explaining or present)
+        effects += _record_task(cluster, crash, each, counted)
     return effects
 
 
+def _present_tasks(
+    cluster: ClusterState, crash: WorkerCrash
+) -> Iterator[_TaskUnderCrash]:
+    for crashed in crash.runs:
+        task = cluster.jobs.task(crashed.run.task)
+        if task is not None:
+            job = cluster.jobs.jobs[crashed.run.task.job_id]
+            yield _TaskUnderCrash(crashed, job, task)
+
+
 def _report_crash(crash: WorkerCrash, coincident: bool) -> EmitLogEvent:
-    tasks = [
-        f"{task.job_id}.{task.occurrence}.{task.step}.{task.index}"
-        for task in (crashed.run.task for crashed in crash.runs)
-    ]
+    tasks = [task_label(crashed.run.task) for crashed in crash.runs]
     return EmitLogEvent(
         "worker_crashed",
         (
@@ -53,33 +87,50 @@
     )
 
 
-def _record_run(
-    cluster: ClusterState, crash: WorkerCrash, crashed: CrashedRun, coincident: bool
+def _record_task(
+    cluster: ClusterState, crash: WorkerCrash, present: _TaskUnderCrash, counted: bool
 ) -> list[ClusterEffect]:
-    """Record a crash for the task of one of the runs that were there."""
-    task = cluster.jobs.task(crashed.run.task)
-    if task is None:
-        return []
-    before = task.crashes or NO_CRASHES
-    after = before.after_crash(
-        crashed.ran_ms,
-        early=crashed.ran_ms <= EARLY_CRASH_MS,
-        alone=_steps(crash) == {crashed.run.task.step_key},
-    )
-    if not coincident:
-        task.crashes = after
+    """Record a crash for a task, and end its job if that is proof."""
+    crashed, job, task = present.crashed, present.job, present.task
+    history = task.crashes or NO_CRASHES
+    if counted:
+        machine, _ = parse_boot_key(crash.worker)
+        sole = _is_sole_candidate(crash, crashed)
+        history = history.after_crash(machine, crashed.ran_ms, sole)
+    else:
+        history = history.after_excused_crash()
+    task.crashes = history
     labels = (
         *run_labels(crashed.run),
         Label("worker", crash.worker),
         Label("ran_ms", str(crashed.ran_ms)),
         Label("beside", str(len(crash.runs) - 1)),
-        Label("counted", str(not coincident).lower()),
-        Label("crashes", str(after.count)),
-        Label("early", str(after.early)),
-        Label("alone", str(after.alone)),
+        Label("counted", str(counted).lower()),
+        Label("crashes", str(history.count)),
+        Label("early", str(history.early)),
+        Label("sole", str(history.sole)),
     )
-    return [EmitLogEvent("task_under_crash", labels)]
+    effects: list[ClusterEffect] = [EmitLogEvent("task_under_crash", labels)]
+    if history.is_proof and job.is_open:
+        label = task_label(crashed.run.task)
+        reason = f"task {label}: {history.count} workers crashed under it"
+        effects += end_job(cluster, job, JobPhase.FAILED, reason)
+        effects.append(
+            Count(
+                "jobs_given_up_for_crashes_total", labels=(Label("queue", job.queue),)
+            )
+        )
+    return effects
 
 
-def _steps(crash: WorkerCrash) -> set[StepKey]:
-    return {crashed.run.task.step_key for crashed in crash.runs}
+def _is_sole_candidate(crash: WorkerCrash, crashed: CrashedRun) -> bool:
+    """Tell whether nothing else on the worker comes into question.
+
+    Either only its step ran there, or only its step had just started.
+    """
+    is_early = crashed.ran_ms <= EARLY_CRASH_MS
+    return all(
+        other.run.task.step_key == crashed.run.task.step_key
+        or (is_early and other.ran_ms > EARLY_CRASH_MS)
+        for other in crash.runs
+    )
--- a/packages/core/crocuswell_core/jobs/job_commands.py
+++ b/packages/core/crocuswell_core/jobs/job_commands.py
@@ -133,10 +133,11 @@
 
 @attrs.frozen
 class JobView:
-    """Phase of a job."""
+    """Phase of a job, and why it failed."""
 
     job_id: str
     phase: JobPhase
+    reason: str = ""
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/jobs/job_ends.py
+++ b/packages/core/crocuswell_core/jobs/job_ends.py
@@ -12,10 +12,11 @@
 
 
 def end_job(
-    cluster: ClusterState, job: Job, phase: JobPhase
+    cluster: ClusterState, job: Job, phase: JobPhase, reason: str = ""
 ) -> tuple[ClusterEffect, ...]:
     """End a job in a phase; its runs are no longer wanted."""
     job.phase = phase
+    job.reason = reason
     job.ended_ms = cluster.now_ms
     cluster.jobs.revision += 1
     metric_labels = (Label("queue", job.queue), Label("phase", phase.value))
@@ -25,6 +26,7 @@
         *metric_labels,
         Label("age_ms", str(age_ms)),
         Label("failures", str(job.failures)),
+        Label("reason", reason),
     )
     return (
         EmitLogEvent("job_ended", labels),
--- a/packages/core/crocuswell_core/jobs/job_read_handlers.py
+++ b/packages/core/crocuswell_core/jobs/job_read_handlers.py
@@ -28,7 +28,7 @@
     job = state.cluster.jobs.jobs.get(call.job_id)
     if job is None:
         return Refused(ErrorKind.RESULT_EXPIRED, "no such job")
-    return JobView(job.id, job.phase)
+    return JobView(job.id, job.phase, job.reason)
 
 
 @answer_read.register
--- a/packages/core/crocuswell_core/jobs/job_records.py
+++ b/packages/core/crocuswell_core/jobs/job_records.py
@@ -253,6 +253,16 @@
     placed_ms: int = 0
     crashes: CrashHistory | None = None
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the task may be what crashes its workers."""
+        return self.crashes is not None and self.crashes.is_suspect
+
+    @property
+    def crashed_machines(self) -> tuple[str, ...]:
+        """Machines whose workers crashed under the task."""
+        return self.crashes.machines if self.crashes is not None else ()
+
 
 @attrs.frozen
 class Schedule:
@@ -325,6 +335,8 @@
         None for a job that runs once, as soon as possible.
     occurrences : dict
         Occurrences that have started, by number.
+    reason : str
+        Why the job failed; empty for other jobs.
     """
 
     id: str
@@ -338,6 +350,7 @@
     ended_ms: int = 0
     schedule: Schedule | None = None
     occurrences: dict[int, Occurrence] = attrs.Factory(dict)
+    reason: str = ""
 
     @property
     def is_open(self) -> bool:
--- a/packages/core/crocuswell_core/jobs/run_command_handlers.py
+++ b/packages/core/crocuswell_core/jobs/run_command_handlers.py
@@ -26,7 +26,7 @@
     parse_worker_id,
 )
 from crocuswell_core.jobs.job_table import JobTable
-from crocuswell_core.jobs.run_labels import run_labels
+from crocuswell_core.jobs.run_labels import run_labels, task_label
 from crocuswell_core.runtime.dispatch import apply_command
 from crocuswell_core.runtime.effects import (
     ApplyResult,
@@ -224,7 +224,8 @@
     queue = find_queue_by_name(cluster.jobs.catalog, job.queue)
     limit = queue.attempt_limit if queue else 1
     if job.is_open and not step.long_running and failed_task.failures >= limit:
-        return list(end_job(cluster, job, JobPhase.FAILED))
+        reason = f"task {task_label(run.task)} failed {failed_task.failures} times"
+        return list(end_job(cluster, job, JobPhase.FAILED, reason))
     return []
 
 
--- a/packages/daemon/crocuswell_daemon/counters.py
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -79,6 +79,9 @@
         "Time from acceptance to the first start", ("queue",), COMPLETION_BUCKETS_S
     ),
     "jobs_accepted_total": Metric("Accepted jobs", ("queue",)),
+    "jobs_given_up_for_crashes_total": Metric(
+        "Jobs that failed because a task crashed its workers", ("queue",)
+    ),
     "jobs_open": Metric("Jobs that have not ended", is_gauge=True),
     "disk_full": Metric("Whether the disk takes no bytes, 1 or 0", is_gauge=True),
     "leader": Metric("Whether this host leads, 1 or 0", is_gauge=True),
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -152,7 +152,10 @@
     table.start(run_of("j", number=2), worker="m2/w2@5")
     for _ in range(2):
         table.apply(MarkWorkerLost("m1/w1@5", crash=crash))
-    expected = [CrashHistory(1, 1, 1, 300), CrashHistory(1, 0, 1, 4_000)]
+    expected = [
+        CrashHistory(1, 1, 1, 300, ("m1",)),
+        CrashHistory(1, 0, 1, 4_000, ("m1",)),
+    ]
     assert [task.crashes for task in table.tasks("j")] == expected
     assert table.tasks("j")[0].run == 2
 
@@ -164,7 +167,7 @@
     table.start(A)
     crash = crash_of(CrashedRun(A, 300))
     table.apply(MarkWorkerLost("m1/w1@5", crash=crash, coincident=True))
-    assert table.tasks("j")[0].crashes is None
+    assert table.tasks("j")[0].crashes == CrashHistory(excused=1)
     assert table.tasks("j")[0].worker == ""
 
 
@@ -176,7 +179,7 @@
     table.apply(MarkWorkerLost("m1/w1@5", crash=crash_of(CrashedRun(A, 300))))
     state = wire.decode(wire.encode(table.cluster), ClusterState)
     task = state.jobs.jobs["j"].occurrences[0].tasks[0][0]
-    assert task.crashes == CrashHistory(1, 1, 1, 300)
+    assert task.crashes == CrashHistory(1, 1, 1, 300, ("m1",))
     assert state.jobs.has_recorded_crash("m1/w1@5")
 
 
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -1,14 +1,19 @@
 """Tasks that crash the workers that start them, and other crashes."""
 
+import attrs
 import pytest
 
+from bench.crashing_fleet import CrashingFleet
+from bench.loads import Load, WorkerFault, load_named
 from crocuswell_core.jobs.job_records import RunId, Schedule
 from tests.crash_harness import CrashingWorkers
 from tests.job_harness import BATCH, TIGHT, URGENT, step
+from tests.test_load_patterns import with_class
 
-# Starts of a task that crashes its workers: three crashes prove it, and it is
-# started less than three times more.
-MAX_STARTS = 5
+# Once a task has crashed three workers it is started less than three times
+# more.
+MAX_LATE_STARTS = 2
+MAX_STARTS = 3 + MAX_LATE_STARTS
 
 
 def first_task_after(ms: int):
@@ -120,3 +125,49 @@
         fleet.crash(fleet.workers[:1])
     fleet.run_until_ended(*jobs)
     assert {fleet.phase(job_id) for job_id in jobs} == {"completed"}
+
+
+# --- whole loads -------------------------------------------------------------
+
+WAVES = tuple(
+    WorkerFault(
+        "crash" if number % 2 else "rack_crash", 3_000 + 5_000 * number, 0.3, 2_500
+    )
+    for number in range(5)
+)
+SEEDS = range(1, 7)
+
+
+def van_load(**changes: object) -> Load:
+    return attrs.evolve(load_named("van"), length_ms=34_000, **changes)
+
+
+def play(load: Load, seed: int) -> CrashingFleet:
+    fleet = CrashingFleet(load, seed)
+    fleet.play()
+    return fleet
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("share", [0.1, 0.5])
+@pytest.mark.parametrize("name", ["route-replan", "blade-scan", "invoice-batch"])
+def test_load_with_tasks_that_crash_workers(name, share, seed) -> None:
+    """Guards against workers that crash without end under a busy load."""
+    fleet = play(with_class(van_load(), name, crashing_share=share), seed)
+    assert max(fleet.late_starts.values(), default=0) <= MAX_LATE_STARTS
+    assert not fleet.wrongly_failed
+
+
+@pytest.mark.parametrize("seed", range(1, 21))
+def test_load_with_waves_of_crashes_loses_no_job(seed) -> None:
+    """Guards against giving up work under crashes that it did not cause."""
+    assert not play(van_load(faults=WAVES), seed).wrongly_failed
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_waves_do_not_hide_tasks_that_crash_workers(seed) -> None:
+    """Guards against culprits that pass as victims of other crashes."""
+    load = with_class(van_load(faults=WAVES), "route-replan", crashing_share=0.3)
+    fleet = play(load, seed)
+    assert max(fleet.late_starts.values(), default=0) <= MAX_LATE_STARTS
+    assert not fleet.wrongly_failed
