Give up requests under which backend servers crash

What callers saw: nothing yet; found by looking for the same cause elsewhere. An idempotent request whose backend server restarts under it was retried without a bound, as the limit of attempts counts only failures: 20 restarts, 20 attempts.

Cause: as for the tasks of jobs, a loss was no attempt.

Change: an agent that reports a task as lost lives on, so its backend server has ended. Such losses are kept with the request as its history of crashes; five within a minute of the start end it as failed, with a detail that names them. A worker that falls silent is not counted, nor are restarts under long work.

Result: test_request_that_takes_its_backend_server_down_is_given_up fails before (20 attempts) and passes (5); the two tests beside it keep what must not count.

--- a/packages/core/crocuswell_core/cluster/attempts.py
+++ b/packages/core/crocuswell_core/cluster/attempts.py
@@ -264,6 +264,9 @@
 
 @_apply_report.register
 def _(report: TaskLost, cluster: ClusterState, attempt: Attempt) -> list[ClusterEffect]:
+    # The agent lived on, so it was the backend server that ended.
+    worker = attempt.members[report.rank].worker
+    attempt = attrs.evolve(attempt, crashed_on=attempt.crashed_on or worker)
     return _end_member(cluster, attempt, report.rank, MemberPhase.LOST)
 
 
--- a/packages/core/crocuswell_core/cluster/cluster_state.py
+++ b/packages/core/crocuswell_core/cluster/cluster_state.py
@@ -8,6 +8,7 @@
 from crocuswell_core.cluster.records import Attempt, AttemptId, Request, Worker
 from crocuswell_core.cluster.resources import Resources, Shape
 from crocuswell_core.cluster.scheduling_index import SchedulingIndex
+from crocuswell_core.jobs.crash_history import CrashHistory
 from crocuswell_core.jobs.job_table import JobTable
 from crocuswell_core.policy.policies import DefaultPolicy
 
@@ -206,6 +207,8 @@
         long borrowers should be stopped for.
     jobs : JobTable
         Multi-step jobs and the catalog that they refer to.
+    crash_histories : dict
+        Crashes of backend servers by the open request that was there.
     policy : DefaultPolicy
         Scheduling policy.
     index : SchedulingIndex or None
@@ -242,6 +245,7 @@
     short_jobs_checked_at_ms: int = 0
     policy: DefaultPolicy = attrs.Factory(DefaultPolicy)
     jobs: JobTable = attrs.Factory(JobTable)
+    crash_histories: dict[str, CrashHistory] = attrs.Factory(dict)
     index: SchedulingIndex | None = attrs.field(
         default=None, init=False, eq=False, repr=False
     )
--- a/packages/core/crocuswell_core/cluster/outcomes.py
+++ b/packages/core/crocuswell_core/cluster/outcomes.py
@@ -26,6 +26,7 @@
     RequestPhase,
     StopReason,
 )
+from crocuswell_core.jobs.crash_history import NO_CRASHES
 from crocuswell_core.policy.forecast import observe_run
 from crocuswell_core.runtime.effects import (
     ClusterEffect,
@@ -99,6 +100,7 @@
     dequeue(cluster, request)
     drop_hold(cluster, request.id)
     cluster.reservations.pop(request.id, None)
+    cluster.crash_histories.pop(request.id, None)
     cluster.requests[request.id] = attrs.evolve(
         request, phase=RequestPhase.DONE, outcome=outcome, not_before_ms=0
     )
@@ -204,6 +206,8 @@
 ) -> list[ClusterEffect]:
     if attempt.stop_reason in REQUEUE_REASONS:
         return _requeue(cluster, request, 0)
+    if attempt.crashed_on:
+        _record_crash(cluster, attempt)
     failed = attempt.stop_reason is StopReason.MEMBER_FAILED
     if failed:
         request = attrs.evolve(
@@ -226,11 +230,25 @@
         return "its workspace was removed"
     if failed and len(request.failed_on) >= cluster.configuration.limits.attempts:
         return f"failed {len(request.failed_on)} times"
+    crashes = cluster.crash_histories.get(request.id, NO_CRASHES)
+    if crashes.is_proof:
+        return f"its backend server crashed {crashes.count} times"
     if cluster.retries.get(request.workspace, 0) >= workspace.retry_budget:
         return "the workspace's retry budget is used up"
     return ""
 
 
+def _record_crash(cluster: ClusterState, attempt: Attempt) -> None:
+    """Record the crash of a backend server under an attempt."""
+    histories = cluster.crash_histories
+    history = histories.get(attempt.id.request_id, NO_CRASHES)
+    started_at_ms = attempt.started_at_ms or cluster.now_ms
+    # Agents do not tell what else ran there.
+    histories[attempt.id.request_id] = history.after_crash(
+        attempt.crashed_on, cluster.now_ms - started_at_ms, sole=False
+    )
+
+
 def _give_up(
     cluster: ClusterState, request: Request, attempt: Attempt, reason: str
 ) -> list[ClusterEffect]:
--- a/packages/core/crocuswell_core/cluster/records.py
+++ b/packages/core/crocuswell_core/cluster/records.py
@@ -230,6 +230,8 @@
         borrower, which runs outside the workspace's guarantees.
     expected_end_ms : int
         Expected end in cluster time in ms, as predicted at placement.
+    crashed_on : str
+        Worker whose backend server crashed under a member; empty if none did.
     """
 
     id: AttemptId
@@ -245,6 +247,7 @@
     checkpoint: bytes | None = None
     guarantee: str | None = None
     expected_end_ms: int = 0
+    crashed_on: str = ""
 
 
 @attrs.frozen
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -302,3 +302,49 @@
     cluster.apply(RecordReports("w1", "i1", 2, (report,)))
     assert cluster.state.report_sequences["w1"] == 0
     assert cluster.outcome("q") is None
+
+
+def lose_each_attempt(run_ms: int, attempts: int) -> Cluster:
+    """Return a cluster whose backend servers restart under a request."""
+    cluster = small_cluster()
+    cluster.submit("q", SINGLE)
+    for _ in range(attempts):
+        if cluster.outcome("q") is not None:
+            break
+        cluster.advance(run_ms)
+        running = cluster.attempt("q")
+        cluster.report(running.members[0].worker, TaskLost(running.id, 0))
+        cluster.advance(60_000)
+    return cluster
+
+
+def test_request_that_takes_its_backend_server_down_is_given_up() -> None:
+    """Guards against a request that takes down server after server."""
+    cluster = lose_each_attempt(run_ms=500, attempts=20)
+    outcome = cluster.request("q").outcome
+    assert outcome is not None
+    assert outcome.outcome is Outcome.FAILED
+    assert "its backend server crashed" in outcome.detail
+    assert cluster.request("q").attempts_made <= 5
+
+
+def test_restarts_under_long_work_do_not_end_its_request() -> None:
+    """Guards against giving up long work under rolling restarts."""
+    cluster = lose_each_attempt(run_ms=120_000, attempts=20)
+    assert cluster.outcome("q") is None
+    assert cluster.request("q").attempts_made == 21
+
+
+def test_workers_that_fall_silent_do_not_count_against_a_request() -> None:
+    """Guards against blaming a request for hosts that are cut off."""
+    cluster = small_cluster()
+    cluster.submit("q", SINGLE)
+    for number in range(8):
+        worker = cluster.attempt("q").members[0].worker
+        incarnation = cluster.state.workers[worker].incarnation
+        cluster.advance(500)
+        cluster.apply(DeclareSilent(worker, incarnation))
+        cluster.announce(worker, incarnation=f"again-{number}")
+        cluster.advance(60_000)
+    assert not cluster.state.crash_histories
+    assert cluster.outcome("q") is None
