Let threads keep connections only while the HTTP server runs

Cause: the selector belongs to the server and is used by its threads, but the base class closes it before it ends them. A thread looks whether the server still runs and then returns its connection to the selector; between the two the stop may have closed it. The thread dies, and its connection stays open. Load only widens the gap: with 64 threads that answer at the moment of the stop it was hit by chance.

Change: a thread returns a connection, and the stop begins, under one lock. Once the stop has begun, connections are closed instead; the selector closes after the last return.

--- a/packages/daemon/crocuswell_daemon/http_server.py
+++ b/packages/daemon/crocuswell_daemon/http_server.py
@@ -9,6 +9,7 @@
 import logging
 import queue
 import socket
+import threading
 import time
 from collections import deque
 from collections.abc import Callable
@@ -195,6 +196,8 @@
             accepted_queue_timeout=0,
         )
         self._lingering: deque[HTTPConnection] = deque()
+        self._keep_lock = threading.Lock()
+        self._keeps_connections = True
 
     def process_conn(self, conn: HTTPConnection) -> None:
         """Queue a connection, or refuse it if the queue is full."""
@@ -208,8 +211,20 @@
         except queue.Full:
             self._refuse(conn)
 
+    def put_conn(self, conn: HTTPConnection) -> None:
+        """Keep a connection for its next request; close it during a stop."""
+        with self._keep_lock:
+            if self._keeps_connections:
+                super().put_conn(conn)
+                return
+        conn.close()
+
     def stop(self) -> None:
         """Stop accepting, finish requests in progress and close."""
+        # The base class closes its selector before the threads have ended,
+        # and a thread that then returns a connection to it would die.
+        with self._keep_lock:
+            self._keeps_connections = False
         super().stop()
         while self._lingering:
             self._close_oldest()
--- a/tests/test_http_limits.py
+++ b/tests/test_http_limits.py
@@ -9,6 +9,7 @@
 
 import attrs
 import pytest
+from cheroot.connections import ConnectionManager
 
 from crocuswell_core.cluster.commands import (
     Refused,
@@ -263,6 +264,35 @@
             loop.listener.answer(event.call_id, RequestView(REQUEST))
 
 
+def test_stop_waits_for_connections_that_are_being_kept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against threads that die on a selector that is already closed.
+
+    A thread that keeps a connection open returns it to the selector; here it
+    is about to do so when the stop begins.
+    """
+    returning, closed = threading.Event(), threading.Event()
+    put, close = ConnectionManager.put, ConnectionManager.close
+
+    def put_late(manager: ConnectionManager, conn: Any) -> None:
+        if threading.current_thread().name != "http":
+            returning.set()
+            closed.wait(1.5)
+        put(manager, conn)
+
+    def close_and_tell(manager: ConnectionManager) -> None:
+        close(manager)
+        closed.set()
+
+    monkeypatch.setattr(ConnectionManager, "put", put_late)
+    monkeypatch.setattr(ConnectionManager, "close", close_and_tell)
+    with contextlib.ExitStack() as stack:
+        loop = stack.enter_context(serving())
+        send_get(loop, stack, "/healthz").recv(65_536)
+        assert returning.wait(TEST_TIMEOUT_S)
+
+
 def test_stop_answers_calls_in_flight() -> None:
     """Guards against a planned stop that aborts calls in flight."""
     with contextlib.ExitStack() as stack:
