Withdraw starts that no longer fit on a worker that has shrunk

A start that was ordered and not answered is repeated, and one that was placed before its runner lost the leader is ordered again on the new stream, both without a look at the capacity that the worker reports meanwhile: the start brings the worker over it.

Cause: room is checked when a run is placed, and never again.

Change: before a worker is sent starts, and when its capacity changes, the runs that it does not list are compared with what is left; those that no longer fit are stopped, newest first, and placed elsewhere (run_withdrawn). Listed runs go on, and runs that are being stopped count until they have ended.

Result: test_starts_that_no_longer_fit_are_withdrawn fails before in both forms and passes; two tests beside it pass before and after.

--- a/packages/core/crocuswell_core/dispatching/orders.py
+++ b/packages/core/crocuswell_core/dispatching/orders.py
@@ -1,9 +1,10 @@
 """Orders to runners: the starts and stops that a worker was not sent yet."""
 
 from crocuswell_core.dispatching.dispatch_state import DispatchState
+from crocuswell_core.dispatching.health import stop_run
 from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.entry.entry_state import EntryState
-from crocuswell_core.jobs.job_records import RunId, TaskPhase
+from crocuswell_core.jobs.job_records import ResourceVector, RunId, TaskPhase
 from crocuswell_core.links.link_messages import RunOrders, StartRun, StopRun
 from crocuswell_core.runtime.effects import Effect, SendAgent
 
@@ -45,7 +46,10 @@
     key = view.worker.key
     starts: list[StartRun] = []
     stops: list[StopRun] = []
+    effects: list[Effect] = []
     placed = table.placed.get(key, {})
+    if any(RunId(*item) not in view.ordered_starts for item in placed.items()):
+        effects += _withdraw_starts(state, view)
     for task_id, number in placed.items():
         run = RunId(task_id, number)
         if not is_wanted(state, run):
@@ -60,9 +64,34 @@
         if placed.get(run.task) != run.number:
             stops += _stop_once(view, run)
     if not starts and not stops:
-        return []
+        return effects
     orders = RunOrders(state.consensus.term, key, tuple(starts), tuple(stops))
-    return [SendAgent(view.stream_id, orders)]
+    return [*effects, SendAgent(view.stream_id, orders)]
+
+
+def _withdraw_starts(state: EntryState, view: WorkerView) -> list[Effect]:
+    """Stop runs that the worker does not list and that no longer fit there.
+
+    Its capacity has shrunk since they were placed.
+    """
+    jobs = state.cluster.jobs.jobs
+    placed = state.cluster.jobs.placed.get(view.worker.key, {})
+    runs = [RunId(*item) for item in placed.items()]
+    unlisted = [run for run in runs if run not in view.running]
+    free = view.worker.capacity
+    for run in dict.fromkeys([*view.running, *unlisted]):
+        job = jobs.get(run.task.job_id)
+        if job is not None:
+            free = free - job.steps[run.task.step].demand
+    effects: list[Effect] = []
+    for run in reversed(unlisted):
+        if free.can_hold(ResourceVector()):
+            break
+        if not is_wanted(state, run):
+            continue
+        free = free + jobs[run.task.job_id].steps[run.task.step].demand
+        effects += stop_run("run_withdrawn", state, run)
+    return effects
 
 
 def _stop_once(view: WorkerView, run: RunId) -> list[StopRun]:
--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -153,6 +153,13 @@
         dispatch.lost_contact.discard(key)
     else:
         dispatch.lost_contact.add(key)
+    if view.worker.capacity != worker.capacity:
+        # Starts that are not carried out yet may no longer fit.
+        view.ordered_starts = {
+            run: since_ms
+            for run, since_ms in view.ordered_starts.items()
+            if run in running
+        }
     view.worker = worker
     view.last_report_ms = state.now_ms
     view.reachable = message.reachable
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -625,3 +625,68 @@
     # Two of nine workers are left free for urgent work at first.
     assert waited[0]
     assert not waited[-1]
+
+
+# --- capacity that shrinks and grows ---------------------------------------
+
+
+def shrunk(description, accelerators: int):
+    capacity = attrs.evolve(description.capacity, accelerators=accelerators)
+    return attrs.evolve(description, capacity=capacity)
+
+
+@pytest.mark.parametrize("stream_id", [1, 9], ids=["same-stream", "new-stream"])
+def test_starts_that_no_longer_fit_are_withdrawn(stream_id: int) -> None:
+    """Guards against a start that brings a shrunk worker over its capacity.
+
+    The start was ordered before, has no answer, and may be repeated.
+    """
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("small", step(1, accelerators=2), queue=TIGHT)
+    leader.report(1, W1, running_progress(leader, W1))
+    listed = running_progress(leader, W1)
+    leader.submit("large", step(1, accelerators=6), queue=TIGHT)
+    run = run_of("large")
+    assert leader.placed(W1)[run.task] == 1
+    found = orders(leader.report(stream_id, shrunk(W1, 4), listed))
+    assert [stop.run for order in found for stop in order.stops] == [run]
+    assert not [start for order in found for start in order.starts]
+    leader.report(stream_id, shrunk(W1, 4), listed, absent=(run,))
+    leader.tick()
+    assert run.task not in leader.placed(W1)
+    leader.report(stream_id, W1, listed)
+    leader.tick()
+    assert leader.placed(W1)[run.task] == 2
+
+
+def test_runs_that_are_being_stopped_count_against_a_shrunk_capacity() -> None:
+    """Guards against starts in resources that a stopped run still uses."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("a", step(4, accelerators=2), queue=TIGHT)
+    listed = running_progress(leader, W1)
+    leader.report(1, W1, listed)
+    leader.propose(CancelJob("a", address(TIGHT)))
+    leader.report(1, shrunk(W1, 6), listed)
+    leader.submit("b", step(1, accelerators=4), queue=TIGHT)
+    ended = [end_of(p.run, RunEndKind.STOPPED, n) for n, p in enumerate(listed, 1)]
+    leader.report(1, shrunk(W1, 6), listed[2:], ended[:2])
+    leader.tick()
+    assert TaskId("b", 0, 0) not in leader.placed(W1)
+    leader.report(1, shrunk(W1, 6), listed[3:], ended[2:3])
+    leader.tick()
+    assert leader.placed(W1)[TaskId("b", 0, 0)] == 1
+
+
+def test_running_work_stays_on_a_worker_that_shrinks() -> None:
+    """Guards against stopping work that its worker carries on."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("a", step(4, accelerators=2), queue=TIGHT)
+    listed = running_progress(leader, W1)
+    leader.report(1, W1, listed)
+    assert not orders(leader.report(1, shrunk(W1, 2), listed))
+    leader.submit("b", step(1, accelerators=1), queue=TIGHT)
+    leader.tick()
+    assert TaskId("b", 0, 0) not in leader.placed(W1)
