Survive run lists and crashes that name nothing known

What callers would see: no answer from any host. Found by random messages of clients, drawn from their types, with names that occur in the state.

Cause: the listed runs are looked up by job, and then by step without a check; the boot of a crash was parsed from text. The class: a record that ends each leader in turn.

Change: JobTable.step_of gives None for a step that does not exist, and is used for all listed runs; such runs are stopped like others that were not ordered. A crash names its boot by fields, and only those of the reporting machine are recorded.

Other commands that fail in the middle of their application still end each host in turn (they would do so again after a restart); none of the messages drawn reaches one.

--- a/bench/crashing_fleet.py
+++ b/bench/crashing_fleet.py
@@ -20,7 +20,6 @@
     RunProgress,
     TaskId,
     WorkerCrash,
-    parse_boot_key,
 )
 from crocuswell_core.links.link_messages import LeaseGrant, RunOrders
 from crocuswell_core.runtime.effects import SendAgent
@@ -116,7 +115,7 @@
         crashed.unrecorded = [
             crash
             for crash in crashed.unrecorded
-            if parse_boot_key(crash.worker)[1] > message.recorded_crash_ms
+            if crash.born_ms > message.recorded_crash_ms
         ]
 
     def _start_run(self, worker: SimulatedWorker, run: RunId) -> None:
@@ -150,7 +149,9 @@
         crashed.is_down = True
         runs = self._crashed_runs(worker)
         if runs:
-            crashed.unrecorded.append(WorkerCrash(worker.description.key, runs))
+            boot = worker.description
+            crash = WorkerCrash(boot.machine, boot.id, boot.born_ms, runs)
+            crashed.unrecorded.append(crash)
         crashed.last_list = tuple(
             RunProgress(simulated.run, "", simulated.percent)
             for simulated in worker.runs.values()
--- a/packages/core/crocuswell_core/dispatching/backfill.py
+++ b/packages/core/crocuswell_core/dispatching/backfill.py
@@ -91,13 +91,12 @@
 
 def _remaining_ms(state: EntryState, candidate: CandidateWorker) -> int:
     """Return the expected time in ms until a worker's last run ends."""
-    jobs = state.cluster.jobs.jobs
     longest_ms = 0
     for run, progress in candidate.view.running.items():
-        job = jobs.get(run.task.job_id)
-        if job is not None:
+        step = state.cluster.jobs.step_of(run.task)
+        if step is not None:
             left_ms = candidate.view.remaining_ms(
-                progress, job.steps[run.task.step].estimated_ms, state.now_ms
+                progress, step.estimated_ms, state.now_ms
             )
             longest_ms = max(longest_ms, left_ms)
     return longest_ms
--- a/packages/core/crocuswell_core/dispatching/health.py
+++ b/packages/core/crocuswell_core/dispatching/health.py
@@ -133,8 +133,8 @@
 
 def _is_long_running(state: EntryState, run: RunId) -> bool:
     """Tell whether a run lasts until cancelled and has no progress."""
-    job = state.cluster.jobs.jobs.get(run.task.job_id)
-    return job is not None and job.steps[run.task.step].long_running
+    step = state.cluster.jobs.step_of(run.task)
+    return step is not None and step.long_running
 
 
 def evacuate_worker(state: EntryState, view: WorkerView) -> list[Effect]:
@@ -148,10 +148,9 @@
         return []
     effects: list[Effect] = []
     for run, progress in view.running.items():
-        job = state.cluster.jobs.jobs.get(run.task.job_id)
-        if job is None or run in state.dispatch.stopping:
+        step = state.cluster.jobs.step_of(run.task)
+        if step is None or run in state.dispatch.stopping:
             continue
-        step = job.steps[run.task.step]
         left_ms = view.remaining_ms(progress, step.estimated_ms, state.now_ms)
         should_stay = left_ms <= view.worker.remaining_ms
         if not step.checkpointing:
--- a/packages/core/crocuswell_core/dispatching/indexing.py
+++ b/packages/core/crocuswell_core/dispatching/indexing.py
@@ -113,9 +113,9 @@
             work.add(step, task.placed_ms)
     for run in view.running:
         # Runs that are not in the log still use resources until they end.
-        if run.task not in placed and run.task.job_id in table.jobs:
-            job = table.jobs[run.task.job_id]
-            free = free - job.steps[run.task.step].demand
+        unplaced = None if run.task in placed else table.step_of(run.task)
+        if unplaced is not None:
+            free = free - unplaced.demand
     return free, placed, preemptible
 
 
--- a/packages/core/crocuswell_core/dispatching/orders.py
+++ b/packages/core/crocuswell_core/dispatching/orders.py
@@ -74,22 +74,23 @@
 
     Its capacity has shrunk since they were placed.
     """
-    jobs = state.cluster.jobs.jobs
-    placed = state.cluster.jobs.placed.get(view.worker.key, {})
+    table = state.cluster.jobs
+    placed = table.placed.get(view.worker.key, {})
     runs = [RunId(*item) for item in placed.items()]
     unlisted = [run for run in runs if run not in view.running]
     free = view.worker.capacity
     for run in dict.fromkeys([*view.running, *unlisted]):
-        job = jobs.get(run.task.job_id)
-        if job is not None:
-            free = free - job.steps[run.task.step].demand
+        step = table.step_of(run.task)
+        if step is not None:
+            free = free - step.demand
     effects: list[Effect] = []
     for run in reversed(unlisted):
         if free.can_hold(ResourceVector()):
             break
-        if not is_wanted(state, run):
+        step = table.step_of(run.task)
+        if step is None or not is_wanted(state, run):
             continue
-        free = free + jobs[run.task.job_id].steps[run.task.step].demand
+        free = free + step.demand
         effects += stop_run("run_withdrawn", state, run)
     return effects
 
--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -208,7 +208,9 @@
     effects: list[Effect] = []
     for crash in message.crashes:
         key = crash.worker
-        if key in dispatch.pending_losses or state.cluster.jobs.has_recorded_crash(key):
+        if key in dispatch.pending_losses or state.cluster.jobs.has_recorded(crash):
+            continue
+        if message.worker is None or crash.machine != message.worker.machine:
             continue
         dispatch.pending_losses[key] = state.now_ms
         effects += _propose(state, _worker_loss(state, key, (), crash))
--- a/packages/core/crocuswell_core/jobs/crash_records.py
+++ b/packages/core/crocuswell_core/jobs/crash_records.py
@@ -13,7 +13,6 @@
     JobPhase,
     Task,
     WorkerCrash,
-    parse_boot_key,
 )
 from crocuswell_core.jobs.run_labels import run_labels, task_label
 from crocuswell_core.runtime.effects import ClusterEffect, Count, EmitLogEvent, Label
@@ -45,10 +44,9 @@
     explain it, unless it has a cause outside of them.
     """
     table = cluster.jobs
-    if table.has_recorded_crash(crash.worker):
+    if table.has_recorded(crash):
         return []
-    machine, born_ms = parse_boot_key(crash.worker)
-    table.recorded_crashes[machine] = born_ms
+    table.recorded_crashes[crash.machine] = crash.born_ms
     effects: list[ClusterEffect] = [
         _report_crash(crash, coincident),
         Count(
@@ -94,9 +92,8 @@
     crashed, job, task = present.crashed, present.job, present.task
     history = task.crashes or NO_CRASHES
     if counted:
-        machine, _ = parse_boot_key(crash.worker)
         sole = _is_sole_candidate(crash, crashed)
-        history = history.after_crash(machine, crashed.ran_ms, sole)
+        history = history.after_crash(crash.machine, crashed.ran_ms, sole)
     else:
         history = history.after_excused_crash()
     task.crashes = history
--- a/packages/core/crocuswell_core/jobs/job_records.py
+++ b/packages/core/crocuswell_core/jobs/job_records.py
@@ -470,17 +470,18 @@
 
 @attrs.frozen
 class WorkerCrash:
-    """The crash of a worker's boot, as its runner witnessed it.
+    """The crash of a worker's boot, as its runner witnessed it."""
 
-    Attributes
-    ----------
-    worker : str
-        Key of the boot that crashed.
-    """
-
-    worker: str
+    machine: str
+    worker_id: str
+    born_ms: int
     runs: tuple[CrashedRun, ...]
 
+    @property
+    def worker(self) -> str:
+        """Key of the boot that crashed."""
+        return boot_key(self.machine, self.worker_id, self.born_ms)
+
 
 def boot_key(machine: str, worker_id: str, born_ms: int) -> str:
     """Return the key of a worker's boot."""
--- a/packages/core/crocuswell_core/jobs/job_table.py
+++ b/packages/core/crocuswell_core/jobs/job_table.py
@@ -8,10 +8,11 @@
 from crocuswell_core.jobs.job_records import (
     Job,
     RunId,
+    StepSpec,
     Task,
     TaskId,
     TaskPhase,
-    parse_boot_key,
+    WorkerCrash,
 )
 
 
@@ -47,10 +48,16 @@
     placed: dict[str, dict[TaskId, int]] = attrs.Factory(dict)
     recorded_crashes: dict[str, int] = attrs.Factory(dict)
 
-    def has_recorded_crash(self, worker: str) -> bool:
-        """Tell whether the crash of a boot is recorded."""
-        machine, born_ms = parse_boot_key(worker)
-        return born_ms <= self.recorded_crashes.get(machine, -1)
+    def has_recorded(self, crash: WorkerCrash) -> bool:
+        """Tell whether a crash is recorded."""
+        return crash.born_ms <= self.recorded_crashes.get(crash.machine, -1)
+
+    def step_of(self, task_id: TaskId) -> StepSpec | None:
+        """Return the step of a task, None if it does not exist."""
+        job = self.jobs.get(task_id.job_id)
+        if job is None or not 0 <= task_id.step < len(job.steps):
+            return None
+        return job.steps[task_id.step]
 
     def task(self, task_id: TaskId) -> Task | None:
         """Return a task, None if it does not exist."""
--- a/packages/core/crocuswell_core/runner/crash_witness.py
+++ b/packages/core/crocuswell_core/runner/crash_witness.py
@@ -4,7 +4,6 @@
     CrashedRun,
     RunId,
     WorkerCrash,
-    parse_boot_key,
 )
 from crocuswell_core.runner.run_orders import may_have_reached_worker
 from crocuswell_core.runner.runner_state import RunnerState
@@ -32,21 +31,16 @@
     state.confirmed_ms = confirmed_ms
 
 
-def witness_crash(state: RunnerState, worker: str) -> list[Effect]:
-    """Note that a boot was followed by another one without announcing its end.
-
-    Parameters
-    ----------
-    worker : str
-        Key of the boot that crashed.
-    """
+def witness_crash(state: RunnerState) -> list[Effect]:
+    """Note that the boot is followed by another one without notice."""
     heartbeat = state.heartbeat
     if heartbeat is None or heartbeat.draining or state.is_leaving:
         return []
     runs = _runs_at_crash(state)
     if not runs:
         return []
-    state.crashes = (*state.crashes, WorkerCrash(worker, runs))
+    crash = WorkerCrash(state.cfg.name, heartbeat.id, heartbeat.born_ms, runs)
+    state.crashes = (*state.crashes, crash)
     state.crashes = state.crashes[-MAX_UNRECORDED_CRASHES:]
     labels = (Label("worker", heartbeat.id), Label("runs", str(len(runs))))
     return [EmitLogEvent("crash_witnessed", labels)]
@@ -74,9 +68,5 @@
         Start in ms since the epoch of the newest boot whose crash is recorded.
     """
     state.crashes = tuple(
-        crash for crash in state.crashes if _born_ms(crash) > recorded_ms
+        crash for crash in state.crashes if crash.born_ms > recorded_ms
     )
-
-
-def _born_ms(crash: WorkerCrash) -> int:
-    return parse_boot_key(crash.worker)[1]
--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -188,7 +188,7 @@
         draining_changed = previous.draining != call.draining
         state.heartbeat = call
         return send_report(state) if draining_changed else []
-    crashed = witness_crash(state, worker_boot_key(state))
+    crashed = witness_crash(state)
     state.heartbeat = call
     _reset_boot_state(state)
     labels = (
--- a/tests/crash_harness.py
+++ b/tests/crash_harness.py
@@ -13,7 +13,6 @@
     RunProgress,
     TaskId,
     WorkerCrash,
-    parse_boot_key,
 )
 from crocuswell_core.links.link_messages import LeaseGrant, RunOrders, WorkerDescription
 from tests.job_harness import Leader, worker
@@ -135,7 +134,9 @@
             for run, since_ms in each.started_ms.items()
         )
         if crashed:
-            each.crashes.append(WorkerCrash(each.description.key, crashed))
+            boot = each.description
+            crash = WorkerCrash(boot.machine, boot.id, boot.born_ms, crashed)
+            each.crashes.append(crash)
         self._report(each, reachable=False)
         lost = list(each.started_ms)
         each.started_ms, each.ended, each.ends = {}, [], 0
@@ -196,9 +197,7 @@
         if grant.worker == each.description.key:
             each.ended = [e for e in each.ended if e.number > grant.acknowledged_end]
         each.crashes = [
-            crash
-            for crash in each.crashes
-            if parse_boot_key(crash.worker)[1] > grant.recorded_crash_ms
+            crash for crash in each.crashes if crash.born_ms > grant.recorded_crash_ms
         ]
 
     def _carry_out(self, each: CrashingWorker, orders: RunOrders) -> None:
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -68,7 +68,7 @@
     runner.reply(ListRuns, ABORTED)
     runner.tick(3_000)
     restart_worker(runner)
-    crash = WorkerCrash(KEY, (CrashedRun(B, 0), CrashedRun(A, 3_000)))
+    crash = crash_of(CrashedRun(B, 0), CrashedRun(A, 3_000))
     assert runner.reports[-1].crashes == (crash,)
 
 
@@ -138,8 +138,10 @@
 # --- the record ----------------------------------------------------------
 
 
-def crash_of(*runs: CrashedRun, worker: str = "m1/w1@5") -> WorkerCrash:
-    return WorkerCrash(worker, runs)
+def crash_of(
+    *runs: CrashedRun, machine: str = "m1", worker_id: str = "w1"
+) -> WorkerCrash:
+    return WorkerCrash(machine, worker_id, 5, runs)
 
 
 def test_crash_is_counted_once_however_late_and_often_it_is_reported() -> None:
@@ -180,7 +182,7 @@
     state = wire.decode(wire.encode(table.cluster), ClusterState)
     task = state.jobs.jobs["j"].occurrences[0].tasks[0][0]
     assert task.crashes == CrashHistory(1, 1, 1, 300, ("m1",))
-    assert state.jobs.has_recorded_crash("m1/w1@5")
+    assert state.jobs.has_recorded(crash_of())
 
 
 def test_log_names_the_tasks_that_were_there_and_their_crashes() -> None:
@@ -190,7 +192,7 @@
     leader.report(1, old)
     leader.submit("a", step())
     leader.submit("b", step())
-    crash = WorkerCrash(old.key, (CrashedRun(run_of("a"), 20),))
+    crash = crash_of(CrashedRun(run_of("a"), 20), machine="m-w1")
     effects = leader.report(1, new, crashes=(crash,))
     lines = {
         effect.event: {label.name: label.value for label in effect.ids}
@@ -223,7 +225,7 @@
         leader.report(stream, each)
         leader.report(stream, each, reachable=False)
     reborn = worker("w1b", machine="m-w1", born_ms=9)
-    crash = WorkerCrash(w1.key, (CrashedRun(run_of("a"), 20),))
+    crash = crash_of(CrashedRun(run_of("a"), 20), machine="m-w1")
     effects = leader.report(1, reborn, crashes=(crash,))
     (found,) = [
         label.value
