Refuse commands of the system that a front forwards

What was seen: any command could be sent to the leader as a caller's call. Random messages of that kind (a worker announced with nine slots or none) ended the leader by an invariant, and the command, being in the log, ends each host that applies it.

Cause: the leader did not look at what a front forwards, as fronts forward only calls of callers and operators. A faulty or older front would be enough.

Change: only submissions, cancellations, catalogs and the reads of them are taken from a stream; others are answered with invalid_request.

Result: test_front_cannot_forward_commands_of_the_system fails before and passes.

--- a/packages/core/crocuswell_core/links/client_streams.py
+++ b/packages/core/crocuswell_core/links/client_streams.py
@@ -1,10 +1,20 @@
 """Streams of clients on an entry host: attaching, calls and joining."""
 
+from functools import singledispatch
 from typing import cast
 
-from crocuswell_core.cluster.commands import ChangeMembers, EntryHost, Proposal
+from crocuswell_core.cluster.commands import ChangeMembers, EntryHost, Proposal, Refused
 from crocuswell_core.consensus import election, replication
+from crocuswell_core.entry.calls import CommandCall
 from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.jobs.job_commands import (
+    CancelJob,
+    CountPending,
+    GetCatalog,
+    GetJob,
+    PutCatalog,
+    SubmitJob,
+)
 from crocuswell_core.links.link_messages import (
     Attach,
     Attached,
@@ -29,6 +39,7 @@
     Label,
     SendAgent,
 )
+from crocuswell_core.runtime.errors import ErrorKind
 from crocuswell_core.runtime.events import CallReceived
 
 CLIENT_KEEPALIVE_MS = 500
@@ -93,11 +104,38 @@
 
 @handle_agent_message.register
 def _(message: ForwardCall, state: EntryState, stream_id: int) -> list[Effect]:
+    if not _may_be_forwarded(message.call):
+        refused = Refused(ErrorKind.INVALID_REQUEST, "no caller may send this command")
+        return [SendAgent(stream_id, CallAnswered(message.call_id, refused))]
     state.last_forwarded_call_id -= 1
     state.forwarded_calls[state.last_forwarded_call_id] = (stream_id, message.call_id)
     return handle(CallReceived(state.last_forwarded_call_id, message.call), state)
 
 
+@singledispatch
+def _may_be_forwarded(call: object) -> bool:
+    """Tell whether a call is one of a caller or an operator.
+
+    All other commands are proposed by hosts themselves.
+    """
+    return False
+
+
+@_may_be_forwarded.register(SubmitJob)
+@_may_be_forwarded.register(CancelJob)
+@_may_be_forwarded.register(PutCatalog)
+@_may_be_forwarded.register(GetJob)
+@_may_be_forwarded.register(CountPending)
+@_may_be_forwarded.register(GetCatalog)
+def _(call: object) -> bool:
+    return True
+
+
+@_may_be_forwarded.register
+def _(call: CommandCall) -> bool:
+    return _may_be_forwarded(call.proposal.command)
+
+
 @rewrite_effects.register
 def _(state: EntryState, effects: list[Effect]) -> list[Effect]:
     # Answers to forwarded calls are sent as messages on the fronts' streams.
--- a/tests/test_client_messages.py
+++ b/tests/test_client_messages.py
@@ -6,25 +6,31 @@
 import pytest
 from hypothesis import HealthCheck, given, settings, strategies as st
 
-from crocuswell_core.cluster.commands import Proposal
+from crocuswell_core.cluster.commands import AdvanceTime, Proposal
 from crocuswell_core.entry.calls import CommandCall
 from crocuswell_core.jobs.job_commands import (
     CancelJob,
+    GetJob,
+    JobAccepted,
     JobRead,
+    JobView,
     PutCatalog,
     SubmitJob,
 )
 from crocuswell_core.jobs.job_records import (
     CrashedRun,
+    JobPhase,
     RunEnd,
     RunEndKind,
     RunId,
     RunProgress,
+    StepSpec,
     TaskId,
     WorkerCrash,
 )
 from crocuswell_core.links.link_messages import (
     Attach,
+    CallAnswered,
     ClientMessage,
     ForwardCall,
     JoinGroup,
@@ -36,6 +42,7 @@
     KEY,
     LONG,
     Leader,
+    address,
     catalog,
     run_of,
     step,
@@ -141,3 +148,36 @@
     leader.tick()
     tasks = leader.state.cluster.jobs.jobs["j"].occurrences[0].tasks[0]
     assert not any(task.crashes for task in tasks)
+
+
+def test_front_cannot_forward_commands_of_the_system() -> None:
+    """Guards against a front whose faulty call changes what only hosts may."""
+    leader = busy_leader()
+    command = AdvanceTime()
+    before = leader.state.cluster.now_ms
+    leader.now_ms += 50
+    call = ForwardCall(5, CommandCall(Proposal("", "", command)))
+    leader.post(AgentMessageReceived(1, call))
+    answers = [
+        sent.message for sent in leader.sent if isinstance(sent.message, CallAnswered)
+    ]
+    assert [answer.reply.kind.value for answer in answers] == ["invalid_request"]
+    assert leader.state.cluster.now_ms == before
+
+
+def test_caller_commands_and_reads_are_forwarded() -> None:
+    """Guards against refusing the calls that fronts are there for."""
+    leader = busy_leader()
+    spec = SubmitJob(
+        "k", address(LONG), "work", (StepSpec(1, W1.capacity + W1.capacity),)
+    )
+    leader.post(
+        AgentMessageReceived(1, ForwardCall(5, CommandCall(Proposal("", "", spec))))
+    )
+    leader.post(AgentMessageReceived(1, ForwardCall(6, GetJob("k", address(LONG)))))
+    replies = [
+        sent.message.reply
+        for sent in leader.sent
+        if isinstance(sent.message, CallAnswered)
+    ]
+    assert replies == [JobAccepted("k"), JobView("k", JobPhase.QUEUED)]
