Count the crashes of workers that stay away

Cause: the runner witnesses a crash by the next boot.

Change: when the lease of a worker is over whose runner reports that it cannot reach it, the leader records a crash with the runs that it had ordered there. A machine that is silent itself is cut off or without power, and counts nothing.

Result: test_task_is_given_up_although_its_workers_stay_away fails before (workers that never return) and passes.

--- a/packages/core/crocuswell_core/dispatching/outages.py
+++ b/packages/core/crocuswell_core/dispatching/outages.py
@@ -1,11 +1,12 @@
 """Workers that ceased to answer, to tell crashes with a common cause."""
 
 from crocuswell_core.dispatching.dispatch_state import DispatchState, Outage
+from crocuswell_core.dispatching.indexing import REPORT_TIMEOUT_MS
 from crocuswell_core.dispatching.trials import note_trials
 from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.crash_history import EARLY_CRASH_MS
-from crocuswell_core.jobs.job_records import RunId
+from crocuswell_core.jobs.job_records import CrashedRun, RunId, WorkerCrash
 
 # Runners report an outage at once; workers that fail together are seen to do
 # so within this time.
@@ -38,6 +39,25 @@
     )
 
 
+def unwitnessed_crash(state: EntryState, view: WorkerView) -> WorkerCrash | None:
+    """Return the crash of a worker that has not started again.
+
+    None if its runner is out of contact too: then the machine is cut off or
+    has lost power. Only runs of which the start is known are part of it.
+    """
+    worker = view.worker
+    outage = state.dispatch.outages.get(worker.key)
+    if outage is None or state.now_ms - view.last_report_ms > REPORT_TIMEOUT_MS:
+        return None
+    placed = state.cluster.jobs.placed.get(worker.key, {})
+    runs = tuple(
+        CrashedRun(run, max(0, outage.since_ms - ordered_ms))
+        for run, ordered_ms in view.ordered_starts.items()
+        if placed.get(run.task) == run.number
+    )
+    return WorkerCrash(worker.machine, worker.id, worker.born_ms, runs)
+
+
 def is_coincident(dispatch: DispatchState, worker: str) -> bool:
     """Tell whether a boot failed with others for a common cause.
 
--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -10,7 +10,11 @@
     current_dispatch,
     send_orders,
 )
-from crocuswell_core.dispatching.outages import is_coincident, note_outage
+from crocuswell_core.dispatching.outages import (
+    is_coincident,
+    note_outage,
+    unwitnessed_crash,
+)
 from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_commands import (
@@ -312,7 +316,8 @@
     for key in sorted(dispatch.lost_contact | silent.keys()):
         view = dispatch.views.get(key)
         if key in placed and state.now_ms >= _lease_end_ms(state, view):
-            effects += _propose_loss(state, key, view, "lease over")
+            crash = unwitnessed_crash(state, view) if view else None
+            effects += _propose_loss(state, key, view, "lease over", crash=crash)
         elif key not in placed and view is None:
             dispatch.lost_contact.discard(key)
     for key, view in silent.items():
--- a/tests/crash_harness.py
+++ b/tests/crash_harness.py
@@ -53,6 +53,8 @@
         it does not.
     work_ms : int
         Time in ms that the other runs take.
+    restart_ms : int
+        Time in ms from a crash until the worker is back.
     """
 
     def __init__(
@@ -61,10 +63,12 @@
         per_rack: int = 3,
         crash_after_ms: Callable[[RunId], int | None] = lambda run: None,
         work_ms: int = 5_000,
+        restart_ms: int = RESTART_MS,
     ) -> None:
         self.leader = Leader()
         self.crash_after_ms = crash_after_ms
         self.work_ms = work_ms
+        self.restart_ms = restart_ms
         self.starts: Counter[TaskId] = Counter()
         self.handled = 0
         self.workers = [
@@ -114,6 +118,8 @@
 
     def _step(self, each: CrashingWorker) -> None:
         if each.is_down(self.now_ms):
+            if self.now_ms - each.reported_ms >= REPORT_MS:
+                self._report(each, reachable=False)
             return
         if each.back_ms:
             self._restart(each)
@@ -128,7 +134,7 @@
             self._report(each)
 
     def _crash(self, each: CrashingWorker) -> None:
-        each.back_ms = self.now_ms + RESTART_MS
+        each.back_ms = self.now_ms + self.restart_ms
         crashed = tuple(
             CrashedRun(run, self.now_ms - since_ms)
             for run, since_ms in each.started_ms.items()
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -56,6 +56,18 @@
     assert max(fleet.starts.values()) <= MAX_STARTS
 
 
+@pytest.mark.parametrize("restart_ms", [12_000, 1_000_000])
+def test_task_is_given_up_although_its_workers_stay_away(restart_ms) -> None:
+    """Guards against crashes that count only once the worker is back."""
+    fleet = CrashingWorkers(
+        count=8, crash_after_ms=first_task_after(0), restart_ms=restart_ms
+    )
+    fleet.leader.submit("bad", step(1), queue=TIGHT)
+    fleet.run_until_ended("bad")
+    assert fleet.phase("bad") == "failed"
+    assert max(fleet.starts.values()) <= MAX_STARTS
+
+
 def test_later_occurrences_of_a_job_that_crashes_workers_do_not_start() -> None:
     """Guards against a repeated job that crashes workers at each due time."""
     fleet = CrashingWorkers(crash_after_ms=first_task_after(0))
