Give the named loads a bound that no scheduler exceeds

bench/value_bound.py: what jobs must do within an interval has to fit into what the fleet gives in it, as divisible work on accelerators and on processors; a job's late worth and the rest are bounded by their own ends. The tightest of 48 by 48 intervals counts.

--- a/bench/dispatch_loads.py
+++ b/bench/dispatch_loads.py
@@ -21,7 +21,8 @@
         for cause, core_s in sorted(outcome.wasted_core_s.items())
     )
     lines = [
-        f"{name} seed {seed}: value {outcome.share:.3f}, "
+        f"{name} seed {seed}: value {outcome.share:.3f} "
+        f"of at most {outcome.bound_share:.3f}, "
         f"{outcome.total_wasted_core_s:,.0f} core-s lost ({wasted}), "
         f"{outcome.runs} runs, stopped {outcome.stops}, {took_s:.1f} s"
     ]
@@ -55,7 +56,11 @@
         of_load = [outcomes[f"{n} {seed}"] for n, seed in played if n == name]
         share = sum(outcome.share for outcome in of_load) / len(of_load)
         wasted = sum(outcome.total_wasted_core_s for outcome in of_load) / len(of_load)
-        print(f"{name}: mean value {share:.3f}, {wasted:,.0f} core-s lost a play")
+        bound = sum(outcome.bound_share for outcome in of_load) / len(of_load)
+        print(
+            f"{name}: mean value {share:.3f} of at most {bound:.3f}, "
+            f"{wasted:,.0f} core-s lost a play"
+        )
     return outcomes
 
 
--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -17,6 +17,7 @@
 from bench.load_outcomes import Outcome, SubmittedJob, summarise
 from bench.loads import JobClass, Load, WorkerFault
 from bench.simulated_workers import NEVER_MS, SimulatedRun, SimulatedWorker
+from bench.value_bound import FleetRate
 from crocuswell_core.dispatching.worker_reports import contactless_limit_ms
 from crocuswell_core.jobs.catalog import Catalog, CatalogWorkspace, Queue, Service
 from crocuswell_core.jobs.job_commands import (
@@ -113,6 +114,13 @@
             dict(self._wasted),
             self._run_count,
             dict(self._stops),
+            self._fleet_rate(),
+        )
+
+    def _fleet_rate(self) -> FleetRate:
+        capacity, workers = self.load.capacity, self.load.workers
+        return FleetRate(
+            workers * capacity.accelerators, workers * capacity.cpu_millis / 1_000
         )
 
     def check(self) -> None:
@@ -220,6 +228,8 @@
             objective_ms,
             core_s,
             hopeless=draw.random() < job_class.hopeless_share,
+            accelerator_s=accelerators * count * work_ms / 1_000,
+            core_s=step.demand.cpu_millis / 1_000 * count * work_ms / 1_000,
         )
         if job_class.crashing_share:
             submitted.crashes_workers = draw.random() < job_class.crashing_share
--- a/bench/load_outcomes.py
+++ b/bench/load_outcomes.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bench.loads import JobClass
+from bench.value_bound import FleetRate, JobWindow, bound_value
 from crocuswell_core.dispatching.ranking import ZERO_VALUE_FACTOR
 
 
@@ -16,6 +17,8 @@
     ----------
     objective_ms, completed_ms : int
         Objective as a duration, and time of completion, in ms.
+    accelerator_s, core_s : float
+        Accelerator and processor seconds that its work takes, as expected.
     """
 
     job_class: JobClass
@@ -27,6 +30,13 @@
     crashes_workers: bool = False
     started_ms: int = 0
     completed_ms: int = 0
+    accelerator_s: float = 0.0
+    core_s: float = 0.0
+
+    @property
+    def is_owed(self) -> bool:
+        """Whether the job counts for the value of the load."""
+        return not (self.cancelled or self.hopeless or self.crashes_workers)
 
 
 @attrs.define
@@ -60,6 +70,8 @@
     ----------
     value, owed_value : float
         Value of the jobs by their class and time of completion.
+    bound_value : float
+        Value that no scheduler could exceed on this load.
     wasted_core_s : dict
         Core seconds of work that was lost, by the cause.
     runs : int
@@ -74,6 +86,12 @@
     wasted_core_s: dict[str, float]
     runs: int
     stops: dict[str, int]
+    bound_value: float = 0.0
+
+    @property
+    def bound_share(self) -> float:
+        """Share of the owed value that no scheduler could exceed."""
+        return self.bound_value / self.owed_value if self.owed_value else 1.0
 
     @property
     def share(self) -> float:
@@ -92,6 +110,7 @@
     wasted_core_s: dict[str, float],
     runs: int,
     stops: dict[str, int],
+    rate: FleetRate,
 ) -> Outcome:
     """Return what the callers of a load got, by class and in value.
 
@@ -105,14 +124,20 @@
         for job_class in classes
     }
     value = owed = 0.0
+    in_time: list[JobWindow] = []
+    at_all: list[JobWindow] = []
     for job in jobs:
-        if job.cancelled or job.hopeless or job.crashes_workers:
+        if not job.is_owed:
             continue
         job_class = job.job_class
         outcome = outcomes[job_class.name]
         weight = min(4.0, 0.3 + 0.7 * job.work_core_s / mean_work[job_class.name])
         outcome.owed += 1
         owed += weight * job_class.worth
+        # A job earns its late worth if it ends at all, and the rest in time.
+        late_value = weight * job_class.late_worth
+        in_time.append(_window(job, 1.0, weight * job_class.worth - late_value))
+        at_all.append(_window(job, ZERO_VALUE_FACTOR, late_value))
         if job.started_ms:
             outcome.waited_ms.append(job.started_ms - job.submitted_ms)
         took_ms = job.completed_ms - job.submitted_ms
@@ -124,7 +149,13 @@
         else:
             outcome.late += 1
             value += weight * job_class.late_worth
-    return Outcome(outcomes, value, owed, wasted_core_s, runs, stops)
+    bound = bound_value(in_time, rate) + bound_value(at_all, rate)
+    return Outcome(outcomes, value, owed, wasted_core_s, runs, stops, bound)
+
+
+def _window(job: SubmittedJob, objectives: float, value: float) -> JobWindow:
+    until_ms = job.submitted_ms + round(objectives * job.objective_ms)
+    return JobWindow(job.submitted_ms, until_ms, job.accelerator_s, job.core_s, value)
 
 
 def _mean(values: list[float]) -> float:
