Judge crashes by what is known, and keep trials alone

What callers would see: more crashes than need be before a culprit is given up, and innocent tasks given up on small fleets whose runners pause.

Causes and changes: - A worker chosen for a trial was closed to others only once the plan was applied: the same plan put more tasks there, which hid the culprit and were lost with it. It is closed at once. - A worker that was only slow to answer counted as one that failed at the same time. It no longer does once it answers again. - A crash that a paused runner noticed late made a run look old, which cleared its task of the earlier crashes. The runner now reports for how long a run is known to have been there and may have been there; the first clears, the second blames. - Crashes count as proof only if they came after about the same time. - A trial waits for another machine than before, as it does for an idle worker.

--- a/bench/crashing_fleet.py
+++ b/bench/crashing_fleet.py
@@ -167,8 +167,9 @@
     def _crashed_runs(self, worker: SimulatedWorker) -> tuple[CrashedRun, ...]:
         key = worker.description.key
         return tuple(
-            CrashedRun(run, self.leader.now_ms - self._started_ms[key, run])
+            CrashedRun(run, ran_ms, ran_ms)
             for run in worker.runs
+            for ran_ms in [self.leader.now_ms - self._started_ms[key, run]]
         )
 
     def _cause_of_end(self, run: RunId, kind: RunEndKind) -> str:
--- a/packages/core/crocuswell_core/cluster/outcomes.py
+++ b/packages/core/crocuswell_core/cluster/outcomes.py
@@ -243,9 +243,10 @@
     histories = cluster.crash_histories
     history = histories.get(attempt.id.request_id, NO_CRASHES)
     started_at_ms = attempt.started_at_ms or cluster.now_ms
+    ran_ms = cluster.now_ms - started_at_ms
     # Agents do not tell what else ran there.
     histories[attempt.id.request_id] = history.after_crash(
-        attempt.crashed_on, cluster.now_ms - started_at_ms, sole=False
+        attempt.crashed_on, ran_ms, ran_ms, sole=False
     )
 
 
--- a/packages/core/crocuswell_core/dispatching/outages.py
+++ b/packages/core/crocuswell_core/dispatching/outages.py
@@ -51,7 +51,7 @@
         return None
     placed = state.cluster.jobs.placed.get(worker.key, {})
     runs = tuple(
-        CrashedRun(run, max(0, outage.since_ms - ordered_ms))
+        CrashedRun(run, 0, max(0, outage.since_ms - ordered_ms))
         for run, ordered_ms in view.ordered_starts.items()
         if placed.get(run.task) == run.number
     )
--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -29,7 +29,7 @@
 )
 from crocuswell_core.dispatching.preemption import Preemption, choose_preemption
 from crocuswell_core.dispatching.ranking import find_due_jobs
-from crocuswell_core.dispatching.trials import awaits_trial, end_trials
+from crocuswell_core.dispatching.trials import awaits_trial, end_trials, runs_alone
 from crocuswell_core.dispatching.waiting_steps import RankedStep, WaitingStep
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_commands import PlaceRuns
@@ -164,6 +164,8 @@
             ranked.job.id, ranked.step_index, index, ranked.occurrence.number
         )
         candidate.placed[task_id] = ranked.step.demand
+        # Nothing else may join it in this plan either.
+        candidate.is_closed = candidate.is_closed or runs_alone(ranked, index)
         free = candidate.free - ranked.step.demand
         state.dispatch.fleet.set_free(candidate, free)
         run = RunId(task_id, ranked.tasks[index].run + 1)
--- a/packages/core/crocuswell_core/dispatching/trials.py
+++ b/packages/core/crocuswell_core/dispatching/trials.py
@@ -14,8 +14,9 @@
 TRIAL_MARGIN_MS = 1_500
 TRIAL_FACTOR = 1.5
 MAX_TRIAL_MS = 15_000
-# Without a worker that runs nothing, a task waits this long for one, and
-# longer while the fleet is busy: there its neighbours would lose more.
+# Without a worker that runs nothing, on another machine than before, a task
+# waits this long for one; longer while the fleet is busy, where its neighbours
+# would lose more.
 TRIAL_WAIT_MS = 1_000
 BUSY_TRIAL_WAIT_MS = 5_000
 # Trials begin one after the other, so that two culprits do not crash their
@@ -69,6 +70,11 @@
     dispatch.trials_checked_ms = state.now_ms
 
 
+def runs_alone(ranked: RankedStep, index: int) -> bool:
+    """Tell whether a task of a step should run alone at first."""
+    return ranked.tasks[index].is_suspect and not ranked.step.gang
+
+
 def is_held_back(state: EntryState, ranked: RankedStep) -> bool:
     """Tell whether a step waits for the trial of one of its tasks.
 
@@ -120,20 +126,21 @@
     """
     crashed = ranked.tasks[index].crashed_machines
     others = [c for c in candidates if c.worker.machine not in crashed]
-    candidates = others or candidates
     dispatch = state.dispatch
     waited_ms = state.now_ms - dispatch.trial_waits.setdefault(ranked.key, state.now_ms)
     gap_ms = state.now_ms - dispatch.last_trial_ms
     if gap_ms < TRIAL_GAP_MS and waited_ms < MAX_GAP_WAIT_MS:
         return None
-    idle = (c for c in candidates if not c.placed and not c.view.running)
+    idle = (c for c in others if not c.placed and not c.view.running)
     found = next(idle, None)
     if found is not None or not candidates:
         return found
     if waited_ms < (BUSY_TRIAL_WAIT_MS if is_busy else TRIAL_WAIT_MS):
         return None
     now_ms = state.cluster.now_ms
-    return min(candidates, key=lambda candidate: _work_at_stake(candidate, now_ms))
+    return min(
+        others or candidates, key=lambda candidate: _work_at_stake(candidate, now_ms)
+    )
 
 
 def _work_at_stake(candidate: CandidateWorker, now_ms: int) -> float:
--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -154,6 +154,8 @@
     if view.reachable and not message.reachable:
         note_outage(state, view)
     if message.reachable:
+        # It had only been slow to answer.
+        dispatch.outages.pop(key, None)
         dispatch.lost_contact.discard(key)
     else:
         dispatch.lost_contact.add(key)
--- a/packages/core/crocuswell_core/jobs/crash_history.py
+++ b/packages/core/crocuswell_core/jobs/crash_history.py
@@ -17,6 +17,9 @@
 # Crashes after a time that differs by more than this have different causes.
 SAME_CAUSE_FACTOR = 4
 SAME_CAUSE_MARGIN_MS = 2_000
+# Crashes prove something only if they came after about the same time.
+ALIKE_FACTOR = 2
+ALIKE_MARGIN_MS = 1_000
 # From these counts on a task runs alone, so that its neighbours are safe and
 # a further crash is proof.
 SUSPECT_EARLY = 1
@@ -26,7 +29,7 @@
 PROOF_MACHINES = 2
 PROOF_EARLY = 3
 PROOF_COUNT_SOLE = 4
-# Count that is proof in any case.
+# Count that is proof although other tasks were there each time.
 PROOF_COUNT = 5
 # Crashes that ended the task's runs, whatever their cause, after which it is
 # not tried again.
@@ -46,7 +49,9 @@
     sole : int
         Those for which nothing else on the worker comes into question.
     longest_ms : int
-        Longest time in ms for which such a run had been there.
+        Longest time in ms for which such a run is known to have been there.
+    shortest_ms : int
+        Shortest of the longest times that are possible, in ms.
     machines : tuple of str
         Machines of the workers that crashed.
     excused : int
@@ -58,6 +63,7 @@
     early: int = 0
     sole: int = 0
     longest_ms: int = 0
+    shortest_ms: int = 0
     machines: tuple[str, ...] = ()
     excused: int = 0
 
@@ -69,28 +75,38 @@
     @property
     def is_proof(self) -> bool:
         """Whether the crashes prove that the task causes them."""
-        if self.count >= PROOF_COUNT or self.count + self.excused >= MAX_CRASHES:
+        if self.count + self.excused >= MAX_CRASHES:
+            return True
+        alike_ms = ALIKE_FACTOR * self.shortest_ms + ALIKE_MARGIN_MS
+        if self.longest_ms > alike_ms:
+            return False
+        if self.count >= PROOF_COUNT:
             return True
         if self.sole == 0 or len(self.machines) < PROOF_MACHINES:
             return False
         return self.early >= PROOF_EARLY or self.count >= PROOF_COUNT_SOLE
 
-    def after_crash(self, machine: str, ran_ms: int, sole: bool) -> Self:
+    def after_crash(
+        self, machine: str, known_ms: int, possible_ms: int, sole: bool
+    ) -> Self:
         """Return the history with one more crash.
 
         A run that has outlived the earlier crashes by far did not cause them.
         """
-        if ran_ms > MAX_BLAME_MS:
+        if known_ms > MAX_BLAME_MS:
             return type(self)()
         known = self
-        if ran_ms > SAME_CAUSE_FACTOR * self.longest_ms + SAME_CAUSE_MARGIN_MS:
+        if known_ms > SAME_CAUSE_FACTOR * self.longest_ms + SAME_CAUSE_MARGIN_MS:
             known = type(self)()
         return attrs.evolve(
             known,
             count=known.count + 1,
-            early=known.early + (ran_ms <= EARLY_CRASH_MS),
+            early=known.early + (possible_ms <= EARLY_CRASH_MS),
             sole=known.sole + sole,
-            longest_ms=max(known.longest_ms, ran_ms),
+            longest_ms=max(known.longest_ms, known_ms),
+            shortest_ms=(
+                min(known.shortest_ms, possible_ms) if known.count else possible_ms
+            ),
             machines=tuple(dict.fromkeys((*known.machines, machine))),
         )
 
--- a/packages/core/crocuswell_core/jobs/crash_records.py
+++ b/packages/core/crocuswell_core/jobs/crash_records.py
@@ -32,7 +32,7 @@
     def is_repeated(self) -> bool:
         """Whether the task has crashed a worker early before, and again."""
         known = self.task.crashes or NO_CRASHES
-        return known.early > 0 and self.crashed.ran_ms <= EARLY_CRASH_MS
+        return known.early > 0 and self.crashed.possible_ms <= EARLY_CRASH_MS
 
 
 def record_crash(
@@ -93,14 +93,17 @@
     history = task.crashes or NO_CRASHES
     if counted:
         sole = _is_sole_candidate(crash, crashed)
-        history = history.after_crash(crash.machine, crashed.ran_ms, sole)
+        history = history.after_crash(
+            crash.machine, crashed.known_ms, crashed.possible_ms, sole
+        )
     else:
         history = history.after_excused_crash()
     task.crashes = history
     labels = (
         *run_labels(crashed.run),
         Label("worker", crash.worker),
-        Label("ran_ms", str(crashed.ran_ms)),
+        Label("known_ms", str(crashed.known_ms)),
+        Label("possible_ms", str(crashed.possible_ms)),
         Label("beside", str(len(crash.runs) - 1)),
         Label("counted", str(counted).lower()),
         Label("crashes", str(history.count)),
@@ -125,9 +128,9 @@
 
     Either only its step ran there, or only its step had just started.
     """
-    is_early = crashed.ran_ms <= EARLY_CRASH_MS
+    is_early = crashed.possible_ms <= EARLY_CRASH_MS
     return all(
         other.run.task.step_key == crashed.run.task.step_key
-        or (is_early and other.ran_ms > EARLY_CRASH_MS)
+        or (is_early and other.possible_ms > EARLY_CRASH_MS)
         for other in crash.runs
     )
--- a/packages/core/crocuswell_core/jobs/job_records.py
+++ b/packages/core/crocuswell_core/jobs/job_records.py
@@ -459,13 +459,16 @@
 
     Attributes
     ----------
-    ran_ms : int
-        Time in ms since the worker confirmed the run; 0 if it may just have
-        begun.
+    known_ms : int
+        Time in ms for which the run is known to have been there.
+    possible_ms : int
+        Longest time in ms for which it may have been there, unless its start
+        had no answer; then 0, as it may just have begun.
     """
 
     run: RunId
-    ran_ms: int
+    known_ms: int
+    possible_ms: int
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/runner/crash_witness.py
+++ b/packages/core/crocuswell_core/runner/crash_witness.py
@@ -2,7 +2,6 @@
 
 from crocuswell_core.jobs.job_records import (
     CrashedRun,
-    RunId,
     WorkerCrash,
 )
 from crocuswell_core.runner.run_orders import may_have_reached_worker
@@ -47,16 +46,23 @@
 
 
 def _runs_at_crash(state: RunnerState) -> tuple[CrashedRun, ...]:
-    """Return the runs that were on the worker, or had just been sent to it."""
-    crash_ms = state.unreachable_since_ms
-    if crash_ms is None:
-        crash_ms = state.now_ms
-    ran_ms: dict[RunId, int] = {
-        run: 0 for run, start in state.starts.items() if may_have_reached_worker(start)
+    """Return the runs that were on the worker, or had just been sent to it.
+
+    The crash may be noticed late: a run is known to have been there until the
+    newest list.
+    """
+    listed_ms, noticed_ms = state.clock.read_ms, state.unreachable_since_ms
+    if noticed_ms is None:
+        noticed_ms = state.now_ms
+    found = {
+        run: CrashedRun(run, 0, 0)
+        for run, start in state.starts.items()
+        if may_have_reached_worker(start)
     }
     for run, since_ms in state.confirmed_ms.items():
-        ran_ms[run] = max(0, crash_ms - since_ms)
-    return tuple(CrashedRun(run, ms) for run, ms in ran_ms.items())
+        known_ms = max(0, listed_ms - since_ms) if run in state.running else 0
+        found[run] = CrashedRun(run, known_ms, max(0, noticed_ms - since_ms))
+    return tuple(found.values())
 
 
 def drop_recorded_crashes(state: RunnerState, recorded_ms: int) -> None:
--- a/tests/crash_harness.py
+++ b/tests/crash_harness.py
@@ -136,7 +136,7 @@
     def _crash(self, each: CrashingWorker) -> None:
         each.back_ms = self.now_ms + self.restart_ms
         crashed = tuple(
-            CrashedRun(run, self.now_ms - since_ms)
+            CrashedRun(run, self.now_ms - since_ms, self.now_ms - since_ms)
             for run, since_ms in each.started_ms.items()
         )
         if crashed:
--- a/tests/test_client_messages.py
+++ b/tests/test_client_messages.py
@@ -137,8 +137,8 @@
     "crash",
     [
         WorkerCrash("", "", -1, ()),
-        WorkerCrash("m-w1", "a@b/c", 3, (CrashedRun(NO_TASKS[0], -5),)),
-        WorkerCrash("m-other", "w9", 3, (CrashedRun(run_of("j"), 5),)),
+        WorkerCrash("m-w1", "a@b/c", 3, (CrashedRun(NO_TASKS[0], -5, -5),)),
+        WorkerCrash("m-other", "w9", 3, (CrashedRun(run_of("j"), 5, 5),)),
     ],
 )
 def test_crash_that_names_nothing_known_changes_no_task(crash: WorkerCrash) -> None:
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -66,9 +66,9 @@
     runner.order(B)
     runner.reply(StartOnWorker, ABORTED)
     runner.reply(ListRuns, ABORTED)
-    runner.tick(3_000)
+    runner.tick(1_000)
     restart_worker(runner)
-    crash = crash_of(CrashedRun(B, 0), CrashedRun(A, 3_000))
+    crash = crash_of(CrashedRun(B, 0, 0), CrashedRun(A, 3_000, 3_000))
     assert runner.reports[-1].crashes == (crash,)
 
 
@@ -149,14 +149,14 @@
     table = ReplicatedTable()
     table.submit("j", step(2))
     table.start(A, B)
-    crash = crash_of(CrashedRun(A, 300), CrashedRun(B, 4_000))
+    crash = crash_of(CrashedRun(A, 300, 300), CrashedRun(B, 4_000, 4_000))
     table.apply(MarkWorkerLost("m1/w1@5"))
     table.start(run_of("j", number=2), worker="m2/w2@5")
     for _ in range(2):
         table.apply(MarkWorkerLost("m1/w1@5", crash=crash))
     expected = [
-        CrashHistory(1, 1, 1, 300, ("m1",)),
-        CrashHistory(1, 0, 1, 4_000, ("m1",)),
+        CrashHistory(1, 1, 1, 300, 300, ("m1",)),
+        CrashHistory(1, 0, 1, 4_000, 4_000, ("m1",)),
     ]
     assert [task.crashes for task in table.tasks("j")] == expected
     assert table.tasks("j")[0].run == 2
@@ -167,7 +167,7 @@
     table = ReplicatedTable()
     table.submit("j", step())
     table.start(A)
-    crash = crash_of(CrashedRun(A, 300))
+    crash = crash_of(CrashedRun(A, 300, 300))
     table.apply(MarkWorkerLost("m1/w1@5", crash=crash, coincident=True))
     assert table.tasks("j")[0].crashes == CrashHistory(excused=1)
     assert table.tasks("j")[0].worker == ""
@@ -178,10 +178,10 @@
     table = ReplicatedTable()
     table.submit("j", step())
     table.start(A)
-    table.apply(MarkWorkerLost("m1/w1@5", crash=crash_of(CrashedRun(A, 300))))
+    table.apply(MarkWorkerLost("m1/w1@5", crash=crash_of(CrashedRun(A, 300, 300))))
     state = wire.decode(wire.encode(table.cluster), ClusterState)
     task = state.jobs.jobs["j"].occurrences[0].tasks[0][0]
-    assert task.crashes == CrashHistory(1, 1, 1, 300, ("m1",))
+    assert task.crashes == CrashHistory(1, 1, 1, 300, 300, ("m1",))
     assert state.jobs.has_recorded(crash_of())
 
 
@@ -192,7 +192,7 @@
     leader.report(1, old)
     leader.submit("a", step())
     leader.submit("b", step())
-    crash = crash_of(CrashedRun(run_of("a"), 20), machine="m-w1")
+    crash = crash_of(CrashedRun(run_of("a"), 20, 20), machine="m-w1")
     effects = leader.report(1, new, crashes=(crash,))
     lines = {
         effect.event: {label.name: label.value for label in effect.ids}
@@ -200,7 +200,7 @@
         if isinstance(effect, EmitLogEvent)
     }
     assert lines["worker_crashed"]["tasks"] == "a.0.0.0"
-    assert lines["task_under_crash"]["ran_ms"] == "20"
+    assert lines["task_under_crash"]["known_ms"] == "20"
     assert lines["task_under_crash"]["crashes"] == "1"
 
 
@@ -225,7 +225,7 @@
         leader.report(stream, each)
         leader.report(stream, each, reachable=False)
     reborn = worker("w1b", machine="m-w1", born_ms=9)
-    crash = crash_of(CrashedRun(run_of("a"), 20), machine="m-w1")
+    crash = crash_of(CrashedRun(run_of("a"), 20, 20), machine="m-w1")
     effects = leader.report(1, reborn, crashes=(crash,))
     (found,) = [
         label.value
