--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -68,7 +68,7 @@
     RunnerBooted,
     WorkerReplied,
 )
-from tests.group_harness import DELAY_MS, Disk, Group, Host
+from tests.group_harness import DELAY_MS, Disk, Group, Host, Stream
 from tests.job_harness import CAPACITY, LONG, TIGHT, URGENT, address, catalog, step
 from tests.simulated_host import InvariantError
 
@@ -264,25 +264,36 @@
 
     def _send_up(self, host: Host, effect: SendEntry) -> None:
         stream = host.uplinks.get(effect.stream_id)
-        if stream is None or self._is_cut(host.name, stream.server.name):
+        if stream is None:
             return
         if isinstance(effect.message, WorkerReport):
             self._last_reports[host.name] = effect.message
         event = AgentMessageReceived(stream.server_id, effect.message)
-        self._deliver_in_order(stream.server, host.name, event)
+        self._deliver(stream, stream.server, host, event)
 
     def _send_down(self, host: Host, effect: SendAgent) -> None:
         stream = host.accepted.get(effect.stream_id)
-        if stream is None or self._is_cut(host.name, stream.client.name):
+        if stream is None:
             return
         event = EntryMessageReceived(stream.client_id, effect.message)
-        self._deliver_in_order(stream.client, host.name, event)
-
-    def _deliver_in_order(self, to: Host, sender: str, event: Event) -> None:
-        key = f"{sender}>{to.name}"
-        at_ms = max(self.now_ms + self._delay_ms(), self._arrivals.get(key, 0))
+        self._deliver(stream, stream.client, host, event)
+
+    def _deliver(self, stream: Stream, to: Host, sender: Host, event: Event) -> None:
+        """Deliver in order, after a cut, unless the stream has ended."""
+        key = f"{sender.name}>{to.name}"
+        at_ms = max(
+            self.now_ms + self._delay_ms(),
+            self._arrivals.get(key, 0),
+            self._cut.get(sender.name, 0),
+            self._cut.get(to.name, 0),
+        )
         self._arrivals[key] = at_ms
-        self._schedule(at_ms - self.now_ms, partial(self.post, to, event))
+
+        def arrive() -> None:
+            if stream.client.uplinks.get(stream.client_id) is stream:
+                self.post(to, event)
+
+        self._schedule(at_ms - self.now_ms, arrive)
 
     # --- workers -----------------------------------------------------------
 
