Clear tasks that had run for long when a worker crashed for another reason

What callers would see: a service that lasts for months is given up at its eighth power failure.

Cause: crashes with another cause are bounded too, and their number was not cleared by a run that had lasted; a counted crash of such a run cleared it, an excused one did not.

Result: test_work_that_lasts_outlives_any_number_of_crashes fails before for excused crashes and passes.

--- a/packages/core/crocuswell_core/jobs/crash_history.py
+++ b/packages/core/crocuswell_core/jobs/crash_history.py
@@ -31,7 +31,7 @@
 PROOF_COUNT_SOLE = 4
 # Count that is proof although other tasks were there each time.
 PROOF_COUNT = 5
-# Crashes that ended the task's runs, whatever their cause, after which it is
+# Crashes of whatever cause, not long after a start, after which the task is
 # not tried again.
 MAX_CRASHES = 8
 
@@ -110,8 +110,10 @@
             machines=tuple(dict.fromkeys((*known.machines, machine))),
         )
 
-    def after_excused_crash(self) -> Self:
+    def after_excused_crash(self, known_ms: int) -> Self:
         """Return the history with one more crash that had another cause."""
+        if known_ms > MAX_BLAME_MS:
+            return type(self)()
         return attrs.evolve(self, excused=self.excused + 1)
 
 
--- a/packages/core/crocuswell_core/jobs/crash_records.py
+++ b/packages/core/crocuswell_core/jobs/crash_records.py
@@ -97,7 +97,7 @@
             crash.machine, crashed.known_ms, crashed.possible_ms, sole
         )
     else:
-        history = history.after_excused_crash()
+        history = history.after_excused_crash(crashed.known_ms)
     task.crashes = history
     labels = (
         *run_labels(crashed.run),
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -173,6 +173,22 @@
     assert table.tasks("j")[0].worker == ""
 
 
+@pytest.mark.parametrize("coincident", [True, False])
+def test_work_that_lasts_outlives_any_number_of_crashes(coincident: bool) -> None:
+    """Guards against giving up lasting work for a year of power failures."""
+    table = ReplicatedTable()
+    table.submit("j", step(1, long_running=True))
+    for number in range(1, 21):
+        run, machine = run_of("j", number=number), f"m{number}"
+        table.start(run, worker=f"{machine}/w1@5")
+        # Now and then one comes soon after a restart.
+        age_ms = 20_000 if number % 4 == 0 else 3_600_000
+        crash = crash_of(CrashedRun(run, age_ms, age_ms), machine=machine)
+        loss = MarkWorkerLost(crash.worker, crash=crash, coincident=coincident)
+        table.apply(loss)
+    assert table.phase("j") == "running"
+
+
 def test_count_of_crashes_outlasts_a_snapshot() -> None:
     """Guards against a restart that makes a task harmless again."""
     table = ReplicatedTable()
