--- a/packages/core/crocuswell_core/jobs/crash_records.py
+++ b/packages/core/crocuswell_core/jobs/crash_records.py
@@ -22,7 +22,7 @@
 
 @attrs.frozen
 class _TaskUnderCrash:
-    """An open job's task with the run that was there."""
+    """A task with its job, and its run that was there."""
 
     crashed: CrashedRun
     job: Job
