--- a/packages/core/crocuswell_core/cluster/cluster_state.py
+++ b/packages/core/crocuswell_core/cluster/cluster_state.py
@@ -5,6 +5,7 @@
 from crocuswell_core.cluster.commands import CommandReply
 from crocuswell_core.cluster.configuration import Configuration, ConfigurationChange
 from crocuswell_core.cluster.due import DueItem
+from crocuswell_core.cluster.evacuations import Evacuation
 from crocuswell_core.cluster.records import Attempt, AttemptId, Request, Worker
 from crocuswell_core.cluster.resources import Resources, Shape
 from crocuswell_core.cluster.scheduling_index import SchedulingIndex
@@ -209,6 +210,8 @@
         Multi-step jobs and the catalog that they refer to.
     crash_histories : dict
         Crashes of backend servers by the open request that was there.
+    evacuations : dict
+        Failure domains in which no run starts, by name.
     policy : DefaultPolicy
         Scheduling policy.
     index : SchedulingIndex or None
@@ -246,6 +249,7 @@
     policy: DefaultPolicy = attrs.Factory(DefaultPolicy)
     jobs: JobTable = attrs.Factory(JobTable)
     crash_histories: dict[str, CrashHistory] = attrs.Factory(dict)
+    evacuations: dict[str, Evacuation] = attrs.Factory(dict)
     index: SchedulingIndex | None = attrs.field(
         default=None, init=False, eq=False, repr=False
     )
--- a/packages/core/crocuswell_core/cluster/commands.py
+++ b/packages/core/crocuswell_core/cluster/commands.py
@@ -187,6 +187,22 @@
     author: str
 
 
+@attrs.frozen
+class StartEvacuation:
+    """Start no more runs in a failure domain, until this is withdrawn."""
+
+    failure_domain: str
+    author: str = ""
+
+
+@attrs.frozen
+class EndEvacuation:
+    """Withdraw the evacuation of a failure domain, if there is one."""
+
+    failure_domain: str
+    author: str = ""
+
+
 @attrs.frozen
 class ConfirmInForce:
     """Record that every live process has the configuration `number`."""
@@ -235,6 +251,8 @@
     | RecordReports
     | ChangeConfiguration
     | SwitchPreset
+    | StartEvacuation
+    | EndEvacuation
     | ConfirmInForce
     | ChangeMembers
     | JobCommand
@@ -297,6 +315,14 @@
     mode: WorkerMode
 
 
+@attrs.frozen
+class EvacuationSet:
+    """Whether a failure domain is evacuated from now on is committed."""
+
+    failure_domain: str
+    is_evacuated: bool
+
+
 @attrs.frozen
 class Done:
     """The command was applied; it has no result."""
@@ -327,6 +353,7 @@
     | RequestsCancelled
     | ChangeAccepted
     | ModeSet
+    | EvacuationSet
     | Done
     | Refused
     | JobReply
--- a/packages/core/crocuswell_core/entry/entry_state.py
+++ b/packages/core/crocuswell_core/entry/entry_state.py
@@ -9,6 +9,7 @@
 from crocuswell_core.cluster.records import AttemptId, WorkerInfo
 from crocuswell_core.consensus.consensus_state import ConsensusState
 from crocuswell_core.dispatching.dispatch_state import DispatchState
+from crocuswell_core.dispatching.features import DispatchFeatures
 from crocuswell_core.entry.calls import GetRequest, ReadCall
 from crocuswell_core.links.uplink import Uplink
 
@@ -34,6 +35,8 @@
     forget_host_ms : int
         Time in ms after which a silent host that is not a voter is removed
         from the group; 0 for never.
+    features : DispatchFeatures
+        Optional parts of dispatching.
     append_entries : int
         Maximum number of entries in one `AppendEntries`; a host that lags
         behind gets the next ones when it acknowledges these.
@@ -63,6 +66,7 @@
     task_lease_ms: int = 6_000
     seeds: tuple[str, ...] = ()
     founds_group: bool = False
+    features: DispatchFeatures = attrs.Factory(DispatchFeatures)
 
 
 @attrs.define
--- a/packages/daemon/crocuswell_daemon/tags.py
+++ b/packages/daemon/crocuswell_daemon/tags.py
@@ -6,6 +6,7 @@
     commands,
     configuration,
     due,
+    evacuations,
     records,
     resources,
 )
@@ -167,6 +168,10 @@
     crash_history.CrashHistory,
     job_records.CrashedRun,
     job_records.WorkerCrash,
+    evacuations.Evacuation,
+    commands.StartEvacuation,
+    commands.EndEvacuation,
+    commands.EvacuationSet,
 )
 
 TAG_OF: dict[type, int] = {
