--- a/packages/daemon/crocuswell_daemon/roles.py
+++ b/packages/daemon/crocuswell_daemon/roles.py
@@ -4,6 +4,7 @@
 
 from crocuswell_core.agent.agent_state import AgentConfig
 from crocuswell_core.cluster.commands import EntryHost
+from crocuswell_core.dispatching.features import DispatchFeatures
 from crocuswell_core.entry.entry_state import EntryConfig
 
 # Fields of `EntryConfig` and `AgentConfig` that are not timing keys. Those in
@@ -53,6 +54,8 @@
     timing : dict
         Fields of `EntryConfig` that are set: times in ms and numbers of
         log entries.
+    features : DispatchFeatures
+        Optional parts of dispatching that are switched on.
     """
 
     role: str
@@ -65,6 +68,7 @@
     insecure_loopback: bool
     seed: int | None = None
     timing: dict[str, int] = attrs.Factory(dict)
+    features: DispatchFeatures = attrs.Factory(DispatchFeatures)
 
     def core_config(self, seed: int) -> EntryConfig:
         """Return the configuration of the reducer."""
@@ -73,6 +77,7 @@
             hosts=self.hosts,
             voters=self.voters,
             seed=seed,
+            features=self.features,
             **self.timing,  # type: ignore[arg-type]
         )
 
