--- a/bench/crashing_fleet.py
+++ b/bench/crashing_fleet.py
@@ -9,9 +9,10 @@
 
 import attrs
 
-from bench.fleet_simulation import REPORT_DELAY_MS, FleetSimulation
+from bench.fleet_simulation import NO_FEATURES, REPORT_DELAY_MS, FleetSimulation
 from bench.loads import Load, WorkerFault
 from bench.simulated_workers import NEVER_MS, SimulatedRun, SimulatedWorker
+from crocuswell_core.dispatching.features import DispatchFeatures
 from crocuswell_core.jobs.job_records import (
     CrashedRun,
     JobPhase,
@@ -63,8 +64,10 @@
         Number of crashes.
     """
 
-    def __init__(self, load: Load, seed: int = 1) -> None:
-        super().__init__(load, seed)
+    def __init__(
+        self, load: Load, seed: int = 1, features: DispatchFeatures = NO_FEATURES
+    ) -> None:
+        super().__init__(load, seed, features)
         self.crashes_under: Counter[TaskId] = Counter()
         self.late_starts: Counter[TaskId] = Counter()
         self.crashes = 0
--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -18,6 +18,7 @@
 from bench.loads import JobClass, Load, WorkerFault
 from bench.simulated_workers import NEVER_MS, SimulatedRun, SimulatedWorker
 from bench.value_bound import FleetRate
+from crocuswell_core.dispatching.features import DispatchFeatures
 from crocuswell_core.dispatching.worker_reports import contactless_limit_ms
 from crocuswell_core.jobs.catalog import Catalog, CatalogWorkspace, Queue, Service
 from crocuswell_core.jobs.job_commands import (
@@ -51,6 +52,7 @@
 # prefers one.
 SPREAD_GANG_FACTOR = 3.0
 STOP_EVENTS = ("run_preempted", "run_stalled", "run_evacuated")
+NO_FEATURES = DispatchFeatures()
 HOST = "load.example"
 SERVICE = "press"
 
@@ -64,11 +66,15 @@
         Fleet, arrivals and faults.
     seed : int
         Seed of all random choices.
+    features : DispatchFeatures
+        Optional parts of dispatching that are switched on.
     """
 
-    def __init__(self, load: Load, seed: int = 1) -> None:
+    def __init__(
+        self, load: Load, seed: int = 1, features: DispatchFeatures = NO_FEATURES
+    ) -> None:
         self.load = load
-        self.leader = Leader(contactless_limit_ms(WORKER_LEASE_MS))
+        self.leader = Leader(contactless_limit_ms(WORKER_LEASE_MS), features)
         self.jobs: dict[str, SubmittedJob] = {}
         self._random = random.Random(seed)
         self._events: list[tuple[int, int, Callable[[], None]]] = []
@@ -157,7 +163,10 @@
             labels=("a", rack),
             capacity=self.load.capacity,
         )
-        return SimulatedWorker(index + 1, description)
+        speeds = self.load.speeds
+        # Consecutive workers share a rack, so speeds are mixed within racks.
+        speed = speeds[self._random.randrange(len(speeds))] if speeds else 1.0
+        return SimulatedWorker(index + 1, description, speed=speed, sound_speed=speed)
 
     def _make_catalog(self) -> Catalog:
         load = self.load
@@ -198,6 +207,8 @@
             burst = job_class.burst
             if burst and burst.at_ms <= at_ms < burst.at_ms + burst.for_ms:
                 rate *= burst.factor
+            phase = 2 * math.pi * at_ms / self.load.period_ms
+            rate *= 1 + self.load.swing * math.sin(phase)
             at_ms += self._random.expovariate(rate) * 1_000
             if at_ms >= self.load.length_ms:
                 return
@@ -211,6 +222,8 @@
         count = max(1, round(_lognormal(draw, job_class.tasks, job_class.tasks_spread)))
         count = min(count, job_class.max_tasks)
         work_ms = _lognormal(draw, job_class.work_ms, job_class.work_spread)
+        if job_class.tail_share and draw.random() < job_class.tail_share:
+            work_ms *= job_class.tail_factor
         estimated_ms = work_ms * _lognormal(draw, 1.0, job_class.estimate_error)
         step = StepSpec(
             count,
@@ -235,7 +248,7 @@
             submitted.crashes_workers = draw.random() < job_class.crashing_share
         self.jobs[job_id] = submitted
         self._task_work_ms[job_id] = work_ms
-        address = self._address(job_class, draw.randrange(self.load.workspaces))
+        address = self._address(job_class, self._draw_workspace())
         self._log_effects(
             self.leader.apply(SubmitJob(job_id, address, "work", (step,)))
         )
@@ -243,6 +256,13 @@
             delay_ms = draw.uniform(0.1, 1.5) * work_ms
             self._schedule(delay_ms, partial(self._cancel, job_id, address))
 
+    def _draw_workspace(self) -> int:
+        count, skew = self.load.workspaces, self.load.workspace_skew
+        if not skew:
+            return self._random.randrange(count)
+        weights = [1 / (index + 1) ** skew for index in range(count)]
+        return self._random.choices(range(count), weights)[0]
+
     def _address(self, job_class: JobClass, workspace: int) -> QueueAddress:
         return QueueAddress(HOST, f"/{job_class.name}/", f"key-ws{workspace}")
 
@@ -344,8 +364,12 @@
             return
         racks = {worker.description.rack for worker, _ in members}
         factor = SPREAD_GANG_FACTOR if step.prefers_one_rack and len(racks) > 1 else 1.0
+        slowest = min(worker.sound_speed for worker, _ in members)
         for worker, simulated in members:
             simulated.at_work = True
+            # The sound speed of the worker cancels out, so that all members
+            # advance at the pace of the slowest one.
+            simulated.pace = slowest / worker.sound_speed
             simulated.work_ms *= factor
             simulated.updated_ms = self.leader.now_ms
             self._schedule_end(worker, simulated)
@@ -384,14 +408,16 @@
     def _update_run(self, worker: SimulatedWorker, simulated: SimulatedRun) -> None:
         now_ms = self.leader.now_ms
         if simulated.at_work:
-            simulated.done_ms += (now_ms - simulated.updated_ms) * worker.speed
+            elapsed_ms = now_ms - simulated.updated_ms
+            simulated.done_ms += elapsed_ms * worker.speed * simulated.pace
         simulated.updated_ms = now_ms
         if self._checkpointed(simulated):
             key = self._checkpoint_key(simulated.run, simulated.step)
             self._checkpointed_ms[key] = simulated.done_ms
 
     def _schedule_end(self, worker: SimulatedWorker, simulated: SimulatedRun) -> None:
-        left_ms = (simulated.work_ms - simulated.done_ms) / worker.speed
+        left_ms = simulated.work_ms - simulated.done_ms
+        left_ms /= worker.speed * simulated.pace
         self._schedule(
             max(1, math.ceil(left_ms)), partial(self._finish_run, worker, simulated)
         )
@@ -482,8 +508,10 @@
             worker.fails_all = True
             self._schedule(fault.for_ms, partial(self._stop_failing, worker))
         elif fault.kind == "slow":
-            self._set_speed(worker, 1 / fault.factor)
-            self._schedule(fault.for_ms, partial(self._set_speed, worker, 1.0))
+            self._set_speed(worker, worker.sound_speed / fault.factor)
+            self._schedule(
+                fault.for_ms, partial(self._set_speed, worker, worker.sound_speed)
+            )
         else:
             raise ValueError(f"unknown kind of fault: {fault.kind}")
 
--- a/bench/loads/__init__.py
+++ b/bench/loads/__init__.py
@@ -38,6 +38,8 @@
         Objective: this multiple of the run time, and this time in ms more.
     worth, late_worth : float
         Value of a job of mean size, in time and late.
+    tail_share, tail_factor : float
+        Share of the jobs that take this multiple of the usual run time.
     crashing_share : float
         Share of the jobs whose first task crashes each worker that starts it,
         `crash_after_ms` after the start.
@@ -65,6 +67,8 @@
     checkpointing_share: float = 0.0
     cancelled_share: float = 0.0
     hopeless_share: float = 0.0
+    tail_share: float = 0.0
+    tail_factor: float = 1.0
     crashing_share: float = 0.0
     crash_after_ms: float = 10.0
     burst: Burst | None = None
@@ -101,6 +105,13 @@
         Factor of all arrival rates.
     stop_ms : int
         Time in ms that a worker takes to stop a run.
+    speeds : tuple of float
+        Speeds of the workers, each of as many workers; empty if all have the
+        usual speed of 1.
+    swing, period_ms : float, int
+        Arrival rates rise and fall by this share in each period.
+    workspace_skew : float
+        Exponent by which later workspaces submit less; 0 for equal shares.
     """
 
     workers: int
@@ -114,6 +125,10 @@
     finish_ms: int = 14_000
     intensity: float = 1.0
     stop_ms: int = 200
+    speeds: tuple[float, ...] = ()
+    swing: float = 0.0
+    period_ms: int = 12_000
+    workspace_skew: float = 0.0
     faults: tuple[WorkerFault, ...] = ()
 
 
--- a/bench/simulated_workers.py
+++ b/bench/simulated_workers.py
@@ -18,6 +18,8 @@
         Time in ms that the run needs on a sound worker.
     done_ms : float
         Part of `work_ms` that is done.
+    pace : float
+        Share of its worker's speed at which it advances.
     """
 
     run: RunId
@@ -26,6 +28,7 @@
     done_ms: float = 0.0
     updated_ms: int = 0
     at_work: bool = False
+    pace: float = 1.0
     stop_ms: int = NEVER_MS
 
     @property
@@ -41,7 +44,9 @@
     Attributes
     ----------
     speed : float
-        Share of a sound worker's speed.
+        Multiple of the usual speed.
+    sound_speed : float
+        The same without faults.
     silent_until_ms : int
         Time in ms before which no message passes in either direction.
     leaves_ms : int
@@ -56,6 +61,7 @@
     ended: list[RunEnd] = attrs.Factory(list)
     ends: int = 0
     speed: float = 1.0
+    sound_speed: float = 1.0
     fails_all: bool = False
     silent_until_ms: int = 0
     lease_end_ms: int = NEVER_MS
