--- a/packages/core/crocuswell_core/dispatching/fleet.py
+++ b/packages/core/crocuswell_core/dispatching/fleet.py
@@ -96,6 +96,9 @@
         Free resources without all reservations; none if it is closed.
     available : ResourceVector
         Resources that the step under consideration may use.
+    speed_rank : int
+        Place among the workers by how their speed suits that step; workers
+        with the same place suit it alike.
     """
 
     key: str
@@ -109,6 +112,7 @@
     is_closed: bool = False
     spare: ResourceVector = attrs.field(init=False, factory=ResourceVector)
     available: ResourceVector = attrs.field(init=False, factory=ResourceVector)
+    speed_rank: int = attrs.field(init=False, default=0)
 
     def is_held_from(
         self, key: StepKey, rank: tuple[int, int, int], end_ms: int
--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -8,6 +8,7 @@
     FittingWorkers,
     Fleet,
 )
+from crocuswell_core.dispatching.speed_fit import rank_by_speed
 from crocuswell_core.dispatching.waiting_steps import RankedStep, WaitingStep
 from crocuswell_core.entry.entry_state import EntryState
 
@@ -94,6 +95,7 @@
     fleet, ranked = state.dispatch.fleet, waiting.ranked
     if trials.is_held_back(state, ranked):
         return {}
+    rank_by_speed(state, ranked, candidates)
     if ranked.suspects and not ranked.step.gang:
         return _place_on_trial(state, ranked, candidates, ranked.suspects[0])
     if not ranked.step.gang:
@@ -185,9 +187,10 @@
 
 def _preference(
     fleet: Fleet, ranked: RankedStep, candidate: CandidateWorker
-) -> tuple[bool, int, int, int]:
+) -> tuple[bool, int, int, int, int]:
     return (
         _is_remote(ranked, candidate),
+        candidate.speed_rank,
         candidate.available.accelerators,
         candidate.available.cpu_millis,
         # Fill partly used racks first to keep whole racks for gangs.
@@ -249,6 +252,7 @@
             fitting_racks,
             key=lambda rack_workers: (
                 _has_failed_worker(ranked, rack_workers),
+                _speed_rank_of_gang(ranked, rack_workers),
                 fleet.rack_accelerators[rack_workers[0].worker.rack],
             ),
         )
@@ -258,6 +262,16 @@
     return place_gang(fleet, ranked, candidates)
 
 
+def _speed_rank_of_gang(ranked: RankedStep, candidates: list[CandidateWorker]) -> int:
+    """Return the place by speed of the worst worker that a gang must use."""
+    unplaced = ranked.waiting_count
+    for candidate in sorted(candidates, key=lambda c: c.speed_rank):
+        unplaced -= max_copies_on(ranked, candidate)
+        if unplaced <= 0:
+            return candidate.speed_rank
+    return max(candidate.speed_rank for candidate in candidates)
+
+
 def _failed_worker_ids(ranked: RankedStep) -> set[str]:
     """Return the ids of the workers on which runs of the step failed."""
     return {worker for task in ranked.tasks for worker in task.failed_on}
@@ -283,6 +297,7 @@
             is_suspect and c.worker.machine in crashed,
             c.worker.id in failed_on,
             _is_remote(ranked, c),
+            c.speed_rank,
             c.available.accelerators,
             fleet.rack_accelerators[c.worker.rack],
         ),
--- a/packages/core/crocuswell_core/dispatching/waiting_steps.py
+++ b/packages/core/crocuswell_core/dispatching/waiting_steps.py
@@ -65,6 +65,11 @@
         """Number of tasks of the step that are done."""
         return sum(task.phase is TaskPhase.DONE for task in self.tasks)
 
+    @property
+    def deadline_ms(self) -> int:
+        """Cluster time in ms by which its job must end to be in time."""
+        return self.sort_key[2]
+
     @property
     def needs_one_rack(self) -> bool:
         """Whether the step is a gang that is slower when spread over racks."""
