--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -12,6 +12,7 @@
     StepKey,
     parse_boot_key,
 )
+from crocuswell_core.learning.worker_speeds import WorkerSpeeds
 
 
 @attrs.define
@@ -160,6 +161,8 @@
     ample_since_ms : dict
         Time in ms since which a waiting step could start on resources that
         are kept free for others or lie in other racks, by key of the step.
+    speeds : WorkerSpeeds
+        Slowdowns of the workers, learned from the progress and ends of runs.
     """
 
     term: int = -1
@@ -192,6 +195,7 @@
     held_workers: dict[StepKey, tuple[str, ...]] = attrs.Factory(dict)
     reserved_racks: dict[StepKey, str] = attrs.Factory(dict)
     ample_since_ms: dict[StepKey, int] = attrs.Factory(dict)
+    speeds: WorkerSpeeds = attrs.Factory(WorkerSpeeds)
 
     def add_boot(self, key: str) -> None:
         """Note a boot that reports or has runs."""
--- a/packages/core/crocuswell_core/dispatching/expectations.py
+++ b/packages/core/crocuswell_core/dispatching/expectations.py
@@ -54,7 +54,10 @@
 
 def slowdown(state: EntryState, machine: str) -> Slowdown:
     """Return how slow the worker on a machine is."""
-    return Slowdown()
+    if not state.cfg.features.worker_speeds:
+        return Slowdown()
+    speeds = state.dispatch.speeds
+    return Slowdown(speeds.factor(machine), speeds.is_known(machine))
 
 
 def expected_remaining_ms(
--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -4,7 +4,7 @@
 
 from crocuswell_core.cluster.commands import Command, Proposal
 from crocuswell_core.consensus import election, replication
-from crocuswell_core.dispatching import health, indexing
+from crocuswell_core.dispatching import health, indexing, speed_evidence
 from crocuswell_core.dispatching.orders import (
     PROPOSAL_TIMEOUT_MS,
     current_dispatch,
@@ -111,6 +111,7 @@
         effects += _propose_loss(state, key, view, "worker left")
     if message.list_number != view.list_number:
         effects += health.stop_stalled_runs(state, view)
+        effects += speed_evidence.note_progress(state, view)
         view.list_number = message.list_number
         view.list_received_ms = state.now_ms
     effects += health.evacuate_worker(state, view)
@@ -264,8 +265,10 @@
         return []
     for end in ends:
         health.record_run_end(state, view, end)
+    effects = speed_evidence.note_ends(state, view, ends)
     view.last_proposed_end = max(known, *(end.number for end in ends))
-    return _propose(state, RecordRunEnds(key, tuple(ends), view.last_proposed_end))
+    command = RecordRunEnds(key, tuple(ends), view.last_proposed_end)
+    return [*effects, *_propose(state, command)]
 
 
 def _propose(state: EntryState, command: Command) -> list[Effect]:
--- a/packages/core/crocuswell_core/dispatching/worker_view.py
+++ b/packages/core/crocuswell_core/dispatching/worker_view.py
@@ -3,6 +3,7 @@
 import attrs
 
 from crocuswell_core.jobs.job_records import RunId, RunProgress
+from crocuswell_core.learning.paces import PaceMeter
 from crocuswell_core.links.link_messages import WorkerDescription
 
 # From this advance on the pace of a run is known.
@@ -11,7 +12,7 @@
 
 @attrs.define
 class LastProgress:
-    """Newest progress of a run, for the detection of stalls.
+    """Newest progress of a run, for the detection of stalls and its pace.
 
     Attributes
     ----------
@@ -20,12 +21,16 @@
         percentage then.
     unchanged_ms : int
         Time in ms for which run lists have shown the same percentage.
+    meter : PaceMeter or None
+        Measures its pace for the speed of the worker; None if that is not
+        learned.
     """
 
     percent: int
     first_listed_ms: int = 0
     first_percent: int = 0
     unchanged_ms: int = 0
+    meter: PaceMeter | None = None
 
 
 @attrs.define
--- /dev/null
+++ b/packages/core/crocuswell_core/learning/worker_speeds.py
@@ -0,0 +1,318 @@
+"""How slow workers are compared with each other, estimated from runs.
+
+The logarithm of a run's time is taken as the sum of its step's usual time, its
+worker's slowdown and the task's own deviation. Steps and workers are unknown
+and estimated together: beliefs about both are normal distributions that
+exchange messages over the pairs of a step and a worker that had runs
+(Gaussian belief propagation). A report changes only the beliefs about its
+worker and the steps that recently ran there.
+"""
+
+import math
+import statistics
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+from crocuswell_core.jobs.job_records import StepKey
+from crocuswell_core.learning.paces import Pace
+
+# Standard deviations of logarithms of times, before any run is seen.
+WORKER_DEVIATION = 0.35
+DECLARED_DEVIATION = 0.5
+TASK_DEVIATION = 0.35
+# The members of a gang share its work evenly.
+MEMBER_DEVIATION = 0.1
+# Degrees of freedom of the distribution of tasks' deviations: a few tasks take
+# many times as long as the others.
+TAIL_DEGREES = 3
+# Up to this deviation of its logarithm a slowdown is known.
+KNOWN_DEVIATION = 0.2
+# Members of a gang whose paces differ by less advance together.
+COMMON_PACE_DIFFERENCE = 0.05
+# Weight of evidence from a step, relative to that from the next newer one.
+FADING = 0.9
+CELLS_PER_WORKER = 16
+RUNS_PER_CELL = 6
+WORKER_LIMIT = 4_096
+STEP_LIMIT = 1_024
+MEMBER_LIMIT = 64
+USUAL_SPEED_INTERVAL_MS = 1_000
+# Factors at which a worker begins and ceases to be reported as slow.
+SLOW_FACTOR = 1.3
+USUAL_FACTOR = 1.15
+
+
+@attrs.frozen
+class Gaussian:
+    """A normal distribution, or a message that is a factor of one.
+
+    Attributes
+    ----------
+    precision : float
+        Inverse of the variance; 0 for a message without information.
+    weighted_mean : float
+        Mean, multiplied by the precision.
+    """
+
+    precision: float = 0.0
+    weighted_mean: float = 0.0
+
+    @classmethod
+    def of(cls, mean: float, variance: float) -> "Gaussian":
+        """Return the distribution with a mean and a variance."""
+        return cls(1 / variance, mean / variance)
+
+    def __add__(self, other: "Gaussian") -> "Gaussian":
+        return Gaussian(
+            self.precision + other.precision, self.weighted_mean + other.weighted_mean
+        )
+
+    def __sub__(self, other: "Gaussian") -> "Gaussian":
+        return Gaussian(
+            self.precision - other.precision, self.weighted_mean - other.weighted_mean
+        )
+
+    def faded(self, weight: float) -> "Gaussian":
+        """Return the message with less weight."""
+        return Gaussian(self.precision * weight, self.weighted_mean * weight)
+
+    @property
+    def mean(self) -> float:
+        """Mean of the distribution."""
+        return self.weighted_mean / self.precision
+
+    @property
+    def variance(self) -> float:
+        """Variance of the distribution."""
+        return 1 / self.precision
+
+
+NOTHING = Gaussian()
+WORKER_PRIOR = Gaussian.of(0.0, WORKER_DEVIATION**2)
+UNDECLARED_TIME = Gaussian.of(math.log(10_000), 9.0)
+
+
+@attrs.define(eq=False)
+class StepTime:
+    """Belief about the usual time of a step's tasks.
+
+    Attributes
+    ----------
+    log_ms : Gaussian
+        Logarithm of the time in ms on a worker of the usual speed.
+    member_paces : dict
+        Newest pace of a gang on each of its machines.
+    """
+
+    gang: bool
+    log_ms: Gaussian
+    member_paces: dict[str, Pace] = attrs.Factory(dict)
+
+    @property
+    def deviation(self) -> float:
+        """Standard deviation of the logarithms of its tasks' times."""
+        return MEMBER_DEVIATION if self.gang else TASK_DEVIATION
+
+    def may_advance_together(self) -> bool:
+        """Tell whether a gang may advance at the pace of its slowest member.
+
+        Then their paces say nothing about the single workers.
+        """
+        if not self.gang:
+            return False
+        if len(self.member_paces) < 2:
+            return True
+        paces = self.member_paces.values()
+        slow = max(paces, key=lambda pace: pace.log_ms)
+        fast = min(paces, key=lambda pace: pace.log_ms)
+        doubt = math.sqrt(slow.variance) + math.sqrt(fast.variance)
+        return slow.log_ms - fast.log_ms < COMMON_PACE_DIFFERENCE + 2 * doubt
+
+
+@attrs.define(eq=False)
+class Cell:
+    """The recent runs of one step on one worker.
+
+    Attributes
+    ----------
+    runs : dict
+        Newest pace of each run by the index of its task, newest last.
+    to_step, to_worker : Gaussian
+        What these runs say about the step and about the worker.
+    """
+
+    step: StepTime
+    runs: dict[int, Pace] = attrs.Factory(dict)
+    to_step: Gaussian = NOTHING
+    to_worker: Gaussian = NOTHING
+
+    def evidence(self, expected: Gaussian) -> Gaussian:
+        """Return the distribution of the mean of the runs' times.
+
+        Runs far from what is expected have less weight.
+        """
+        total = NOTHING
+        for pace in self.runs.values():
+            variance = self.step.deviation**2 + pace.variance
+            surprise = (pace.log_ms - expected.mean) ** 2
+            surprise /= variance + expected.variance
+            weight = (TAIL_DEGREES + 1) / (TAIL_DEGREES + surprise)
+            total += Gaussian.of(pace.log_ms, variance).faded(min(1.0, weight))
+        return total
+
+
+@attrs.define(eq=False)
+class WorkerSpeed:
+    """Belief about the worker on one machine.
+
+    Attributes
+    ----------
+    kind : tuple
+        What its speed may depend on; a machine of another kind is unknown.
+    cells : dict
+        Recent runs by step, in order of the newest evidence.
+    log_slowdown : Gaussian
+        Logarithm of its slowdown, not relative to its fellows.
+    is_slow : bool
+        Whether it was last reported as slow.
+    """
+
+    kind: tuple[str, ...]
+    cells: dict[StepKey, Cell] = attrs.Factory(dict)
+    log_slowdown: Gaussian = WORKER_PRIOR
+    is_slow: bool = False
+
+    @property
+    def is_known(self) -> bool:
+        """Whether enough was seen to rely on the slowdown."""
+        return self.log_slowdown.variance <= KNOWN_DEVIATION**2
+
+    def update(self) -> None:
+        """Weigh all evidence anew."""
+        count = len(self.cells)
+        weights = [FADING ** (count - 1 - rank) for rank in range(count)]
+        total = WORKER_PRIOR
+        for cell, weight in zip(self.cells.values(), weights, strict=True):
+            total += cell.to_worker.faded(weight)
+        for cell, weight in zip(self.cells.values(), weights, strict=True):
+            others = total - cell.to_worker.faded(weight)
+            _exchange_messages(cell, others)
+            total = others + cell.to_worker.faded(weight)
+        self.log_slowdown = total
+
+
+def _exchange_messages(cell: Cell, worker: Gaussian) -> None:
+    """Update what a cell says about its step and its worker.
+
+    Parameters
+    ----------
+    worker : Gaussian
+        What is known of the worker's slowdown from other cells.
+    """
+    step = cell.step.log_ms - cell.to_step
+    cell.to_step = cell.to_worker = NOTHING
+    if not cell.step.may_advance_together():
+        runs = cell.evidence(
+            Gaussian.of(step.mean + worker.mean, step.variance + worker.variance)
+        )
+        cell.to_step = Gaussian.of(
+            runs.mean - worker.mean, runs.variance + worker.variance
+        )
+        cell.to_worker = Gaussian.of(
+            runs.mean - step.mean, runs.variance + step.variance
+        )
+    cell.step.log_ms = step + cell.to_step
+
+
+@attrs.define
+class WorkerSpeeds:
+    """Beliefs about all workers, with the steps that tell of them.
+
+    Attributes
+    ----------
+    workers : dict
+        By machine, in order of the newest evidence.
+    steps : dict
+        Recently seen steps, in order of the newest evidence.
+    usual_log : float
+        Logarithm of the median slowdown, to which slowdowns are relative.
+    usual_ms : int
+        Time in ms at which it was computed.
+    """
+
+    workers: dict[str, WorkerSpeed] = attrs.Factory(dict)
+    steps: dict[StepKey, StepTime] = attrs.Factory(dict)
+    usual_log: float = 0.0
+    usual_ms: int = -USUAL_SPEED_INTERVAL_MS
+
+    def observe(
+        self,
+        machine: str,
+        kind: tuple[str, ...],
+        step_key: StepKey,
+        step: StepTime,
+        paces: Iterable[tuple[int, Pace]],
+        now_ms: int,
+    ) -> None:
+        """Note the paces of a step's runs on a worker.
+
+        Parameters
+        ----------
+        step : StepTime
+            What is believed of the step if it was not seen before.
+        paces : iterable
+            Index of the task and pace of each run.
+        """
+        step = self.steps.pop(step_key, step)
+        self.steps[step_key] = step
+        worker = self.workers.pop(machine, None)
+        if worker is None or worker.kind != kind:
+            worker = WorkerSpeed(kind)
+        self.workers[machine] = worker
+        cell = worker.cells.pop(step_key, None)
+        if cell is None or cell.step is not step:
+            cell = Cell(step)
+        worker.cells[step_key] = cell
+        for index, pace in paces:
+            cell.runs.pop(index, None)
+            cell.runs[index] = pace
+            if cell.step.gang:
+                cell.step.member_paces[machine] = pace
+        keep_newest(cell.runs, RUNS_PER_CELL)
+        keep_newest(cell.step.member_paces, MEMBER_LIMIT)
+        keep_newest(worker.cells, CELLS_PER_WORKER)
+        keep_newest(self.workers, WORKER_LIMIT)
+        keep_newest(self.steps, STEP_LIMIT)
+        worker.update()
+        if now_ms - self.usual_ms >= USUAL_SPEED_INTERVAL_MS:
+            self.usual_ms = now_ms
+            self.usual_log = statistics.median(
+                worker.log_slowdown.mean for worker in self.workers.values()
+            )
+
+    def factor(self, machine: str) -> float:
+        """Return the slowdown of a worker, 1.0 if nothing was seen of it."""
+        worker = self.workers.get(machine)
+        if worker is None:
+            return 1.0
+        return math.exp(worker.log_slowdown.mean - self.usual_log)
+
+    def is_known(self, machine: str) -> bool:
+        """Tell whether a worker's slowdown can be relied on."""
+        worker = self.workers.get(machine)
+        return worker is not None and worker.is_known
+
+
+def new_step_time(declared_ms: int, gang: bool) -> StepTime:
+    """Return the belief about a step of which nothing was seen."""
+    if declared_ms <= 0:
+        return StepTime(gang, UNDECLARED_TIME)
+    return StepTime(gang, Gaussian.of(math.log(declared_ms), DECLARED_DEVIATION**2))
+
+
+def keep_newest(items: dict[Any, Any], limit: int) -> None:
+    """Remove the oldest items of a dict beyond a limit."""
+    while len(items) > limit:
+        del items[next(iter(items))]
--- /dev/null
+++ b/tests/test_worker_speeds.py
@@ -0,0 +1,150 @@
+"""How fast workers are, learned from the advance and the ends of runs."""
+
+import math
+import random
+
+import attrs
+
+from crocuswell_core.jobs.job_records import StepKey
+from crocuswell_core.learning.paces import Pace, PaceMeter
+from crocuswell_core.learning.worker_speeds import (
+    WorkerSpeeds,
+    new_step_time,
+)
+
+LIST_MS = 500
+DECLARED_MS = 6_000
+
+
+@attrs.define
+class Run:
+    """A run on a simulated worker; `done` is its share of its work."""
+
+    step: StepKey
+    index: int
+    work_ms: float
+    done: float = 0.0
+    meter: PaceMeter | None = None
+
+
+@attrs.define
+class Fleet:
+    """Workers of different speeds that run tasks of random steps."""
+
+    speeds: dict[str, float]
+    runs_per_worker: int = 2
+    tasks_per_step: int = 8
+    error: float = 0.5
+    common_pace: bool = False
+    gang: bool = False
+    rng: random.Random = attrs.Factory(lambda: random.Random(1))
+    learned: WorkerSpeeds = attrs.Factory(WorkerSpeeds)
+    now_ms: int = 0
+    ends: dict[str, int] = attrs.Factory(dict)
+    running: dict[str, list[Run]] = attrs.Factory(dict)
+    waiting: list[Run] = attrs.Factory(list)
+    steps: int = 0
+
+    def play(self, ms: int) -> None:
+        end_ms = self.now_ms + ms
+        while self.now_ms < end_ms:
+            self.now_ms += LIST_MS
+            pace = min(self.speeds.values()) if self.common_pace else 0.0
+            for name, speed in self.speeds.items():
+                self._advance(name, pace or speed)
+
+    def _advance(self, name: str, speed: float) -> None:
+        runs = self.running.setdefault(name, [])
+        for run in list(runs):
+            run.done += LIST_MS * speed / run.work_ms
+            if run.meter is None:
+                run.meter = PaceMeter(int(100 * run.done), resumed=False)
+            if run.done >= 1:
+                late_ms = (run.done - 1) * run.work_ms / speed
+                pace = run.meter.complete(self.now_ms - int(late_ms))
+                runs.remove(run)
+                self.ends[name] = self.ends.get(name, 0) + 1
+            else:
+                pace = run.meter.advance(int(100 * run.done), self.now_ms)
+            if pace is not None:
+                self.observe(name, run, pace)
+        while len(runs) < self.runs_per_worker:
+            runs.append(self._next_run())
+
+    def observe(self, name: str, run: Run, pace: Pace) -> None:
+        step = new_step_time(DECLARED_MS, self.gang)
+        paces = [(run.index, pace)]
+        self.learned.observe(name, ("press",), run.step, step, paces, self.now_ms)
+
+    def _next_run(self) -> Run:
+        if not self.waiting:
+            self.steps += 1
+            usual_ms = DECLARED_MS * math.exp(self.rng.gauss(0, self.error))
+            for index in range(self.tasks_per_step):
+                work_ms = usual_ms
+                if not self.gang:
+                    work_ms *= math.exp(self.rng.gauss(0, 0.3))
+                    work_ms *= 7 if self.rng.random() < 1 / 30 else 1
+                run = Run((f"job-{self.steps}", 0, 0), index, work_ms)
+                self.waiting.append(run)
+        return self.waiting.pop(0)
+
+    def factor(self, name: str) -> float:
+        return self.learned.factor(name)
+
+
+def mixed(count: int = 12) -> dict[str, float]:
+    return {f"m{i}": (0.6, 1.0, 1.0, 1.6)[i % 4] for i in range(count)}
+
+
+def typical_error(fleet: Fleet) -> float:
+    """Return the root mean square of the errors of logarithms."""
+    errors = [
+        (math.log(fleet.factor(name)) + math.log(speed)) ** 2
+        for name, speed in fleet.speeds.items()
+    ]
+    return math.sqrt(sum(errors) / len(errors))
+
+
+def test_mixed_speeds_are_told_apart_within_seconds() -> None:
+    """Load: three speeds mixed, tasks that differ, estimates off by half."""
+    fleet = Fleet(mixed())
+    fleet.play(20_000)
+    assert typical_error(fleet) < 0.25
+    known = [name for name in fleet.speeds if fleet.learned.is_known(name)]
+    assert len(known) >= len(fleet.speeds) / 2
+    for name in known:
+        assert abs(math.log(fleet.factor(name) * fleet.speeds[name])) < 0.5
+
+
+def test_all_workers_slow_at_once_leaves_them_equal() -> None:
+    """Load: a day on which the whole fleet has half its speed."""
+    fleet = Fleet({name: speed / 2 for name, speed in mixed().items()})
+    fleet.play(40_000)
+    for name, speed in fleet.speeds.items():
+        assert abs(math.log(fleet.factor(name) * 2 * speed)) < 0.5
+
+
+def test_members_at_one_pace_tell_nothing_of_their_workers() -> None:
+    """Load: gangs that advance at the pace of their slowest member."""
+    fleet = Fleet(mixed(), gang=True, tasks_per_step=4, common_pace=True)
+    fleet.play(20_000)
+    assert not any(fleet.learned.is_known(name) for name in fleet.speeds)
+    assert {round(fleet.factor(name), 2) for name in fleet.speeds} == {1.0}
+
+
+def test_members_at_their_own_paces_tell_workers_apart() -> None:
+    """Load: gangs whose members advance at their own worker's speed."""
+    fleet = Fleet(mixed(), gang=True, tasks_per_step=4)
+    fleet.play(20_000)
+    assert typical_error(fleet) < 0.15
+
+
+def test_one_straggler_condemns_no_worker() -> None:
+    """Failure: a task of seven times the usual work on a usual worker."""
+    fleet = Fleet({f"m{i}": 1.0 for i in range(8)}, error=0.0)
+    fleet.play(20_000)
+    before = fleet.factor("m3")
+    straggler = Pace(math.log(7 * DECLARED_MS), 0.01)
+    fleet.observe("m3", Run(("late", 0, 0), 0, 0.0), straggler)
+    assert fleet.factor("m3") < before * 1.15
