--- a/packages/core/crocuswell_core/dispatching/speed_evidence.py
+++ b/packages/core/crocuswell_core/dispatching/speed_evidence.py
@@ -42,6 +42,10 @@
     paces: list[tuple[RunId, Pace]] = []
     for end in ends:
         last = view.last_progress.get(end.run)
+        step = state.cluster.jobs.step_of(end.run.task)
+        if step is None or step.gang:
+            # A gang ends with its slowest member.
+            continue
         if end.kind is not RunEndKind.DONE or last is None or last.meter is None:
             continue
         pace = last.meter.complete(state.now_ms)
--- a/packages/core/crocuswell_core/learning/worker_speeds.py
+++ b/packages/core/crocuswell_core/learning/worker_speeds.py
@@ -29,15 +29,12 @@
 TAIL_DEGREES = 3
 # Up to this deviation of its logarithm a slowdown is known.
 KNOWN_DEVIATION = 0.2
-# Members of a gang whose paces differ by less advance together.
-COMMON_PACE_DIFFERENCE = 0.05
 # Weight of evidence from a step, relative to that from the next newer one.
 FADING = 0.9
 CELLS_PER_WORKER = 16
 RUNS_PER_CELL = 6
 WORKER_LIMIT = 4_096
 STEP_LIMIT = 1_024
-MEMBER_LIMIT = 64
 USUAL_SPEED_INTERVAL_MS = 1_000
 # Factors at which a worker begins and ceases to be reported as slow.
 SLOW_FACTOR = 1.3
@@ -102,34 +99,16 @@
     ----------
     log_ms : Gaussian
         Logarithm of the time in ms on a worker of the usual speed.
-    member_paces : dict
-        Newest pace of a gang on each of its machines.
     """
 
     gang: bool
     log_ms: Gaussian
-    member_paces: dict[str, Pace] = attrs.Factory(dict)
 
     @property
     def deviation(self) -> float:
         """Standard deviation of the logarithms of its tasks' times."""
         return MEMBER_DEVIATION if self.gang else TASK_DEVIATION
 
-    def may_advance_together(self) -> bool:
-        """Tell whether a gang may advance at the pace of its slowest member.
-
-        Then their paces say nothing about the single workers.
-        """
-        if not self.gang:
-            return False
-        if len(self.member_paces) < 2:
-            return True
-        paces = self.member_paces.values()
-        slow = max(paces, key=lambda pace: pace.log_ms)
-        fast = min(paces, key=lambda pace: pace.log_ms)
-        doubt = math.sqrt(slow.variance) + math.sqrt(fast.variance)
-        return slow.log_ms - fast.log_ms < COMMON_PACE_DIFFERENCE + 2 * doubt
-
 
 @attrs.define(eq=False)
 class Cell:
@@ -212,17 +191,11 @@
         What is known of the worker's slowdown from other cells.
     """
     step = cell.step.log_ms - cell.to_step
-    cell.to_step = cell.to_worker = NOTHING
-    if not cell.step.may_advance_together():
-        runs = cell.evidence(
-            Gaussian.of(step.mean + worker.mean, step.variance + worker.variance)
-        )
-        cell.to_step = Gaussian.of(
-            runs.mean - worker.mean, runs.variance + worker.variance
-        )
-        cell.to_worker = Gaussian.of(
-            runs.mean - step.mean, runs.variance + step.variance
-        )
+    runs = cell.evidence(
+        Gaussian.of(step.mean + worker.mean, step.variance + worker.variance)
+    )
+    cell.to_step = Gaussian.of(runs.mean - worker.mean, runs.variance + worker.variance)
+    cell.to_worker = Gaussian.of(runs.mean - step.mean, runs.variance + step.variance)
     cell.step.log_ms = step + cell.to_step
 
 
@@ -278,10 +251,7 @@
         for index, pace in paces:
             cell.runs.pop(index, None)
             cell.runs[index] = pace
-            if cell.step.gang:
-                cell.step.member_paces[machine] = pace
         keep_newest(cell.runs, RUNS_PER_CELL)
-        keep_newest(cell.step.member_paces, MEMBER_LIMIT)
         keep_newest(worker.cells, CELLS_PER_WORKER)
         keep_newest(self.workers, WORKER_LIMIT)
         keep_newest(self.steps, STEP_LIMIT)
