--- a/packages/core/crocuswell_core/cluster/evacuations.py
+++ b/packages/core/crocuswell_core/cluster/evacuations.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+MAX_DOMAIN_CHARS = 200
+
 
 @attrs.frozen
 class Evacuation:
@@ -17,3 +19,19 @@
 
     since_ms: int
     author: str = ""
+
+
+def find_domain_problem(name: str) -> str | None:
+    """Return what is wrong with the name of a failure domain.
+
+    Only its form is checked: a domain may be evacuated before its first worker
+    is seen.
+    """
+    if not name:
+        return "failure domain: found no name"
+    if len(name) > MAX_DOMAIN_CHARS:
+        limit = f"expected at most {MAX_DOMAIN_CHARS}"
+        return f"failure domain: found {len(name)} characters, {limit}"
+    if not name.isprintable():
+        return "failure domain: found characters that cannot be printed"
+    return None
--- a/packages/core/crocuswell_core/cluster/fleet.py
+++ b/packages/core/crocuswell_core/cluster/fleet.py
@@ -68,7 +68,7 @@
     cluster.unresponsive.pop(name, None)
     refresh_worker(cluster, name)
     cluster.needs_scheduling = True
-    effects += _evacuate_worker(cluster, name)
+    effects += vacate_worker(cluster, name)
     ids = (Label("worker", name), Label("incarnation", command.incarnation))
     event = "worker draining" if command.info.draining else "worker announced"
     return ApplyResult(
@@ -130,7 +130,7 @@
         ModeSet(command.worker, command.mode),
         (
             EmitLogEvent("worker mode set", ids),
-            *_evacuate_worker(cluster, command.worker),
+            *vacate_worker(cluster, command.worker),
         ),
     )
 
@@ -218,19 +218,21 @@
     return effects
 
 
-def _evacuate_worker(cluster: ClusterState, name: str) -> list[ClusterEffect]:
+def vacate_worker(cluster: ClusterState, name: str) -> list[ClusterEffect]:
     """Stop the attempts that can be moved off a worker closed to new work.
 
-    An attempt that has not started is placed elsewhere, and one that can
-    write a checkpoint resumes from it elsewhere. Others run to their end
-    on the worker.
+    An attempt that has not started is placed elsewhere. One that can write a
+    checkpoint resumes from it elsewhere, unless only the worker's failure
+    domain is evacuated. Others run to their end on the worker.
     """
-    if accepts_work(cluster.workers[name]):
+    worker = cluster.workers[name]
+    leaves = not accepts_work(worker)
+    if not leaves and worker.info.failure_domain not in cluster.evacuations:
         return []
     effects: list[ClusterEffect] = []
     for attempt in _attempts_on(cluster, name):
         spec = cluster.requests[attempt.id.request_id].spec
         reserving = attempt.phase is AttemptPhase.RESERVING
-        if reserving or spec.checkpoint_ms is not None:
+        if reserving or (leaves and spec.checkpoint_ms is not None):
             effects += stop_attempt(cluster, attempt, StopReason.DRAINED)
     return effects
--- a/packages/core/crocuswell_core/cluster/index_updates.py
+++ b/packages/core/crocuswell_core/cluster/index_updates.py
@@ -99,11 +99,12 @@
     """Return whether new work may be placed on a worker.
 
     Besides its modes, this requires that it is connected and confirms
-    reservations in time.
+    reservations in time, and that its failure domain is not evacuated.
     """
     return (
         name in cluster.allocations
         and accepts_work(cluster.workers[name])
+        and cluster.workers[name].info.failure_domain not in cluster.evacuations
         and name not in cluster.unresponsive
     )
 
--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -157,6 +157,10 @@
         key of the step.
     reserved_racks : dict
         Rack that is kept free for a waiting gang, by key of the step.
+    empty_domains : set of str
+        Evacuated failure domains in which no run is left.
+    unfit_claims : set of StepKey
+        Waiting urgent steps that the fleet could not hold, even without runs.
     ample_since_ms : dict
         Time in ms since which a waiting step could start on resources that
         are kept free for others or lie in other racks, by key of the step.
@@ -192,6 +196,8 @@
     held_workers: dict[StepKey, tuple[str, ...]] = attrs.Factory(dict)
     reserved_racks: dict[StepKey, str] = attrs.Factory(dict)
     ample_since_ms: dict[StepKey, int] = attrs.Factory(dict)
+    empty_domains: set[str] = attrs.Factory(set)
+    unfit_claims: set[StepKey] = attrs.Factory(set)
 
     def add_boot(self, key: str) -> None:
         """Note a boot that reports or has runs."""
--- a/packages/core/crocuswell_core/dispatching/gauges.py
+++ b/packages/core/crocuswell_core/dispatching/gauges.py
@@ -3,13 +3,13 @@
 from collections import Counter
 
 from crocuswell_core.consensus import election
-from crocuswell_core.dispatching import health
+from crocuswell_core.dispatching import evacuation, health
 from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.runtime.effects import Effect, Label, SetGauge
 
 GAUGE_INTERVAL_MS = 1_000
-WORKER_STATES = ("usable", "barred", "draining", "unreachable")
+WORKER_STATES = ("usable", "barred", "draining", "evacuated", "unreachable")
 
 
 def set_gauges(state: EntryState) -> list[Effect]:
@@ -30,9 +30,14 @@
     views = state.dispatch.views.values() if leads else ()
     workers = Counter(_worker_state(state, view) for view in views)
     open_jobs = sum(job.is_open for job in table.jobs.values()) if leads else 0
+    if leads:
+        effects += evacuation.report_empty_domains(state)
+    runs_left = sum(evacuation.count_runs(state).values()) if leads else 0
     return [
         *effects,
         SetGauge("jobs_open", open_jobs),
+        SetGauge("evacuated_domains", len(state.cluster.evacuations)),
+        SetGauge("evacuated_domain_runs", runs_left),
         *(
             SetGauge("workers", workers[name], (Label("state", name),))
             for name in WORKER_STATES
@@ -45,4 +50,6 @@
         return "unreachable"
     if view.worker.draining:
         return "draining"
+    if evacuation.is_evacuated(state, view):
+        return "evacuated"
     return "barred" if health.is_barred(state, view) else "usable"
--- a/packages/core/crocuswell_core/dispatching/indexing.py
+++ b/packages/core/crocuswell_core/dispatching/indexing.py
@@ -2,6 +2,7 @@
 
 from crocuswell_core.consensus.consensus_state import Role
 from crocuswell_core.dispatching.dispatch_state import DispatchChanges, Reservation
+from crocuswell_core.dispatching.evacuation import is_evacuated
 from crocuswell_core.dispatching.fleet import Fleet, PreemptibleWork
 from crocuswell_core.dispatching.ranking import find_outdated_jobs, rank_jobs
 from crocuswell_core.dispatching.trials import note_trials
@@ -14,7 +15,11 @@
 from crocuswell_core.jobs.catalog import find_queue_by_name
 from crocuswell_core.jobs.job_records import ResourceVector, StepKey, TaskId
 from crocuswell_core.runtime.dispatch import translate_effect
-from crocuswell_core.runtime.effects import Effect, PlacementsChanged
+from crocuswell_core.runtime.effects import (
+    Effect,
+    EvacuationChanged,
+    PlacementsChanged,
+)
 
 # Runners report every 500 ms: after two missed reports a worker gets no new
 # tasks.
@@ -44,6 +49,23 @@
     return []
 
 
+@translate_effect.register
+def _(effect: EvacuationChanged, state: EntryState) -> list[Effect]:
+    """Take the workers of a domain out of the indexes, or back in."""
+    dispatch = state.dispatch
+    if state.consensus.role is not Role.LEADER or dispatch.term != state.consensus.term:
+        return []
+    domain = effect.failure_domain
+    dispatch.empty_domains.discard(domain)
+    keys = {key for key, view in dispatch.views.items() if view.worker.zone == domain}
+    dispatch.changes.workers |= keys
+    dispatch.changes.orders |= keys
+    for step, reservation in list(dispatch.reservations.items()):
+        if not keys.isdisjoint(reservation.tasks_by_worker):
+            _end_reservation(state, step)
+    return []
+
+
 def refresh(state: EntryState) -> None:
     """Bring the indexes up to date with all changes since the last plan."""
     dispatch = state.dispatch
@@ -120,12 +142,13 @@
 
 
 def accepts_tasks(state: EntryState, view: WorkerView) -> bool:
-    """Tell whether a worker is in contact and not about to leave."""
+    """Tell whether a worker is in contact, and meant to get new tasks."""
     return (
         view.stream_id in state.clients
         and view.reachable
         and state.now_ms - view.last_report_ms <= REPORT_TIMEOUT_MS
         and not view.worker.draining
+        and not is_evacuated(state, view)
     )
 
 
@@ -147,14 +170,14 @@
         for key in [key for key in by_step if key not in waiting]:
             del by_step[key]
     dispatch.awaited_ends &= waiting.keys()
+    dispatch.unfit_claims &= waiting.keys()
     for key in [key for key in dispatch.held_workers if key not in waiting]:
         dispatch.fleet.release(dispatch.held_workers.pop(key), key)
     for key, reservation in list(dispatch.reservations.items()):
         if key not in waiting:
             release_reservation(state, key)
         elif state.now_ms > reservation.expires_ms:
-            release_reservation(state, key)
-            waiting[key].considered_ms = NEVER_CONSIDERED_MS
+            _end_reservation(state, key)
 
 
 # --- reservations --------------------------------------------------------
@@ -175,6 +198,14 @@
         state.dispatch.fleet.reserve(key, step, reservation.demand.times(copies))
 
 
+def _end_reservation(state: EntryState, step: StepKey) -> None:
+    """Release a reservation that came to nothing; consider the step anew."""
+    release_reservation(state, step)
+    waiting = state.dispatch.waiting.by_key.get(step)
+    if waiting is not None:
+        waiting.considered_ms = NEVER_CONSIDERED_MS
+
+
 def release_reservation(state: EntryState, step: StepKey) -> None:
     """Let other steps use the resources that were reserved for a step."""
     reservation = state.dispatch.reservations.pop(step, None)
--- a/packages/core/crocuswell_core/dispatching/orders.py
+++ b/packages/core/crocuswell_core/dispatching/orders.py
@@ -1,6 +1,7 @@
 """Orders to runners: the starts and stops that a worker was not sent yet."""
 
 from crocuswell_core.dispatching.dispatch_state import DispatchState
+from crocuswell_core.dispatching.evacuation import is_evacuated, withdraw_starts
 from crocuswell_core.dispatching.health import stop_run
 from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.entry.entry_state import EntryState
@@ -48,8 +49,10 @@
     stops: list[StopRun] = []
     effects: list[Effect] = []
     placed = table.placed.get(key, {})
-    if any(RunId(*item) not in view.ordered_starts for item in placed.items()):
-        effects += _withdraw_starts(state, view)
+    if is_evacuated(state, view):
+        effects += withdraw_starts(state, view)
+    elif any(RunId(*item) not in view.ordered_starts for item in placed.items()):
+        effects += _withdraw_excess_starts(state, view)
     for task_id, number in placed.items():
         run = RunId(task_id, number)
         if not is_wanted(state, run):
@@ -69,7 +72,7 @@
     return [*effects, SendAgent(view.stream_id, orders)]
 
 
-def _withdraw_starts(state: EntryState, view: WorkerView) -> list[Effect]:
+def _withdraw_excess_starts(state: EntryState, view: WorkerView) -> list[Effect]:
     """Stop runs that the worker does not list and that no longer fit there.
 
     Its capacity has shrunk since they were placed.
--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -34,7 +34,7 @@
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_commands import PlaceRuns
 from crocuswell_core.jobs.job_records import RunId, RunPlacement, TaskId
-from crocuswell_core.runtime.effects import Effect, Label
+from crocuswell_core.runtime.effects import Effect, EmitLogEvent, Label, LogLevel
 
 # Limits the size of a log entry; the next plan takes the remaining starts.
 MAX_STARTS_PER_PLAN = 256
@@ -198,7 +198,7 @@
     if preemption is None:
         if ranked.limits_backfill:
             limit_backfill(state, waiting, fitting)
-        return []
+        return _report_unfit_claim(state, waiting)
     timeout_ms = RESERVATION_TIMEOUT_MS
     if preemption.awaits_ends:
         timeout_ms = ENDS_TIMEOUT_MS
@@ -210,6 +210,24 @@
     return _preempt_runs(state, ranked, preemption)
 
 
+def _report_unfit_claim(state: EntryState, waiting: WaitingStep) -> list[Effect]:
+    """Report an urgent step that no longer fits because of an evacuation."""
+    dispatch, ranked = state.dispatch, waiting.ranked
+    if waiting.fits or not ranked.may_preempt or not state.cluster.evacuations:
+        dispatch.unfit_claims.discard(ranked.key)
+        return []
+    if ranked.key in dispatch.unfit_claims:
+        return []
+    dispatch.unfit_claims.add(ranked.key)
+    labels = (
+        Label("job", ranked.job.id),
+        Label("step", str(ranked.step_index)),
+        Label("waiting", str(ranked.waiting_count)),
+        Label("failure_domains", ",".join(sorted(state.cluster.evacuations))),
+    )
+    return [EmitLogEvent("claim_does_not_fit", labels, LogLevel.WARNING)]
+
+
 def _preempt_runs(
     state: EntryState, ranked: RankedStep, preemption: Preemption
 ) -> list[Effect]:
--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -4,7 +4,7 @@
 
 from crocuswell_core.cluster.commands import Command, Proposal
 from crocuswell_core.consensus import election, replication
-from crocuswell_core.dispatching import health, indexing
+from crocuswell_core.dispatching import evacuation, health, indexing
 from crocuswell_core.dispatching.orders import (
     PROPOSAL_TIMEOUT_MS,
     current_dispatch,
@@ -99,6 +99,9 @@
         table.acknowledged_ends.get(key, 0),
         table.recorded_crashes.get(view.worker.machine, 0),
     )
+    if evacuation.is_evacuated(state, view):
+        # The grant would let the runner repeat a start that is withdrawn.
+        effects += send_orders(state, view)
     effects += [SendAgent(stream_id, grant), Count("leases_granted_total")]
     effects += [
         Count("runner_events_total", added, (Label("event", name),))
@@ -114,6 +117,7 @@
         view.list_number = message.list_number
         view.list_received_ms = state.now_ms
     effects += health.evacuate_worker(state, view)
+    effects += evacuation.move_lasting_runs(state, view)
     effects += send_orders(state, view)
     return effects
 
@@ -172,6 +176,7 @@
     if message.lease_left_ms:
         view.lease_end_ms = state.now_ms + message.lease_left_ms + LEASE_MARGIN_MS
     view.running = running
+    view.ended = frozenset(end.run for end in message.ended)
     view.unplaced = unplaced
     return view, effects
 
--- a/packages/core/crocuswell_core/dispatching/worker_view.py
+++ b/packages/core/crocuswell_core/dispatching/worker_view.py
@@ -51,6 +51,8 @@
         Stops sent on this stream.
     absent : set of RunId
         Runs whose absence was proposed for recording.
+    ended : frozenset of RunId
+        Runs whose ends the newest report names.
     list_number, list_received_ms : int
         Number of the newest run list, and the time in ms of its receipt.
     last_progress : dict
@@ -72,6 +74,7 @@
     ordered_starts: dict[RunId, int] = attrs.Factory(dict)
     ordered_stops: set[RunId] = attrs.Factory(set)
     absent: set[RunId] = attrs.Factory(set)
+    ended: frozenset[RunId] = frozenset()
     list_number: int = 0
     list_received_ms: int = 0
     last_progress: dict[RunId, LastProgress] = attrs.Factory(dict)
--- a/packages/core/crocuswell_core/entry/handlers.py
+++ b/packages/core/crocuswell_core/entry/handlers.py
@@ -1,6 +1,11 @@
 """Imports the modules of an entry host, which register their handlers."""
 
-from crocuswell_core.cluster import changes, fleet, requests  # noqa: F401
+from crocuswell_core.cluster import (  # noqa: F401
+    changes,
+    evacuation_handlers,
+    fleet,
+    requests,
+)
 from crocuswell_core.consensus import election, members, replication  # noqa: F401
 from crocuswell_core.dispatching import control  # noqa: F401
 from crocuswell_core.entry import (  # noqa: F401
--- a/packages/core/crocuswell_core/links/client_streams.py
+++ b/packages/core/crocuswell_core/links/client_streams.py
@@ -3,7 +3,14 @@
 from functools import singledispatch
 from typing import cast
 
-from crocuswell_core.cluster.commands import ChangeMembers, EntryHost, Proposal, Refused
+from crocuswell_core.cluster.commands import (
+    ChangeMembers,
+    EndEvacuation,
+    EntryHost,
+    Proposal,
+    Refused,
+    StartEvacuation,
+)
 from crocuswell_core.consensus import election, replication
 from crocuswell_core.entry.calls import CommandCall
 from crocuswell_core.entry.entry_state import EntryState
@@ -124,6 +131,8 @@
 @_may_be_forwarded.register(SubmitJob)
 @_may_be_forwarded.register(CancelJob)
 @_may_be_forwarded.register(PutCatalog)
+@_may_be_forwarded.register(StartEvacuation)
+@_may_be_forwarded.register(EndEvacuation)
 @_may_be_forwarded.register(GetJob)
 @_may_be_forwarded.register(CountPending)
 @_may_be_forwarded.register(GetCatalog)
@@ -150,8 +159,8 @@
 
 
 def _to_call_answered(state: EntryState, answer: AnswerCall) -> Effect:
-    # Fronts forward only calls on queues and jobs, whose replies all are of
-    # the type `ForwardedReply`.
+    # The replies to all calls that fronts may forward are of the type
+    # `ForwardedReply`.
     stream_id, call_id = state.forwarded_calls.pop(answer.call_id)
     return SendAgent(
         stream_id, CallAnswered(call_id, cast(ForwardedReply, answer.reply))
--- a/packages/core/crocuswell_core/links/link_messages.py
+++ b/packages/core/crocuswell_core/links/link_messages.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from crocuswell_core.cluster.commands import EntryHost, Refused
+from crocuswell_core.cluster.commands import EntryHost, EvacuationSet, Refused
 from crocuswell_core.entry.calls import CommandCall
 from crocuswell_core.jobs.job_commands import JobRead, JobReadReply, JobReply
 from crocuswell_core.jobs.job_records import (
@@ -167,7 +167,7 @@
     hosts: tuple[str, ...]
 
 
-ForwardedReply = Refused | JobReply | JobReadReply
+ForwardedReply = Refused | EvacuationSet | JobReply | JobReadReply
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/runner/run_orders.py
+++ b/packages/core/crocuswell_core/runner/run_orders.py
@@ -18,6 +18,9 @@
 
 # No start is sent to the worker with less than this left of the grant.
 MIN_REMAINING_GRANT_MS = 500
+# No start is sent to the worker without an answer from the leader to a report
+# of this last time: the leader may have withdrawn it.
+MAX_CONTACT_AGE_MS = 2_000
 
 
 def drop_unsent_starts(state: RunnerState) -> None:
@@ -72,6 +75,7 @@
         _withdraw_outdated_starts(state)
     if (
         state.granted_until_ms - state.now_ms < MIN_REMAINING_GRANT_MS
+        or state.now_ms - state.contact_ms > MAX_CONTACT_AGE_MS
         or not state.clock.read_ms
     ):
         return []
--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -245,6 +245,7 @@
     state.fence = max(state.fence, message.term)
     until_ms = sent_ms + message.lease_ms
     state.granted_until_ms = max(state.granted_until_ms, until_ms)
+    state.contact_ms = max(state.contact_ms, sent_ms)
     drop_recorded_crashes(state, message.recorded_crash_ms)
     effects = send_due_starts(state)
     if (
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -106,6 +106,8 @@
         Whether this boot announced that it is terminating.
     reports : dict
         Time of sending in ms of each report without a grant, by sequence.
+    contact_ms : int
+        Time in ms of sending of the newest report that the leader answered.
     granted_until_ms : int
         Time in ms until which the leader's newest grant lets runs go on.
     lease_until_ms : int
@@ -140,6 +142,7 @@
     reports: dict[int, int] = attrs.Factory(dict)
     last_report_ms: int = 0
     fence: int = 0
+    contact_ms: int = 0
     granted_until_ms: int = 0
     lease_until_ms: int = 0
     acknowledged_end: int = 0
--- a/packages/core/crocuswell_core/runtime/effects.py
+++ b/packages/core/crocuswell_core/runtime/effects.py
@@ -309,8 +309,16 @@
     everything: bool = False
 
 
+@attrs.frozen
+class EvacuationChanged:
+    """A failure domain is evacuated from now on, or not any more."""
+
+    failure_domain: str
+
+
 ClusterEffect = (
     PlacementsChanged
+    | EvacuationChanged
     | OrderWorker
     | RequestEnded
     | WorkerAnnounced
--- a/packages/daemon/crocuswell_daemon/counters.py
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -82,6 +82,15 @@
     "jobs_given_up_for_crashes_total": Metric(
         "Jobs that failed because a task crashed its workers", ("queue",)
     ),
+    "domain_empty_seconds": Metric(
+        "Time from an evacuation to the end of the domain's last run",
+        buckets=LATENCY_BUCKETS_S,
+    ),
+    "evacuated_domains": Metric("Failure domains that are evacuated", is_gauge=True),
+    "evacuated_domain_runs": Metric(
+        "Runs and attempts left in evacuated failure domains", is_gauge=True
+    ),
+    "evacuations_started_total": Metric("Evacuations of failure domains"),
     "jobs_open": Metric("Jobs that have not ended", is_gauge=True),
     "disk_full": Metric("Whether the disk takes no bytes, 1 or 0", is_gauge=True),
     "leader": Metric("Whether this host leads, 1 or 0", is_gauge=True),
