--- a/packages/core/crocuswell_core/dispatching/preemption.py
+++ b/packages/core/crocuswell_core/dispatching/preemption.py
@@ -1,28 +1,23 @@
 """Choice of the runs that are preempted for urgent steps."""
 
-import heapq
-
 import attrs
 
-from crocuswell_core.dispatching import health
 from crocuswell_core.dispatching.fleet import CandidateWorker, FittingWorkers
-from crocuswell_core.dispatching.indexing import accepts_tasks
-from crocuswell_core.dispatching.packing import by_rack, exclude_failed_workers
+from crocuswell_core.dispatching.preemption_groups import promising_groups
+from crocuswell_core.dispatching.victims import (
+    Victim,
+    core_equivalents,
+    find_victim,
+)
 from crocuswell_core.dispatching.waiting_steps import RankedStep, WaitingStep
 from crocuswell_core.entry.entry_state import EntryState
-from crocuswell_core.jobs.catalog import find_queue_by_name
 from crocuswell_core.jobs.job_records import ResourceVector, RunId
 
-# Time that a preempted run takes to restart, in addition to its lost work.
-RESUME_COST_S = 0.5
 # A run that should end within this time is not stopped: a stop takes up to
 # half as long.
 ENDING_SOON_MS = 800
 # Below this percentage the remaining time of a run is too uncertain.
 MIN_ENDING_PERCENT = 60
-# Bounds the workers and racks whose runs are compared one by one.
-MIN_PREEMPTION_WORKERS = 16
-MAX_PREEMPTION_RACKS = 4
 
 
 @attrs.frozen
@@ -55,88 +50,12 @@
     """
     found = [
         preemption
-        for group in _promising_groups(state, waiting, fitting)
+        for group in promising_groups(state, waiting, fitting)
         if (preemption := _choose_from_group(state, waiting.ranked, group)) is not None
     ]
     return min(found, key=lambda preemption: preemption.cost, default=None)
 
 
-@attrs.frozen
-class RoomEstimate:
-    """How many tasks a worker could hold after preemptions, and the cost.
-
-    Attributes
-    ----------
-    cost : float
-        Upper estimate of the lost work in core seconds.
-    """
-
-    copies: int
-    cost: float
-
-
-def _estimate_room(
-    state: EntryState, ranked: RankedStep, candidate: CandidateWorker
-) -> RoomEstimate:
-    available = candidate.unreserved(ranked.key)
-    cost = 0.0
-    for priority, work in candidate.preemptible.items():
-        if priority > ranked.priority:
-            available = available + work.demand
-            cost += work.lost_core_s(state.cluster.now_ms)
-    return RoomEstimate(available.max_copies(ranked.step.demand), cost)
-
-
-def _promising_groups(
-    state: EntryState, waiting: WaitingStep, fitting: FittingWorkers
-) -> list[list[CandidateWorker]]:
-    """Return the groups of workers with the least expected loss.
-
-    A single group must hold the whole step.
-    """
-    ranked = waiting.ranked
-    candidates = _usable_candidates(state, ranked, fitting)
-    rooms = {c.key: _estimate_room(state, ranked, c) for c in candidates}
-    with_room = [c for c in candidates if rooms[c.key].copies]
-    if not ranked.needs_one_rack:
-        cheapest = heapq.nsmallest(
-            max(MIN_PREEMPTION_WORKERS, 2 * ranked.waiting_count),
-            with_room,
-            key=lambda c: rooms[c.key].cost / rooms[c.key].copies,
-        )
-        return [cheapest]
-    racks = [
-        group
-        for group in by_rack(with_room).values()
-        if sum(rooms[c.key].copies for c in group) >= ranked.waiting_count
-    ]
-    return heapq.nsmallest(
-        MAX_PREEMPTION_RACKS,
-        racks,
-        key=lambda group: (
-            sum(rooms[c.key].cost for c in group)
-            / sum(rooms[c.key].copies for c in group)
-        ),
-    )
-
-
-def _usable_candidates(
-    state: EntryState, ranked: RankedStep, fitting: FittingWorkers
-) -> list[CandidateWorker]:
-    fleet = state.dispatch.fleet
-    barred = health.excluded_worker_ids(state)
-    candidates = [
-        candidate
-        for key in fitting.capacity
-        if (candidate := fleet.candidates[key]).worker.id not in barred
-        and accepts_tasks(state, candidate.view)
-    ]
-    candidates = exclude_failed_workers(fleet, ranked, fitting, candidates)
-    for candidate in candidates:
-        candidate.available = candidate.unreserved(ranked.key)
-    return candidates
-
-
 def _choose_from_group(
     state: EntryState, ranked: RankedStep, group: list[CandidateWorker]
 ) -> Preemption | None:
@@ -188,24 +107,6 @@
     return Preemption(victims, cost, tasks_by_worker, awaits_ends)
 
 
-@attrs.frozen
-class Victim:
-    """A run that may be stopped, with the cost of stopping it.
-
-    Attributes
-    ----------
-    gang : tuple of RunId
-        The run and the other members of its gang.
-    cost : float
-        Lost work of all of them in core seconds.
-    """
-
-    run: RunId
-    gang: tuple[RunId, ...]
-    demand: ResourceVector
-    cost: float
-
-
 @attrs.frozen
 class VictimSet:
     """Victims on one worker whose resources let one more task fit."""
@@ -301,68 +202,14 @@
     state: EntryState, ranked: RankedStep, candidate: CandidateWorker
 ) -> list[Victim]:
     """Return the preemptible runs on a worker, cheapest per core first."""
-    table = state.cluster.jobs
-    placed = table.placed.get(candidate.key, {})
+    placed = state.cluster.jobs.placed.get(candidate.key, {})
     found: list[Victim] = []
     for task_id, number in placed.items():
         run = RunId(task_id, number)
-        queue = find_queue_by_name(table.catalog, table.jobs[task_id.job_id].queue)
-        if queue is None or queue.priority <= ranked.priority:
-            continue
-        if run in state.dispatch.stopping:
-            continue
         if _counts_on_end(state, ranked, candidate, run):
             continue
-        if table.jobs[task_id.job_id].steps[task_id.step].max_unavailable:
-            continue
-        gang = tuple(_gang_runs(state, run))
-        demand = candidate.placed[task_id]
-        found.append(
-            Victim(run, gang, demand, _lost_core_seconds(state, candidate, run, gang))
-        )
-    found.sort(key=lambda victim: victim.cost / _core_equivalents(victim.demand))
+        victim = find_victim(state, ranked, candidate, run)
+        if victim is not None:
+            found.append(victim)
+    found.sort(key=lambda victim: victim.cost / core_equivalents(victim.demand))
     return found
-
-
-def _core_equivalents(demand: ResourceVector) -> float:
-    """Return a demand in processor cores, never zero."""
-    return max(demand.core_equivalents, 0.001)
-
-
-def _lost_core_seconds(
-    state: EntryState, candidate: CandidateWorker, run: RunId, gang: tuple[RunId, ...]
-) -> float:
-    """Return the core seconds of work that stopping a run loses."""
-    step = state.cluster.jobs.jobs[run.task.job_id].steps[run.task.step]
-    lost_s = RESUME_COST_S
-    if not step.checkpointing:
-        lost_s += _worked_ms(state, candidate, run, step.estimated_ms) / 1_000
-    return lost_s * _core_equivalents(step.demand) * len(gang)
-
-
-def _worked_ms(
-    state: EntryState, candidate: CandidateWorker, run: RunId, estimated_ms: int
-) -> float:
-    """Return for how long in ms a run has worked.
-
-    The declared run time may be far too short, and a leader that has just
-    been elected has not seen the run's first lists: the longer of the two
-    estimates is nearer.
-    """
-    progress = candidate.view.running.get(run)
-    if progress is None or progress.percent == 0:
-        return 0.0
-    declared_ms = progress.percent / 100 * estimated_ms
-    return max(declared_ms, candidate.view.worked_ms(run, state.now_ms))
-
-
-def _gang_runs(state: EntryState, run: RunId) -> list[RunId]:
-    """Return a run with the other members of its gang."""
-    job = state.cluster.jobs.jobs[run.task.job_id]
-    if not job.steps[run.task.step].gang:
-        return [run]
-    return [
-        RunId(task_id, task.run)
-        for task_id, task in state.cluster.jobs.placed_tasks(job)
-        if task_id.step_key == run.task.step_key
-    ]
--- /dev/null
+++ b/packages/core/crocuswell_core/dispatching/preemption_groups.py
@@ -0,0 +1,92 @@
+"""The workers on which a preemption is expected to lose least."""
+
+import heapq
+
+import attrs
+
+from crocuswell_core.dispatching import health
+from crocuswell_core.dispatching.fleet import CandidateWorker, FittingWorkers
+from crocuswell_core.dispatching.indexing import accepts_tasks
+from crocuswell_core.dispatching.packing import by_rack, exclude_failed_workers
+from crocuswell_core.dispatching.waiting_steps import RankedStep, WaitingStep
+from crocuswell_core.entry.entry_state import EntryState
+
+# Bounds the workers and racks whose runs are compared one by one.
+MIN_PREEMPTION_WORKERS = 16
+MAX_PREEMPTION_RACKS = 4
+
+
+@attrs.frozen
+class RoomEstimate:
+    """How many tasks a worker could hold after preemptions, and the cost.
+
+    Attributes
+    ----------
+    cost : float
+        Upper estimate of the lost work in core seconds.
+    """
+
+    copies: int
+    cost: float
+
+
+def _estimate_room(
+    state: EntryState, ranked: RankedStep, candidate: CandidateWorker
+) -> RoomEstimate:
+    available = candidate.unreserved(ranked.key)
+    cost = 0.0
+    for priority, work in candidate.preemptible.items():
+        if priority > ranked.priority:
+            available = available + work.demand
+            cost += work.lost_core_s(state.cluster.now_ms)
+    return RoomEstimate(available.max_copies(ranked.step.demand), cost)
+
+
+def promising_groups(
+    state: EntryState, waiting: WaitingStep, fitting: FittingWorkers
+) -> list[list[CandidateWorker]]:
+    """Return the groups of workers with the least expected loss.
+
+    A single group must hold the whole step.
+    """
+    ranked = waiting.ranked
+    candidates = _usable_candidates(state, ranked, fitting)
+    rooms = {c.key: _estimate_room(state, ranked, c) for c in candidates}
+    with_room = [c for c in candidates if rooms[c.key].copies]
+    if not ranked.needs_one_rack:
+        cheapest = heapq.nsmallest(
+            max(MIN_PREEMPTION_WORKERS, 2 * ranked.waiting_count),
+            with_room,
+            key=lambda c: rooms[c.key].cost / rooms[c.key].copies,
+        )
+        return [cheapest]
+    racks = [
+        group
+        for group in by_rack(with_room).values()
+        if sum(rooms[c.key].copies for c in group) >= ranked.waiting_count
+    ]
+    return heapq.nsmallest(
+        MAX_PREEMPTION_RACKS,
+        racks,
+        key=lambda group: (
+            sum(rooms[c.key].cost for c in group)
+            / sum(rooms[c.key].copies for c in group)
+        ),
+    )
+
+
+def _usable_candidates(
+    state: EntryState, ranked: RankedStep, fitting: FittingWorkers
+) -> list[CandidateWorker]:
+    fleet = state.dispatch.fleet
+    barred = health.excluded_worker_ids(state)
+    candidates = [
+        candidate
+        for key in fitting.capacity
+        if (candidate := fleet.candidates[key]).worker.id not in barred
+        and accepts_tasks(state, candidate.view)
+    ]
+    candidates = exclude_failed_workers(fleet, ranked, fitting, candidates)
+    for candidate in candidates:
+        candidate.available = candidate.unreserved(ranked.key)
+    return candidates
