--- a/bench/dispatch_loads.py
+++ b/bench/dispatch_loads.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Iterable
 from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 from pathlib import Path
 
 import attrs
@@ -12,6 +13,7 @@
 from bench.crashing_fleet import CrashingFleet
 from bench.load_outcomes import Outcome
 from bench.loads import load_named, load_names
+from crocuswell_core.dispatching.features import DispatchFeatures
 
 
 def describe(name: str, seed: int, outcome: Outcome, took_s: float) -> list[str]:
@@ -35,20 +37,28 @@
     return lines
 
 
-def play_one(named: tuple[str, int]) -> tuple[Outcome, float]:
+def play_one(
+    named: tuple[str, int], features: DispatchFeatures
+) -> tuple[Outcome, float]:
     """Play a load with a seed; return the outcome and the time taken in s."""
     name, seed = named
     started_s = time.process_time()
-    outcome = CrashingFleet(load_named(name), seed).play()
+    load = attrs.evolve(load_named(name), features=features)
+    outcome = CrashingFleet(load, seed).play()
     return outcome, time.process_time() - started_s
 
 
-def play(names: Iterable[str], seeds: Iterable[int], jobs: int) -> dict[str, Outcome]:
+def play(
+    names: Iterable[str],
+    seeds: Iterable[int],
+    jobs: int,
+    features: DispatchFeatures,
+) -> dict[str, Outcome]:
     """Play loads, print their results and return them."""
     played = [(name, seed) for name in names for seed in seeds]
     outcomes: dict[str, Outcome] = {}
     with ProcessPoolExecutor(jobs) as pool:
-        results = pool.map(play_one, played)
+        results = pool.map(partial(play_one, features=features), played)
         for (name, seed), (outcome, took_s) in zip(played, results, strict=True):
             print("\n".join(describe(name, seed, outcome, took_s)), flush=True)
             outcomes[f"{name} {seed}"] = outcome
@@ -84,10 +94,19 @@
     parser.add_argument("loads", nargs="*", default=load_names())
     parser.add_argument("--seeds", type=int, default=3, help="seeds 1 to this one")
     parser.add_argument("--jobs", type=int, default=3, help="processes to use")
+    parser.add_argument(
+        "--feature",
+        action="append",
+        default=[],
+        choices=[field.name for field in attrs.fields(DispatchFeatures)],
+        help="optional part of dispatching to switch on",
+    )
     parser.add_argument("--output", type=Path, help="write the results as JSON")
     parser.add_argument("--compare", type=Path, help="results of an earlier run")
     options = parser.parse_args()
-    outcomes = play(options.loads, range(1, options.seeds + 1), options.jobs)
+    features = DispatchFeatures(**dict.fromkeys(options.feature, True))
+    seeds = range(1, options.seeds + 1)
+    outcomes = play(options.loads, seeds, options.jobs, features)
     if options.output:
         document = {key: attrs.asdict(outcome) for key, outcome in outcomes.items()}
         options.output.write_text(json.dumps(document))
--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -68,7 +68,7 @@
 
     def __init__(self, load: Load, seed: int = 1) -> None:
         self.load = load
-        self.leader = Leader(contactless_limit_ms(WORKER_LEASE_MS))
+        self.leader = Leader(contactless_limit_ms(WORKER_LEASE_MS), load.features)
         self.jobs: dict[str, SubmittedJob] = {}
         self._random = random.Random(seed)
         self._events: list[tuple[int, int, Callable[[], None]]] = []
--- a/bench/loads/__init__.py
+++ b/bench/loads/__init__.py
@@ -6,6 +6,7 @@
 import cattrs
 import yaml
 
+from crocuswell_core.dispatching.features import DispatchFeatures
 from crocuswell_core.jobs.job_records import ResourceVector
 
 FOLDER = Path(__file__).parent
@@ -101,6 +102,8 @@
         Factor of all arrival rates.
     stop_ms : int
         Time in ms that a worker takes to stop a run.
+    features : DispatchFeatures
+        Optional parts of dispatching that are switched on.
     """
 
     workers: int
@@ -115,6 +118,7 @@
     intensity: float = 1.0
     stop_ms: int = 200
     faults: tuple[WorkerFault, ...] = ()
+    features: DispatchFeatures = attrs.Factory(DispatchFeatures)
 
 
 def load_named(name: str) -> Load:
--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -147,6 +147,8 @@
         Reservations by key of the step.
     awaited_ends : set of StepKey
         Waiting steps that have counted on runs to end by themselves.
+    withheld : dict
+        Why no runs are stopped for a waiting step, by its key.
     unsaved_checkpoints : dict
         Checkpoints that are not in the log yet, by step and index of the
         task; -1 stands for all members of a gang.
@@ -185,6 +187,7 @@
     stopping: set[RunId] = attrs.Factory(set)
     reservations: dict[StepKey, Reservation] = attrs.Factory(dict)
     awaited_ends: set[StepKey] = attrs.Factory(set)
+    withheld: dict[StepKey, str] = attrs.Factory(dict)
     unsaved_checkpoints: dict[tuple[StepKey, int], SavedCheckpoint] = attrs.Factory(
         dict
     )
--- a/packages/core/crocuswell_core/dispatching/indexing.py
+++ b/packages/core/crocuswell_core/dispatching/indexing.py
@@ -1,5 +1,7 @@
 """Keeps the indexes of waiting steps and of the fleet up to date."""
 
+from typing import Any
+
 from crocuswell_core.consensus.consensus_state import Role
 from crocuswell_core.dispatching.dispatch_state import DispatchChanges, Reservation
 from crocuswell_core.dispatching.fleet import Fleet, PreemptibleWork
@@ -142,7 +144,12 @@
     """Forget what was kept for steps that no longer wait."""
     dispatch = state.dispatch
     waiting = dispatch.waiting.by_key
-    waits = (dispatch.reserved_racks, dispatch.ample_since_ms, dispatch.trial_waits)
+    waits: tuple[dict[StepKey, Any], ...] = (
+        dispatch.reserved_racks,
+        dispatch.ample_since_ms,
+        dispatch.trial_waits,
+        dispatch.withheld,
+    )
     for by_step in waits:
         for key in [key for key in by_step if key not in waiting]:
             del by_step[key]
--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -28,9 +28,11 @@
     update_fit,
 )
 from crocuswell_core.dispatching.preemption import Preemption, choose_preemption
+from crocuswell_core.dispatching.preemption_log import balance_labels, note_withheld
 from crocuswell_core.dispatching.ranking import find_due_jobs
 from crocuswell_core.dispatching.trials import awaits_trial, end_trials, runs_alone
 from crocuswell_core.dispatching.waiting_steps import RankedStep, WaitingStep
+from crocuswell_core.dispatching.weighed_preemption import weigh_preemption
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_commands import PlaceRuns
 from crocuswell_core.jobs.job_records import RunId, RunPlacement, TaskId
@@ -41,9 +43,6 @@
 RECONSIDER_MS = 500
 # Covers the longest stop of a preempted run and the recording of its end.
 RESERVATION_TIMEOUT_MS = 2_500
-# Runs that should have ended by then are stopped after all, early enough for
-# a guaranteed step.
-ENDS_TIMEOUT_MS = 1_200
 
 
 @attrs.define
@@ -190,34 +189,42 @@
 ) -> list[Effect]:
     """Preempt runs for an urgent step, or limit backfill for a waiting one."""
     ranked = waiting.ranked
-    preemption = (
-        choose_preemption(state, waiting, fitting) if ranked.may_preempt else None
-    )
-    if preemption is not None and preemption.cost > ranked.preemption_limit_core_s:
+    effects: list[Effect] = []
+    if not ranked.may_preempt:
         preemption = None
+    elif state.cfg.features.weighed_preemption and not ranked.step.long_running:
+        weighing = weigh_preemption(state, waiting, fitting)
+        preemption = weighing.preemption
+        effects += note_withheld(state, ranked, weighing)
+    else:
+        preemption = choose_preemption(state, waiting, fitting)
+        if preemption and preemption.cost > ranked.preemption_limit_core_s:
+            preemption = None
     if preemption is None:
         if ranked.limits_backfill:
             limit_backfill(state, waiting, fitting)
-        return []
+        return effects
     timeout_ms = RESERVATION_TIMEOUT_MS
     if preemption.awaits_ends:
-        timeout_ms = ENDS_TIMEOUT_MS
+        timeout_ms = preemption.ends_timeout_ms
         state.dispatch.awaited_ends.add(ranked.key)
     reservation = Reservation(
         ranked.step.demand, preemption.tasks_by_worker, state.now_ms + timeout_ms
     )
     indexing.reserve(state, ranked.key, reservation)
-    return _preempt_runs(state, ranked, preemption)
+    return [*effects, *_preempt_runs(state, ranked, preemption)]
 
 
 def _preempt_runs(
     state: EntryState, ranked: RankedStep, preemption: Preemption
 ) -> list[Effect]:
     effects: list[Effect] = []
+    labels = [
+        Label("for", ranked.job.id),
+        Label("lost_core_s", str(round(preemption.cost))),
+    ]
+    if preemption.balance is not None:
+        labels += balance_labels(preemption.balance)
     for run in preemption.runs:
-        labels = (
-            Label("for", ranked.job.id),
-            Label("lost_core_s", str(round(preemption.cost))),
-        )
         effects += health.stop_run("run_preempted", state, run, *labels)
     return effects
--- a/packages/core/crocuswell_core/dispatching/preemption.py
+++ b/packages/core/crocuswell_core/dispatching/preemption.py
@@ -3,6 +3,7 @@
 import attrs
 
 from crocuswell_core.dispatching.fleet import CandidateWorker, FittingWorkers
+from crocuswell_core.dispatching.preemption_balance import Balance
 from crocuswell_core.dispatching.preemption_groups import promising_groups
 from crocuswell_core.dispatching.victims import (
     Victim,
@@ -16,6 +17,9 @@
 # A run that should end within this time is not stopped: a stop takes up to
 # half as long.
 ENDING_SOON_MS = 800
+# Runs that should have ended by then are stopped after all, early enough for
+# a guaranteed step.
+ENDS_TIMEOUT_MS = 1_200
 # Below this percentage the remaining time of a run is too uncertain.
 MIN_ENDING_PERCENT = 60
 
@@ -32,12 +36,18 @@
         Number of the step's tasks by the key of the worker's boot.
     awaits_ends : bool
         Whether it counts on runs that should end soon by themselves.
+    ends_timeout_ms : int
+        Time in ms after which they are no longer awaited.
+    balance : Balance or None
+        What was weighed; None if only the cost was compared.
     """
 
     runs: tuple[RunId, ...]
     cost: float
     tasks_by_worker: dict[str, int]
     awaits_ends: bool
+    ends_timeout_ms: int = ENDS_TIMEOUT_MS
+    balance: Balance | None = None
 
 
 def choose_preemption(
--- a/packages/core/crocuswell_core/jobs/job_records.py
+++ b/packages/core/crocuswell_core/jobs/job_records.py
@@ -242,6 +242,10 @@
         Cluster time in ms at which the newest run was placed.
     crashes : CrashHistory or None
         Crashes of workers under the task; None if there were none.
+    stops : int
+        Number of runs that were stopped on order while the job was open.
+    stopped_run : int
+        Number of the newest of them, so that a gang is counted only once.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -252,6 +256,8 @@
     failed_on: tuple[str, ...] = ()
     placed_ms: int = 0
     crashes: CrashHistory | None = None
+    stops: int = 0
+    stopped_run: int = 0
 
     @property
     def is_suspect(self) -> bool:
--- a/packages/core/crocuswell_core/jobs/run_command_handlers.py
+++ b/packages/core/crocuswell_core/jobs/run_command_handlers.py
@@ -190,9 +190,20 @@
         return _apply_success(cluster, job, end.run)
     if kind is RunEndKind.FAILED:
         return _apply_failure(cluster, job, end.run, worker)
+    if end.kind is RunEndKind.STOPPED and job.is_open:
+        _count_stop(cluster, job, end.run)
     return []
 
 
+def _count_stop(cluster: ClusterState, job: Job, run: RunId) -> None:
+    """Count a stopped run, for a gang once on each member's task."""
+    tasks = cluster.jobs.step_tasks(run.task)
+    for task in tasks if job.steps[run.task.step].gang else [tasks[run.task.index]]:
+        if task.stopped_run < run.number:
+            task.stops += 1
+            task.stopped_run = run.number
+
+
 def _apply_success(cluster: ClusterState, job: Job, run: RunId) -> list[ClusterEffect]:
     step = job.steps[run.task.step]
     tasks = cluster.jobs.step_tasks(run.task)
--- a/packages/daemon/crocuswell_daemon/counters.py
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -103,6 +103,9 @@
         "Messages to entry hosts that were not sent", ("peer", "reason")
     ),
     "preemptions_total": Metric("Attempts stopped for a claim", ("workspace",)),
+    "preemptions_withheld_total": Metric(
+        "Preemptions that were weighed and not made", ("reason",)
+    ),
     "probes_total": Metric("Probes of quarantined workers"),
     "quarantines_total": Metric("Workers put into quarantine"),
     "reports_dropped_total": Metric("Reports without an attempt or outcome to end"),
