--- a/packages/core/crocuswell_core/dispatching/orders.py
+++ b/packages/core/crocuswell_core/dispatching/orders.py
@@ -16,7 +16,10 @@
 def current_dispatch(state: EntryState) -> DispatchState:
     """Return the dispatching state of the current term, new if needed."""
     if state.dispatch.term != state.consensus.term:
-        state.dispatch = DispatchState(state.consensus.term, state.now_ms)
+        # Speeds are bound to machines, not to the term.
+        state.dispatch = DispatchState(
+            state.consensus.term, state.now_ms, speeds=state.dispatch.speeds
+        )
         for key in state.cluster.jobs.placed:
             state.dispatch.lost_contact.add(key)
             state.dispatch.add_boot(key)
--- a/packages/core/crocuswell_core/learning/paces.py
+++ b/packages/core/crocuswell_core/learning/paces.py
@@ -17,6 +17,11 @@
 # changes is noticed while its runs last.
 WINDOW_PERCENT = 20
 WINDOW_MS = 4_000
+# A longer time between lists may hide a pause of the worker.
+MAX_LIST_GAP_MS = 1_500
+# A pace that differs by more from that of the window before, in logarithms,
+# means that the worker has changed.
+CHANGE_DIFFERENCE = 0.3
 
 
 @attrs.frozen
@@ -29,10 +34,21 @@
         Natural logarithm of the time in ms.
     variance : float
         Variance of the logarithm due to the measurement.
+    since_ms : int
+        Time in ms at which the measurement began.
+    is_changed : bool
+        Whether the run advanced at another pace before.
     """
 
     log_ms: float
     variance: float
+    since_ms: int = 0
+    is_changed: bool = False
+
+    def differs(self, other: "Pace") -> bool:
+        """Tell whether two paces of a run differ beyond measurement."""
+        doubt = math.sqrt(self.variance) + math.sqrt(other.variance)
+        return abs(self.log_ms - other.log_ms) > CHANGE_DIFFERENCE + 2 * doubt
 
 
 @attrs.define
@@ -55,6 +71,10 @@
         Percentage at that time.
     measured_percent : int
         Percentage at the newest measurement.
+    listed_ms : int
+        Time in ms of the newest list.
+    before : Pace or None
+        Pace in the window before the present one.
     """
 
     first_percent: int
@@ -62,15 +82,20 @@
     since_ms: int | None = None
     since_percent: int = 0
     measured_percent: int = 0
+    listed_ms: int = 0
+    before: Pace | None = None
 
     def restart(self, percent: int) -> None:
         """Measure anew from the next progress on."""
         self.first_percent = percent
         self.resumed = True
-        self.since_ms = None
+        self.since_ms = self.before = None
 
     def advance(self, percent: int, now_ms: int) -> Pace | None:
         """Note a percentage; return the pace if it says something new."""
+        gap_ms, self.listed_ms = now_ms - self.listed_ms, now_ms
+        if self.since_ms is not None and gap_ms > MAX_LIST_GAP_MS:
+            self._begin(percent, now_ms)
         if self.since_ms is None:
             is_working = percent > (self.first_percent if self.resumed else 0)
             if is_working and percent < COMPLETE_PERCENT:
@@ -87,6 +112,7 @@
         self.measured_percent = percent
         advanced = percent - self.since_percent
         if advanced >= WINDOW_PERCENT and now_ms - self.since_ms >= WINDOW_MS:
+            self.before = pace
             self._begin(percent, now_ms)
         return pace
 
@@ -109,4 +135,8 @@
         variance += (ARRIVAL_DEVIATION_MS / elapsed_ms) ** 2
         if variance > MAX_PACE_DEVIATION**2:
             return None
-        return Pace(math.log(elapsed_ms * COMPLETE_PERCENT / advanced), variance)
+        log_ms = math.log(elapsed_ms * COMPLETE_PERCENT / advanced)
+        pace = Pace(log_ms, variance, self.since_ms)
+        if self.before is not None and pace.differs(self.before):
+            return attrs.evolve(pace, is_changed=True)
+        return pace
--- a/packages/core/crocuswell_core/learning/worker_speeds.py
+++ b/packages/core/crocuswell_core/learning/worker_speeds.py
@@ -10,7 +10,7 @@
 
 import math
 import statistics
-from collections.abc import Iterable
+from collections.abc import Sequence
 from typing import Any
 
 import attrs
@@ -189,6 +189,15 @@
         """Whether enough was seen to rely on the slowdown."""
         return self.log_slowdown.variance <= KNOWN_DEVIATION**2
 
+    def forget_before(self, ms: int) -> None:
+        """Forget paces whose measurement began before a time in ms."""
+        for key, cell in list(self.cells.items()):
+            for index, pace in list(cell.runs.items()):
+                if pace.since_ms < ms:
+                    del cell.runs[index]
+            if not cell.runs:
+                del self.cells[key]
+
     def update(self) -> None:
         """Weigh all evidence anew."""
         count = len(self.cells)
@@ -253,7 +262,7 @@
         kind: tuple[str, ...],
         step_key: StepKey,
         step: StepTime,
-        paces: Iterable[tuple[int, Pace]],
+        paces: Sequence[tuple[int, Pace]],
         now_ms: int,
     ) -> None:
         """Note the paces of a step's runs on a worker.
@@ -262,7 +271,7 @@
         ----------
         step : StepTime
             What is believed of the step if it was not seen before.
-        paces : iterable
+        paces : sequence
             Index of the task and pace of each run.
         """
         step = self.steps.pop(step_key, step)
@@ -271,6 +280,10 @@
         if worker is None or worker.kind != kind:
             worker = WorkerSpeed(kind)
         self.workers[machine] = worker
+        for _, pace in paces:
+            if pace.is_changed and not step.gang:
+                # Another member may have changed the pace of a gang.
+                worker.forget_before(pace.since_ms)
         cell = worker.cells.pop(step_key, None)
         if cell is None or cell.step is not step:
             cell = Cell(step)
--- a/tests/test_worker_speeds.py
+++ b/tests/test_worker_speeds.py
@@ -5,12 +5,13 @@
 
 import attrs
 
-from crocuswell_core.jobs.job_records import StepKey
+from crocuswell_core.dispatching.expectations import slowdown
+from crocuswell_core.dispatching.features import DispatchFeatures
+from crocuswell_core.jobs.job_records import RunId, RunProgress, StepKey
 from crocuswell_core.learning.paces import Pace, PaceMeter
-from crocuswell_core.learning.worker_speeds import (
-    WorkerSpeeds,
-    new_step_time,
-)
+from crocuswell_core.learning.worker_speeds import WorkerSpeeds, new_step_time
+from crocuswell_core.runtime.effects import EmitLogEvent
+from tests.job_harness import TIGHT, Leader, step, worker
 
 LIST_MS = 500
 DECLARED_MS = 6_000
@@ -72,9 +73,9 @@
             runs.append(self._next_run())
 
     def observe(self, name: str, run: Run, pace: Pace) -> None:
-        step = new_step_time(DECLARED_MS, self.gang)
+        usual = new_step_time(DECLARED_MS, self.gang)
         paces = [(run.index, pace)]
-        self.learned.observe(name, ("press",), run.step, step, paces, self.now_ms)
+        self.learned.observe(name, ("press",), run.step, usual, paces, self.now_ms)
 
     def _next_run(self) -> Run:
         if not self.waiting:
@@ -140,6 +141,26 @@
     assert typical_error(fleet) < 0.15
 
 
+def test_worker_that_turns_slow_and_recovers_is_noticed() -> None:
+    """Load: a worker falls to a third of its speed, and recovers."""
+    fleet = Fleet(mixed(), runs_per_worker=8, tasks_per_step=40)
+    fleet.play(30_000)
+    for speed in (0.35, 1.0):
+        fleet.speeds["m1"] = speed
+        fleet.play(8_000)
+        assert abs(math.log(fleet.factor("m1") * speed)) < 0.45
+
+
+def test_pause_of_the_lists_is_not_taken_for_a_slow_worker() -> None:
+    """Failure: a worker that was paused, with its runs, for ten seconds."""
+    meter = PaceMeter(0, resumed=False)
+    paces = [meter.advance(percent, 500 * percent) for percent in range(1, 12)]
+    paces += [meter.advance(12, 16_000)]
+    paces += [meter.advance(percent, 10_000 + 500 * percent) for percent in (14, 18)]
+    times = [math.exp(pace.log_ms) for pace in paces if pace]
+    assert times and all(40_000 < ms < 60_000 for ms in times)
+
+
 def test_one_straggler_condemns_no_worker() -> None:
     """Failure: a task of seven times the usual work on a usual worker."""
     fleet = Fleet({f"m{i}": 1.0 for i in range(8)}, error=0.0)
@@ -148,3 +169,32 @@
     straggler = Pace(math.log(7 * DECLARED_MS), 0.01)
     fleet.observe("m3", Run(("late", 0, 0), 0, 0.0), straggler)
     assert fleet.factor("m3") < before * 1.15
+
+
+def test_leader_learns_from_lists_only_if_switched_on() -> None:
+    """Load: tasks of two steps on workers of which one is slow."""
+    for switched_on in (True, False):
+        leader = Leader(features=DispatchFeatures(worker_speeds=switched_on))
+        workers = [worker(f"w{i}") for i in range(4)]
+        slow = workers[0]
+        for stream, description in enumerate(workers, 1):
+            leader.report(stream, description)
+        for number in range(2):
+            spread = step(16, per_worker_limit=4)
+            leader.submit(f"job-{number}", spread, queue=TIGHT)
+        events: list[str] = []
+        for tick in range(1, 20):
+            leader.advance(LIST_MS)
+            leader.tick()
+            for stream, description in enumerate(workers, 1):
+                pace = 1 if description is slow else 3
+                running = [
+                    RunProgress(RunId(*item), "", pace * tick)
+                    for item in leader.placed(description).items()
+                ]
+                effects = leader.report(stream, description, running)
+                events += [e.event for e in effects if isinstance(e, EmitLogEvent)]
+        known = slowdown(leader.state, slow.machine)
+        assert known.is_known is switched_on
+        assert (known.factor > 1.8) is switched_on
+        assert events.count("worker_slow") == int(switched_on)
