--- a/packages/core/crocuswell_core/cluster/cluster_state.py
+++ b/packages/core/crocuswell_core/cluster/cluster_state.py
@@ -11,6 +11,7 @@
 from crocuswell_core.cluster.scheduling_index import SchedulingIndex
 from crocuswell_core.jobs.crash_history import CrashHistory
 from crocuswell_core.jobs.job_table import JobTable
+from crocuswell_core.learning.run_times import RunTimes
 from crocuswell_core.policy.policies import DefaultPolicy
 
 STATE_VERSION = 1
@@ -189,7 +190,7 @@
     reservations : dict
         Planned starts of blocked requests by request id, oldest first.
     run_times : dict
-        Observed to declared run times, by `workspace/class`.
+        Not used; older versions kept observed to declared run times here.
     shapes : dict
         Recently requested shapes of more than one accelerator, newest
         last, with the cluster time in ms of the request.
@@ -214,6 +215,8 @@
         Failure domains in which no run starts, by name.
     policy : DefaultPolicy
         Scheduling policy.
+    learned_times : RunTimes
+        Real to declared run times of requests and jobs, by class.
     index : SchedulingIndex or None
         Derived indexes; not part of a snapshot.
     """
@@ -250,6 +253,7 @@
     jobs: JobTable = attrs.Factory(JobTable)
     crash_histories: dict[str, CrashHistory] = attrs.Factory(dict)
     evacuations: dict[str, Evacuation] = attrs.Factory(dict)
+    learned_times: RunTimes = attrs.Factory(RunTimes)
     index: SchedulingIndex | None = attrs.field(
         default=None, init=False, eq=False, repr=False
     )
--- a/packages/core/crocuswell_core/dispatching/backfill.py
+++ b/packages/core/crocuswell_core/dispatching/backfill.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from crocuswell_core.dispatching.expectations import expected_remaining_ms
 from crocuswell_core.dispatching.fleet import CandidateWorker, FittingWorkers, Hold
 from crocuswell_core.dispatching.waiting_steps import WaitingStep
 from crocuswell_core.entry.entry_state import EntryState
@@ -91,12 +92,11 @@
 
 def _remaining_ms(state: EntryState, candidate: CandidateWorker) -> int:
     """Return the expected time in ms until a worker's last run ends."""
-    longest_ms = 0
-    for run, progress in candidate.view.running.items():
-        step = state.cluster.jobs.step_of(run.task)
-        if step is not None:
-            left_ms = candidate.view.remaining_ms(
-                progress, step.estimated_ms, state.now_ms
-            )
-            longest_ms = max(longest_ms, left_ms)
-    return longest_ms
+    return max(
+        (
+            expected_remaining_ms(state, candidate.view, progress)
+            for run, progress in candidate.view.running.items()
+            if state.cluster.jobs.step_of(run.task) is not None
+        ),
+        default=0,
+    )
--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -12,6 +12,7 @@
     StepKey,
     parse_boot_key,
 )
+from crocuswell_core.learning.run_times import ExpectedRatio
 from crocuswell_core.learning.worker_speeds import WorkerSpeeds
 
 
@@ -163,6 +164,9 @@
         are kept free for others or lie in other racks, by key of the step.
     speeds : WorkerSpeeds
         Slowdowns of the workers, learned from the progress and ends of runs.
+    expected_ratios : dict
+        Ratios of real to declared times that were read lately, by the keys of
+        their classes.
     """
 
     term: int = -1
@@ -196,6 +200,7 @@
     reserved_racks: dict[StepKey, str] = attrs.Factory(dict)
     ample_since_ms: dict[StepKey, int] = attrs.Factory(dict)
     speeds: WorkerSpeeds = attrs.Factory(WorkerSpeeds)
+    expected_ratios: dict[tuple[str, ...], ExpectedRatio] = attrs.Factory(dict)
 
     def add_boot(self, key: str) -> None:
         """Note a boot that reports or has runs."""
--- a/packages/core/crocuswell_core/dispatching/expectations.py
+++ b/packages/core/crocuswell_core/dispatching/expectations.py
@@ -4,13 +4,23 @@
 times these are the declared ones, and every worker has the usual speed.
 """
 
+import math
+
 import attrs
 
 from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_records import Job, RunProgress
+from crocuswell_core.jobs.run_time_records import run_classes
+from crocuswell_core.learning.run_times import ExpectedRatio
+from crocuswell_core.learning.worker_speeds import keep_newest
 
 USUAL_SLOWDOWN = 1.0
+# Standard deviations between the median and p90 of a normal distribution.
+P90_DEVIATIONS = 1.28
+# Expectations are read far more often than they change.
+RATIO_VALID_MS = 1_000
+RATIO_LIMIT = 1_024
 
 
 @attrs.frozen
@@ -47,9 +57,41 @@
 
 
 def expected_run_time(state: EntryState, job: Job, step: int) -> RunTime:
-    """Return the expected time at work of a task of a job's step."""
-    declared_ms = job.steps[step].estimated_ms
-    return RunTime(declared_ms, declared_ms)
+    """Return the expected time at work of a task of a job's step.
+
+    What the runs of the step itself have shown goes before what its class
+    has shown.
+    """
+    spec = job.steps[step]
+    declared_ms = spec.estimated_ms
+    if not state.cfg.features.learned_times or declared_ms <= 0:
+        return RunTime(declared_ms, declared_ms)
+    key = (job.id, max(job.occurrences, default=0), step)
+    own = state.dispatch.speeds.step_log_ms(key)
+    learned = _expected_ratio(state, job, step)
+    runs = learned.distribution.runs
+    if own is not None:
+        median_ms = round(math.exp(own.mean))
+        p90_ms = round(math.exp(own.mean + P90_DEVIATIONS * math.sqrt(own.variance)))
+        return RunTime(median_ms, p90_ms, runs)
+    if not runs:
+        return RunTime(declared_ms, declared_ms)
+    median_ms = round(declared_ms * learned.median)
+    p90_ms = round(declared_ms * learned.p90)
+    return RunTime(median_ms, p90_ms, runs)
+
+
+def _expected_ratio(state: EntryState, job: Job, step: int) -> ExpectedRatio:
+    """Return what the class of a step's runs lets expect."""
+    keys = run_classes(job, job.steps[step])
+    kept = state.dispatch.expected_ratios
+    expected = kept.get(keys)
+    if expected is None or expected.until_ms <= state.now_ms:
+        until_ms = state.now_ms + RATIO_VALID_MS
+        learned = state.cluster.learned_times.distribution(keys)
+        expected = kept[keys] = ExpectedRatio.of(learned, until_ms)
+        keep_newest(kept, RATIO_LIMIT)
+    return expected
 
 
 def slowdown(state: EntryState, machine: str) -> Slowdown:
@@ -63,7 +105,24 @@
 def expected_remaining_ms(
     state: EntryState, view: WorkerView, progress: RunProgress
 ) -> int:
-    """Return the expected time in ms until a run on a worker is done."""
-    step = state.cluster.jobs.step_of(progress.run.task)
+    """Return the expected time in ms until a run on a worker is done.
+
+    The run's own pace says most. Before it is known, the time that is left
+    depends on the time worked: a run that has outlived its estimate is
+    expected to last longer.
+    """
+    task_id = progress.run.task
+    step = state.cluster.jobs.step_of(task_id)
     declared_ms = step.estimated_ms if step else 0
-    return view.remaining_ms(progress, declared_ms, state.now_ms)
+    job = state.cluster.jobs.jobs.get(task_id.job_id)
+    is_learned = state.cfg.features.learned_times and declared_ms > 0
+    if job is None or not is_learned or view.knows_pace(progress):
+        return view.remaining_ms(progress, declared_ms, state.now_ms)
+    factor = slowdown(state, view.worker.machine).factor
+    if progress.percent > 0:
+        usual_ms = expected_run_time(state, job, task_id.step).median_ms
+        return round(progress.estimate_remaining_ms(usual_ms) * factor)
+    worked = view.worked_ms(progress.run, state.now_ms) / declared_ms / factor
+    learned = _expected_ratio(state, job, task_id.step)
+    left = learned.distribution.median_remaining(worked)
+    return round(declared_ms * left * factor)
--- a/packages/core/crocuswell_core/dispatching/gauges.py
+++ b/packages/core/crocuswell_core/dispatching/gauges.py
@@ -9,6 +9,7 @@
 from crocuswell_core.runtime.effects import Effect, Label, SetGauge
 
 GAUGE_INTERVAL_MS = 1_000
+WORKER_SPEEDS = ("slow", "usual")
 WORKER_STATES = ("usable", "barred", "draining", "unreachable")
 
 
@@ -37,6 +38,21 @@
             SetGauge("workers", workers[name], (Label("state", name),))
             for name in WORKER_STATES
         ),
+        *_speed_gauges(state, leads),
+    ]
+
+
+def _speed_gauges(state: EntryState, leads: bool) -> list[Effect]:
+    """Return how many workers are known to be slow, or not to be."""
+    if not state.cfg.features.worker_speeds:
+        return []
+    workers = state.dispatch.speeds.workers.values() if leads else ()
+    speeds = Counter(
+        "slow" if worker.is_slow else "usual" for worker in workers if worker.is_known
+    )
+    return [
+        SetGauge("workers_by_speed", speeds[name], (Label("speed", name),))
+        for name in WORKER_SPEEDS
     ]
 
 
--- a/packages/core/crocuswell_core/dispatching/health.py
+++ b/packages/core/crocuswell_core/dispatching/health.py
@@ -3,6 +3,7 @@
 from crocuswell_core.dispatching.dispatch_state import (
     FailureHistory,
 )
+from crocuswell_core.dispatching.expectations import expected_remaining_ms
 from crocuswell_core.dispatching.worker_view import LastProgress, WorkerView
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_records import (
@@ -151,7 +152,7 @@
         step = state.cluster.jobs.step_of(run.task)
         if step is None or run in state.dispatch.stopping:
             continue
-        left_ms = view.remaining_ms(progress, step.estimated_ms, state.now_ms)
+        left_ms = expected_remaining_ms(state, view, progress)
         should_stay = left_ms <= view.worker.remaining_ms
         if not step.checkpointing:
             worked_ms = view.worked_ms(run, state.now_ms)
--- a/packages/core/crocuswell_core/dispatching/ranking.py
+++ b/packages/core/crocuswell_core/dispatching/ranking.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Iterable, Iterator
 
+from crocuswell_core.dispatching.expectations import expected_run_time
 from crocuswell_core.dispatching.waiting_steps import RankedStep, UrgentDemand
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.catalog import Catalog, Queue, find_queue_by_name
@@ -143,7 +144,7 @@
 ) -> list[RankedStep]:
     ranked: list[RankedStep] = []
     now_ms = state.cluster.now_ms
-    critical_ms = critical_path_ms(job)
+    critical_ms = expected_critical_path_ms(state, job)
     objective = objective_ms(job, queue)
     deadline_ms = occurrence.due_ms + objective
     zero_value_ms = occurrence.due_ms + ZERO_VALUE_FACTOR * objective
@@ -223,8 +224,19 @@
 
 def critical_path_ms(job: Job) -> int:
     """Return the declared run time in ms of the longest chain of steps."""
+    return _longest_chain_ms(job, [step.estimated_ms for step in job.steps])
+
+
+def expected_critical_path_ms(state: EntryState, job: Job) -> int:
+    """Return the expected run time in ms of the longest chain of steps."""
+    steps = range(len(job.steps))
+    run_times = [expected_run_time(state, job, step).median_ms for step in steps]
+    return _longest_chain_ms(job, run_times)
+
+
+def _longest_chain_ms(job: Job, run_times_ms: list[int]) -> int:
     ends_ms: list[int] = []
-    for step in job.steps:
+    for step, run_time_ms in zip(job.steps, run_times_ms, strict=True):
         start_ms = max((ends_ms[earlier] for earlier in step.after), default=0)
-        ends_ms.append(start_ms + step.estimated_ms)
+        ends_ms.append(start_ms + run_time_ms)
     return max(ends_ms, default=0)
--- a/packages/core/crocuswell_core/dispatching/worker_view.py
+++ b/packages/core/crocuswell_core/dispatching/worker_view.py
@@ -83,6 +83,12 @@
     unplaced: tuple[RunId, ...] = ()
     events: dict[str, int] = attrs.Factory(dict)
 
+    def knows_pace(self, progress: RunProgress) -> bool:
+        """Tell whether a run has advanced enough for its pace to be known."""
+        last = self.last_progress.get(progress.run)
+        advanced = progress.percent - last.first_percent if last else 0
+        return advanced >= MIN_PACE_PERCENT
+
     def remaining_ms(
         self, progress: RunProgress, estimated_ms: int, now_ms: int
     ) -> int:
--- a/packages/core/crocuswell_core/jobs/job_records.py
+++ b/packages/core/crocuswell_core/jobs/job_records.py
@@ -242,6 +242,8 @@
         Cluster time in ms at which the newest run was placed.
     crashes : CrashHistory or None
         Crashes of workers under the task; None if there were none.
+    resumed : bool
+        Whether the newest run began with a checkpoint.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -252,6 +254,7 @@
     failed_on: tuple[str, ...] = ()
     placed_ms: int = 0
     crashes: CrashHistory | None = None
+    resumed: bool = False
 
     @property
     def is_suspect(self) -> bool:
--- a/packages/core/crocuswell_core/jobs/run_command_handlers.py
+++ b/packages/core/crocuswell_core/jobs/run_command_handlers.py
@@ -27,6 +27,7 @@
 )
 from crocuswell_core.jobs.job_table import JobTable
 from crocuswell_core.jobs.run_labels import run_labels, task_label
+from crocuswell_core.jobs.run_time_records import observe_run_time
 from crocuswell_core.runtime.dispatch import apply_command
 from crocuswell_core.runtime.effects import (
     ApplyResult,
@@ -90,6 +91,7 @@
     task.run = placement.run.number
     task.worker = placement.worker
     task.placed_ms = cluster.now_ms
+    task.resumed = bool(task.checkpoint)
     table.placed.setdefault(placement.worker, {})[task_id] = placement.run.number
     queue = (Label("queue", job.queue),)
     labels = (*run_labels(placement.run), _worker_label(placement.worker))
@@ -136,6 +138,7 @@
         return effects
     job = table.jobs[end.run.task.job_id]
     kind = end.kind
+    effects += observe_run_time(cluster, end.run, task, kind)
     if kind is RunEndKind.DONE and job.steps[end.run.task.step].long_running:
         # Long-running tasks are restarted until their job is cancelled.
         kind = RunEndKind.STOPPED
@@ -242,6 +245,7 @@
         task = table.task_if_current(run)
         if task is not None and task.worker == command.worker:
             effects += _report_run_end(cluster, command.worker, run, "lost", task)
+            effects += observe_run_time(cluster, run, task, RunEndKind.STOPPED)
             task.phase = TaskPhase.WAITING
             task.worker = ""
     table.revision += 1
--- a/packages/core/crocuswell_core/learning/worker_speeds.py
+++ b/packages/core/crocuswell_core/learning/worker_speeds.py
@@ -29,6 +29,8 @@
 TAIL_DEGREES = 3
 # Up to this deviation of its logarithm a slowdown is known.
 KNOWN_DEVIATION = 0.2
+# The same for the usual time of a step.
+KNOWN_STEP_DEVIATION = 0.35
 # Members of a gang whose paces differ by less advance together.
 COMMON_PACE_DIFFERENCE = 0.05
 # Weight of evidence from a step, relative to that from the next newer one.
@@ -305,6 +307,18 @@
                 worker.log_slowdown.mean for worker in self.workers.values()
             )
 
+    def step_log_ms(self, step_key: StepKey) -> Gaussian | None:
+        """Return the distribution of the logarithms of a step's times in ms.
+
+        They are those on a worker of the usual speed; None while the runs of
+        the step have shown too little.
+        """
+        step = self.steps.get(step_key)
+        if step is None or step.log_ms.variance > KNOWN_STEP_DEVIATION**2:
+            return None
+        variance = step.log_ms.variance + step.deviation**2
+        return Gaussian.of(step.log_ms.mean + self.usual_log, variance)
+
     def factor(self, machine: str) -> float:
         """Return the slowdown of a worker, 1.0 if nothing was seen of it."""
         worker = self.workers.get(machine)
--- a/packages/daemon/crocuswell_daemon/counters.py
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -116,6 +116,14 @@
     "reservations_unconfirmed_total": Metric("Gangs whose agents did not confirm"),
     "retries_total": Metric("Retries of requests", ("workspace",)),
     "runner_events_total": Metric("Events counted by runners", ("event",)),
+    "run_time_error_seconds": Metric(
+        "Difference of a done run's time from the expected median",
+        ("queue",),
+        COMPLETION_BUCKETS_S,
+    ),
+    "runs_above_p90_total": Metric(
+        "Done runs that took longer than expected of nine in ten", ("queue",)
+    ),
     "runs_ended_total": Metric("Ends of runs", ("queue", "kind")),
     "runs_placed_total": Metric("Runs that were given to a worker", ("queue",)),
     "runs_stopped_total": Metric("Runs stopped by the leader", ("reason",)),
@@ -130,6 +138,11 @@
     ),
     "worker_crashes_total": Metric("Crashes of workers that had runs", ("coincident",)),
     "workers": Metric("Workers in reach of the leader", ("state",), is_gauge=True),
+    "workers_by_speed": Metric(
+        "Workers whose speed is known, by whether they are slow",
+        ("speed",),
+        is_gauge=True,
+    ),
     "workers_lost_total": Metric("Workers whose runs were given up", ("reason",)),
     "yields_total": Metric("Long borrowers stopped for short work"),
 }
--- a/packages/daemon/crocuswell_daemon/tags.py
+++ b/packages/daemon/crocuswell_daemon/tags.py
@@ -19,6 +19,7 @@
     job_records,
     job_table,
 )
+from crocuswell_core.learning import run_times
 from crocuswell_core.links import link_messages
 from crocuswell_core.policy import policies
 from crocuswell_core.runtime import counter_values, effects
@@ -172,6 +173,8 @@
     commands.StartEvacuation,
     commands.EndEvacuation,
     commands.EvacuationSet,
+    run_times.RatioHistogram,
+    run_times.RunTimes,
 )
 
 TAG_OF: dict[type, int] = {
