--- a/packages/core/crocuswell_core/dispatching/speed_evidence.py
+++ b/packages/core/crocuswell_core/dispatching/speed_evidence.py
@@ -2,13 +2,15 @@
 
 from collections.abc import Iterable
 
+from crocuswell_core.dispatching.expectations import expected_run_time
 from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.entry.entry_state import EntryState
-from crocuswell_core.jobs.job_records import RunEnd, RunEndKind, RunId
+from crocuswell_core.jobs.job_records import RunEnd, RunEndKind, RunId, StepKey
 from crocuswell_core.learning.paces import Pace, PaceMeter
 from crocuswell_core.learning.worker_speeds import (
     SLOW_FACTOR,
     USUAL_FACTOR,
+    StepTime,
     new_step_time,
 )
 from crocuswell_core.runtime.effects import Effect, EmitLogEvent, Label
@@ -59,23 +61,26 @@
     machine = view.worker.machine
     kind = (view.worker.service, *view.worker.labels)
     speeds = state.dispatch.speeds
-    for step_key in dict.fromkeys(run.task.step_key for run, _ in paces):
-        step = state.cluster.jobs.step_of(
-            next(run.task for run, _ in paces if run.task.step_key == step_key)
-        )
-        if step is None:
-            continue
-        speeds.observe(
-            machine,
-            kind,
-            step_key,
-            new_step_time(step.estimated_ms, step.gang),
-            [(run.task.index, p) for run, p in paces if run.task.step_key == step_key],
-            state.now_ms,
-        )
+    by_step: dict[StepKey, list[tuple[int, Pace]]] = {}
+    for run, pace in paces:
+        by_step.setdefault(run.task.step_key, []).append((run.task.index, pace))
+    for step_key, step_paces in by_step.items():
+        step = speeds.steps.get(step_key) or _new_step(state, step_key)
+        if step is not None:
+            speeds.observe(machine, kind, step_key, step, step_paces, state.now_ms)
     return _report_class(state, machine)
 
 
+def _new_step(state: EntryState, step_key: StepKey) -> StepTime | None:
+    """Return the belief about a step of which no pace was seen."""
+    job_id, _, index = step_key
+    job = state.cluster.jobs.jobs.get(job_id)
+    if job is None or not 0 <= index < len(job.steps):
+        return None
+    expected_ms = expected_run_time(state, job, index).median_ms
+    return new_step_time(expected_ms, job.steps[index].gang)
+
+
 def _report_class(state: EntryState, machine: str) -> list[Effect]:
     speeds = state.dispatch.speeds
     worker = speeds.workers.get(machine)
