--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -12,6 +12,7 @@
     StepKey,
     parse_boot_key,
 )
+from crocuswell_core.learning.run_times import ExpectedRatio
 from crocuswell_core.learning.worker_speeds import WorkerSpeeds
 
 
@@ -169,6 +170,9 @@
         are kept free for others or lie in other racks, by key of the step.
     speeds : WorkerSpeeds
         Slowdowns of the workers, learned from the progress and ends of runs.
+    expected_ratios : dict
+        Ratios of real to declared times that were read lately, by the keys of
+        their classes.
     """
 
     term: int = -1
@@ -205,6 +209,7 @@
     speeds: WorkerSpeeds = attrs.Factory(WorkerSpeeds)
     empty_domains: set[str] = attrs.Factory(set)
     unfit_claims: set[StepKey] = attrs.Factory(set)
+    expected_ratios: dict[tuple[str, ...], ExpectedRatio] = attrs.Factory(dict)
 
     def add_boot(self, key: str) -> None:
         """Note a boot that reports or has runs."""
--- a/packages/core/crocuswell_core/jobs/job_records.py
+++ b/packages/core/crocuswell_core/jobs/job_records.py
@@ -246,6 +246,8 @@
         Number of runs that were stopped on order while the job was open.
     stopped_run : int
         Number of the newest of them, so that a gang is counted only once.
+    resumed : bool
+        Whether the newest run began with a checkpoint.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -258,6 +260,7 @@
     crashes: CrashHistory | None = None
     stops: int = 0
     stopped_run: int = 0
+    resumed: bool = False
 
     @property
     def is_suspect(self) -> bool:
--- a/packages/core/crocuswell_core/learning/worker_speeds.py
+++ b/packages/core/crocuswell_core/learning/worker_speeds.py
@@ -10,7 +10,7 @@
 
 import math
 import statistics
-from collections.abc import Iterable
+from collections.abc import Sequence
 from typing import Any
 
 import attrs
@@ -29,6 +29,8 @@
 TAIL_DEGREES = 3
 # Up to this deviation of its logarithm a slowdown is known.
 KNOWN_DEVIATION = 0.2
+# The same for the usual time of a step.
+KNOWN_STEP_DEVIATION = 0.35
 # Weight of evidence from a step, relative to that from the next newer one.
 FADING = 0.9
 CELLS_PER_WORKER = 16
@@ -168,6 +170,15 @@
         """Whether enough was seen to rely on the slowdown."""
         return self.log_slowdown.variance <= KNOWN_DEVIATION**2
 
+    def forget_before(self, ms: int) -> None:
+        """Forget paces whose measurement began before a time in ms."""
+        for key, cell in list(self.cells.items()):
+            for index, pace in list(cell.runs.items()):
+                if pace.since_ms < ms:
+                    del cell.runs[index]
+            if not cell.runs:
+                del self.cells[key]
+
     def update(self) -> None:
         """Weigh all evidence anew."""
         count = len(self.cells)
@@ -226,7 +237,7 @@
         kind: tuple[str, ...],
         step_key: StepKey,
         step: StepTime,
-        paces: Iterable[tuple[int, Pace]],
+        paces: Sequence[tuple[int, Pace]],
         now_ms: int,
     ) -> None:
         """Note the paces of a step's runs on a worker.
@@ -235,7 +246,7 @@
         ----------
         step : StepTime
             What is believed of the step if it was not seen before.
-        paces : iterable
+        paces : sequence
             Index of the task and pace of each run.
         """
         step = self.steps.pop(step_key, step)
@@ -244,6 +255,10 @@
         if worker is None or worker.kind != kind:
             worker = WorkerSpeed(kind)
         self.workers[machine] = worker
+        for _, pace in paces:
+            if pace.is_changed and not step.gang:
+                # Another member may have changed the pace of a gang.
+                worker.forget_before(pace.since_ms)
         cell = worker.cells.pop(step_key, None)
         if cell is None or cell.step is not step:
             cell = Cell(step)
@@ -262,6 +277,18 @@
                 worker.log_slowdown.mean for worker in self.workers.values()
             )
 
+    def step_log_ms(self, step_key: StepKey) -> Gaussian | None:
+        """Return the distribution of the logarithms of a step's times in ms.
+
+        They are those on a worker of the usual speed; None while the runs of
+        the step have shown too little.
+        """
+        step = self.steps.get(step_key)
+        if step is None or step.log_ms.variance > KNOWN_STEP_DEVIATION**2:
+            return None
+        variance = step.log_ms.variance + step.deviation**2
+        return Gaussian.of(step.log_ms.mean + self.usual_log, variance)
+
     def factor(self, machine: str) -> float:
         """Return the slowdown of a worker, 1.0 if nothing was seen of it."""
         worker = self.workers.get(machine)
