--- a/packages/cli/crocuswell_cli/main.py
+++ b/packages/cli/crocuswell_cli/main.py
@@ -351,6 +351,12 @@
     ctx.obj.show(ctx.obj.client.get("/v1/members").json(), render.format_members)
 
 
+@app.command()
+def forecasts(ctx: typer.Context) -> None:
+    """Show learned run times, and speeds of workers if the host leads."""
+    ctx.obj.show(ctx.obj.client.get("/v1/forecasts").json(), render.format_forecasts)
+
+
 @app.command()
 def drain(ctx: typer.Context, worker: str, yes: Yes = False) -> None:
     """Drain a worker: no new work; work that can checkpoint is moved."""
--- a/packages/cli/crocuswell_cli/render.py
+++ b/packages/cli/crocuswell_cli/render.py
@@ -141,3 +141,29 @@
         f"{heading}\n"
         f"{format_table(('host', 'domain', 'address', 'vote', 'role'), rows)}"
     )
+
+
+def format_forecasts(document: dict[str, Any]) -> str:
+    """Return learned run times and speeds as two tables."""
+    run_times = [
+        [
+            learned["class_key"],
+            learned["runs"],
+            f"{learned['median_ratio']:.2f}",
+            f"{learned['p90_ratio']:.2f}",
+        ]
+        for learned in document["run_times"]
+    ]
+    workers = [
+        [
+            worker["machine"],
+            f"{worker['slowdown']:.2f}",
+            "yes" if worker["is_known"] else "no",
+        ]
+        for worker in document["workers"]
+    ]
+    columns = ("class", "runs", "median", "p90")
+    return (
+        f"{format_table(columns, run_times)}\n\n"
+        f"{format_table(('machine', 'slowdown', 'known'), workers)}"
+    )
--- a/packages/core/crocuswell_core/entry/call_handlers.py
+++ b/packages/core/crocuswell_core/entry/call_handlers.py
@@ -16,6 +16,7 @@
     CommandCall,
     ExplainRequest,
     GetConfiguration,
+    GetForecasts,
     GetHistory,
     GetMembers,
     GetRequest,
@@ -125,8 +126,9 @@
     return _ask_read_index(state, pending)
 
 
-@handle_call.register
-def _(call: GetMembers, state: EntryState, call_id: int) -> list[Effect]:
+@handle_call.register(GetMembers)
+@handle_call.register(GetForecasts)
+def _(call: ReadCall, state: EntryState, call_id: int) -> list[Effect]:
     return [AnswerCall(call_id, answer_read(call, state))]
 
 
--- a/packages/core/crocuswell_core/entry/calls.py
+++ b/packages/core/crocuswell_core/entry/calls.py
@@ -61,6 +61,19 @@
     """Read the control group membership as known to this host."""
 
 
+@attrs.frozen
+class GetForecasts:
+    """Read the learned run times and speeds as known to this host.
+
+    Attributes
+    ----------
+    limit : int
+        Most classes of work to read, those with the newest ends first.
+    """
+
+    limit: int = 100
+
+
 @attrs.frozen
 class ExplainRequest:
     """Ask why a request waits or why it was placed where it is."""
@@ -76,6 +89,7 @@
     | GetHistory
     | GetWorkers
     | GetMembers
+    | GetForecasts
     | ExplainRequest
     | JobRead
 )
--- a/packages/core/crocuswell_core/entry/replies.py
+++ b/packages/core/crocuswell_core/entry/replies.py
@@ -67,6 +67,41 @@
     voters: tuple[str, ...]
 
 
+@attrs.frozen
+class RunTimeForecast:
+    """Learned run times of one class of work.
+
+    Attributes
+    ----------
+    runs : int
+        Number of runs that were done.
+    median_ratio, p90_ratio : float
+        Quantiles of the ratio of real to declared time.
+    """
+
+    class_key: str
+    runs: int
+    median_ratio: float
+    p90_ratio: float
+
+
+@attrs.frozen
+class SpeedForecast:
+    """Learned slowdown of the worker on a machine."""
+
+    machine: str
+    slowdown: float
+    is_known: bool
+
+
+@attrs.frozen
+class ForecastsView:
+    """Learned run times, and the speeds of workers if this host leads."""
+
+    run_times: tuple[RunTimeForecast, ...]
+    workers: tuple[SpeedForecast, ...]
+
+
 @attrs.frozen
 class Explanation:
     """Why a request waits, or why it was placed where it is.
@@ -93,6 +128,7 @@
     | HistoryView
     | WorkersView
     | MembersView
+    | ForecastsView
     | Explanation
     | Refused
     | JobReadReply
--- a/packages/core/crocuswell_core/entry/views.py
+++ b/packages/core/crocuswell_core/entry/views.py
@@ -7,9 +7,11 @@
 from crocuswell_core.cluster.commands import Refused
 from crocuswell_core.cluster.records import AttemptId, Request
 from crocuswell_core.cluster.resources import NO_RESOURCES
+from crocuswell_core.consensus import election
 from crocuswell_core.entry.calls import (
     ExplainRequest,
     GetConfiguration,
+    GetForecasts,
     GetHistory,
     GetMembers,
     GetRequest,
@@ -20,11 +22,14 @@
 from crocuswell_core.entry.replies import (
     ConfigurationView,
     Explanation,
+    ForecastsView,
     HistoryView,
     MembersView,
     ReadReply,
     RequestsView,
     RequestView,
+    RunTimeForecast,
+    SpeedForecast,
     WorkersView,
     WorkerView,
 )
@@ -79,6 +84,24 @@
     )
 
 
+@answer_read.register
+def _(call: GetForecasts, state: EntryState) -> ReadReply:
+    times, speeds = state.cluster.learned_times, state.dispatch.speeds
+    run_times = []
+    for key in islice(reversed(times.classes), call.limit):
+        learned = times.distribution((key,))
+        quantiles = learned.quantile(0.5), learned.quantile(0.9)
+        run_times.append(RunTimeForecast(key, learned.runs, *quantiles))
+    leads = election.holds_lease(state)
+    return ForecastsView(
+        tuple(run_times),
+        tuple(
+            SpeedForecast(name, speeds.factor(name), speeds.is_known(name))
+            for name in (speeds.workers if leads else ())
+        ),
+    )
+
+
 @answer_read.register
 def _(call: ExplainRequest, state: EntryState) -> ReadReply:
     request = _find_request(state.cluster, call.request_id, call.workspace)
--- a/packages/daemon/crocuswell_daemon/http_calls.py
+++ b/packages/daemon/crocuswell_daemon/http_calls.py
@@ -22,6 +22,7 @@
     CommandCall,
     ExplainRequest,
     GetConfiguration,
+    GetForecasts,
     GetHistory,
     GetMembers,
     GetRequest,
@@ -311,6 +312,10 @@
     return Ok(Read(GetWorkers()))
 
 
+def _read_forecasts(request: HttpRequest, query: _Query) -> ParseResult:
+    return Ok(Read(GetForecasts()))
+
+
 def _read_members(request: HttpRequest, query: _Query) -> ParseResult:
     return Ok(Read(GetMembers()))
 
@@ -371,4 +376,5 @@
     Route("GET", "/v1/workers", _read_workers),
     Route("POST", "/v1/workers/{id}/mode", _parse_worker_mode),
     Route("GET", "/v1/members", _read_members),
+    Route("GET", "/v1/forecasts", _read_forecasts),
 )
--- a/packages/daemon/crocuswell_daemon/http_replies.py
+++ b/packages/daemon/crocuswell_daemon/http_replies.py
@@ -29,6 +29,7 @@
 from crocuswell_core.entry.replies import (
     ConfigurationView,
     Explanation,
+    ForecastsView,
     HistoryView,
     MembersView,
     ReadReply,
@@ -144,6 +145,11 @@
     return json_response(200, _converter.unstructure(reply))
 
 
+@to_response.register
+def _(reply: ForecastsView) -> HttpResponse:
+    return json_response(200, _converter.unstructure(reply))
+
+
 @to_response.register
 def _(reply: Explanation) -> HttpResponse:
     document = {
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -48,6 +48,7 @@
     CommandCall,
     ExplainRequest,
     GetConfiguration,
+    GetForecasts,
     GetHistory,
     GetMembers,
     GetRequest,
@@ -57,10 +58,13 @@
 from crocuswell_core.entry.replies import (
     ConfigurationView,
     Explanation,
+    ForecastsView,
     HistoryView,
     MembersView,
     RequestsView,
     RequestView,
+    RunTimeForecast,
+    SpeedForecast,
     WorkersView,
     WorkerView,
 )
@@ -292,6 +296,30 @@
         {"mode": "active"},
         OPERATOR,
     ),
+    Case(
+        "forecasts",
+        "GET",
+        "/v1/forecasts",
+        [
+            ForecastsView(
+                (RunTimeForecast("queue/batch", 40, 1.5, 3.0),),
+                (SpeedForecast("m1", 1.6, True),),
+            )
+        ],
+        GetForecasts(),
+        200,
+        {
+            "run_times": [
+                {
+                    "class_key": "queue/batch",
+                    "runs": 40,
+                    "median_ratio": 1.5,
+                    "p90_ratio": 3.0,
+                }
+            ],
+            "workers": [{"machine": "m1", "slowdown": 1.6, "is_known": True}],
+        },
+    ),
     Case(
         "members",
         "GET",
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from crocuswell_cli.render import format_forecasts
 from crocuswell_core.cluster.cluster_state import ClusterState
 from crocuswell_core.dispatching.expectations import (
     RunTime,
@@ -219,3 +220,12 @@
     else:
         assert expected == RunTime(DECLARED_MS, DECLARED_MS)
         assert left_ms == DECLARED_MS
+
+
+def test_forecasts_are_shown_as_tables() -> None:
+    """Guards against a table that an operator cannot read."""
+    learned = {"class_key": "q", "runs": 4, "median_ratio": 1.5, "p90_ratio": 3.0}
+    workers = [{"machine": "m1", "slowdown": 1.6, "is_known": False}]
+    text = format_forecasts({"run_times": [learned], "workers": workers})
+    assert "q      4     1.50    3.00" in text
+    assert "m1       1.60      no" in text
--- a/tests/test_worker_speeds.py
+++ b/tests/test_worker_speeds.py
@@ -7,9 +7,12 @@
 
 from crocuswell_core.dispatching.expectations import slowdown
 from crocuswell_core.dispatching.features import DispatchFeatures
+from crocuswell_core.entry.calls import GetForecasts
+from crocuswell_core.entry.replies import ForecastsView, SpeedForecast
 from crocuswell_core.jobs.job_records import RunId, RunProgress, StepKey
 from crocuswell_core.learning.paces import Pace, PaceMeter
 from crocuswell_core.learning.worker_speeds import WorkerSpeeds, new_step_time
+from crocuswell_core.runtime.dispatch import answer_read
 from crocuswell_core.runtime.effects import EmitLogEvent
 from tests.job_harness import TIGHT, Leader, step, worker
 
@@ -198,3 +201,8 @@
         assert known.is_known is switched_on
         assert (known.factor > 1.8) is switched_on
         assert events.count("worker_slow") == int(switched_on)
+        seen = answer_read(GetForecasts(), leader.state)
+        assert isinstance(seen, ForecastsView)
+        slowest = max(seen.workers, key=lambda w: w.slowdown, default=None)
+        expected = SpeedForecast(slow.machine, known.factor, True)
+        assert slowest == (expected if switched_on else None)
