--- a/packages/core/crocuswell_core/dispatching/backfill.py
+++ b/packages/core/crocuswell_core/dispatching/backfill.py
@@ -1,11 +1,17 @@
 """Workers that are kept free for a waiting step, except for backfill."""
 
+import heapq
+import math
 from collections.abc import Iterable
 
+from crocuswell_core.dispatching.expected_ends import time_until_fit_ms
 from crocuswell_core.dispatching.fleet import CandidateWorker, FittingWorkers, Hold
 from crocuswell_core.dispatching.waiting_steps import WaitingStep
 from crocuswell_core.entry.entry_state import EntryState
 
+# Bounds the racks whose runs are looked at one by one.
+MAX_AWAITED_RACKS = 8
+
 
 def limit_backfill(
     state: EntryState, waiting: WaitingStep, fitting: FittingWorkers
@@ -85,10 +91,32 @@
             if worker_rack in room:
                 room[worker_rack] += copies
         rack = max(room, key=lambda name: room[name])
+        if state.cfg.features.weighed_preemption:
+            rack = _soonest_rack(state, waiting, fitting, room)
         reserved[key] = rack
     return rack
 
 
+def _soonest_rack(
+    state: EntryState,
+    waiting: WaitingStep,
+    fitting: FittingWorkers,
+    room: dict[str, int],
+) -> str:
+    """Return the rack, of those with most room, that fits a gang first."""
+    fleet = state.dispatch.fleet
+    waits_ms: dict[str, float] = {}
+    for rack in heapq.nlargest(MAX_AWAITED_RACKS, room, key=lambda name: room[name]):
+        workers = [
+            candidate
+            for key, candidate in fleet.racks[rack].items()
+            if key in fitting.capacity
+        ]
+        wait_ms = time_until_fit_ms(state, waiting.ranked, workers)
+        waits_ms[rack] = math.inf if wait_ms is None else wait_ms
+    return min(waits_ms, key=lambda name: waits_ms[name])
+
+
 def _remaining_ms(state: EntryState, candidate: CandidateWorker) -> int:
     """Return the expected time in ms until a worker's last run ends."""
     longest_ms = 0
--- a/packages/core/crocuswell_core/dispatching/preemption.py
+++ b/packages/core/crocuswell_core/dispatching/preemption.py
@@ -4,7 +4,10 @@
 
 from crocuswell_core.dispatching.fleet import CandidateWorker, FittingWorkers
 from crocuswell_core.dispatching.preemption_balance import Balance
-from crocuswell_core.dispatching.preemption_groups import promising_groups
+from crocuswell_core.dispatching.preemption_groups import (
+    promising_groups,
+    usable_candidates,
+)
 from crocuswell_core.dispatching.victims import (
     Victim,
     core_equivalents,
@@ -58,10 +61,12 @@
     None if no preemption frees enough resources. Only the workers on which
     a rough estimate expects the least lost work are looked at run by run.
     """
+    ranked = waiting.ranked
+    candidates = usable_candidates(state, ranked, fitting)
     found = [
         preemption
-        for group in promising_groups(state, waiting, fitting)
-        if (preemption := _choose_from_group(state, waiting.ranked, group)) is not None
+        for group in promising_groups(state, ranked, candidates)
+        if (preemption := _choose_from_group(state, ranked, group)) is not None
     ]
     return min(found, key=lambda preemption: preemption.cost, default=None)
 
--- a/packages/core/crocuswell_core/dispatching/preemption_groups.py
+++ b/packages/core/crocuswell_core/dispatching/preemption_groups.py
@@ -8,7 +8,7 @@
 from crocuswell_core.dispatching.fleet import CandidateWorker, FittingWorkers
 from crocuswell_core.dispatching.indexing import accepts_tasks
 from crocuswell_core.dispatching.packing import by_rack, exclude_failed_workers
-from crocuswell_core.dispatching.waiting_steps import RankedStep, WaitingStep
+from crocuswell_core.dispatching.waiting_steps import RankedStep
 from crocuswell_core.entry.entry_state import EntryState
 
 # Bounds the workers and racks whose runs are compared one by one.
@@ -43,14 +43,12 @@
 
 
 def promising_groups(
-    state: EntryState, waiting: WaitingStep, fitting: FittingWorkers
+    state: EntryState, ranked: RankedStep, candidates: list[CandidateWorker]
 ) -> list[list[CandidateWorker]]:
     """Return the groups of workers with the least expected loss.
 
     A single group must hold the whole step.
     """
-    ranked = waiting.ranked
-    candidates = _usable_candidates(state, ranked, fitting)
     rooms = {c.key: _estimate_room(state, ranked, c) for c in candidates}
     with_room = [c for c in candidates if rooms[c.key].copies]
     if not ranked.needs_one_rack:
@@ -75,9 +73,10 @@
     )
 
 
-def _usable_candidates(
+def usable_candidates(
     state: EntryState, ranked: RankedStep, fitting: FittingWorkers
 ) -> list[CandidateWorker]:
+    """Return the workers that may hold a step's tasks, empty or not."""
     fleet = state.dispatch.fleet
     barred = health.excluded_worker_ids(state)
     candidates = [
--- a/packages/core/crocuswell_core/dispatching/weighed_preemption.py
+++ b/packages/core/crocuswell_core/dispatching/weighed_preemption.py
@@ -7,17 +7,18 @@
 
 import enum
 import math
-from collections.abc import Iterable
 
 import attrs
 
-from crocuswell_core.dispatching.expectations import (
-    USUAL_SLOWDOWN,
-    expected_remaining_ms,
-    slowdown,
+from crocuswell_core.dispatching.expectations import USUAL_SLOWDOWN, slowdown
+from crocuswell_core.dispatching.expected_ends import (
+    END_MARGIN_MS,
+    RunOnWorker,
+    runs_on,
+    time_until_fit_ms,
 )
 from crocuswell_core.dispatching.fleet import CandidateWorker, FittingWorkers
-from crocuswell_core.dispatching.preemption import Preemption
+from crocuswell_core.dispatching.preemption import ENDING_SOON_MS, Preemption
 from crocuswell_core.dispatching.preemption_balance import (
     MAX_STOPS,
     MIN_CHANCE,
@@ -26,7 +27,10 @@
     dearer_by_stops,
     stake_of,
 )
-from crocuswell_core.dispatching.preemption_groups import promising_groups
+from crocuswell_core.dispatching.preemption_groups import (
+    promising_groups,
+    usable_candidates,
+)
 from crocuswell_core.dispatching.stoppable_units import (
     StoppableUnit,
     choose_units,
@@ -40,13 +44,7 @@
 # Time that a stop takes until the resources are free.
 STOP_MS = 400
 # Runs that end within one of these times may be awaited instead of stopped.
-HORIZONS_MS = (STOP_MS, 800, 1_600)
-# A guaranteed step must start soon, whatever that costs.
-GUARANTEED_HORIZONS_MS = (STOP_MS, 800)
-# Below this percentage the remaining time of a run is too uncertain.
-MIN_ENDING_PERCENT = 60
-# After its expected end a run gets this time to be recorded as ended.
-END_MARGIN_MS = 400
+HORIZONS_MS = (STOP_MS, ENDING_SOON_MS)
 
 
 class Verdict(enum.Enum):
@@ -131,12 +129,15 @@
 
     Attributes
     ----------
+    usable : dict
+        Workers that may hold its tasks, by the key of their boot.
     stakes : dict
         Stakes of others by key of the step.
     """
 
     ranked: RankedStep
     stake: Stake
+    usable: dict[str, CandidateWorker] = attrs.Factory(dict)
     stakes: dict[StepKey, Stake] = attrs.Factory(dict)
 
     @property
@@ -157,6 +158,17 @@
         chances = self.stake.chances(delay_ms, self.path_ms(pace))
         return chances.in_aim >= MIN_CHANCE
 
+    def accepts(self, plan: PreemptionPlan) -> bool:
+        """Tell whether a plan is within the limits for the step."""
+        return self.is_guaranteed or (
+            plan.lost_core_s <= self.ranked.preemption_limit_core_s
+            and self.has_chance(plan.delay_ms, plan.pace)
+        )
+
+    def surplus(self, plan: PreemptionPlan) -> float:
+        """Return what a plan is worth beyond its loss, in core seconds."""
+        return self.worth(plan.delay_ms, plan.pace) - plan.loss
+
 
 def weigh_preemption(
     state: EntryState, waiting: WaitingStep, fitting: FittingWorkers
@@ -167,22 +179,23 @@
     claim = Claim(ranked, stake)
     if not claim.is_guaranteed and not claim.has_chance(STOP_MS, USUAL_SLOWDOWN):
         return Weighing(Verdict.TOO_LATE, Balance(0.0, 0.0))
-    groups = promising_groups(state, waiting, fitting)
+    candidates = usable_candidates(state, ranked, fitting)
+    claim.usable = {candidate.key: candidate for candidate in candidates}
+    groups = promising_groups(state, ranked, candidates)
     plans = [plan for group in groups for plan in _plans(state, claim, group)]
     if not plans:
         return Weighing(Verdict.NO_ROOM, Balance(0.0, 0.0))
     waits_worth = max(_worth_of_waiting(state, claim, group) for group in groups)
-    best = max(plans, key=lambda p: claim.worth(p.delay_ms, p.pace) - p.loss)
-    gain = claim.worth(best.delay_ms, best.pace) - waits_worth
-    balance = Balance(gain, best.loss)
+    acceptable = [plan for plan in plans if claim.accepts(plan)]
+    best = max(acceptable or plans, key=claim.surplus)
+    balance = Balance(claim.worth(best.delay_ms, best.pace) - waits_worth, best.loss)
     if claim.is_guaranteed:
         return Weighing(Verdict.STOP, balance, best)
-    if not best.units:
-        return Weighing(Verdict.AWAIT, balance, best)
     if not claim.has_chance(best.delay_ms, best.pace):
         return Weighing(Verdict.TOO_LATE, balance)
-    limit_core_s = claim.ranked.preemption_limit_core_s
-    if not balance.is_worthwhile or best.lost_core_s > limit_core_s:
+    if not best.units:
+        return Weighing(Verdict.AWAIT, balance, best)
+    if not acceptable or not balance.is_worthwhile:
         return Weighing(Verdict.TOO_DEAR, balance)
     return Weighing(Verdict.STOP, balance, best)
 
@@ -190,28 +203,13 @@
 # --- plans -----------------------------------------------------------------
 
 
-@attrs.frozen
-class RunOnWorker:
-    """A placed run with the time in ms until it should end."""
-
-    run: RunId
-    candidate: CandidateWorker
-    remaining_ms: int
-    is_certain: bool
-
-    @property
-    def demand(self) -> ResourceVector:
-        """Resources that it uses."""
-        return self.candidate.placed[self.run.task]
-
-
 def _plans(
     state: EntryState, claim: Claim, group: list[CandidateWorker]
 ) -> list[PreemptionPlan]:
     """Return plans for one group of workers."""
     found: list[PreemptionPlan] = []
-    for workers in _groups_by_pace(state, claim, group):
-        runs = [each for c in workers for each in _runs_on(state, c)]
+    for workers in _groups_by_pace(state, claim, _with_mates(state, claim, group)):
+        runs = [each for c in workers for each in runs_on(state, c)]
         units = _stoppable_units(state, claim, workers, runs)
         for horizon_ms in _horizons_ms(state, claim):
             plan = _plan(state, claim, workers, runs, units, horizon_ms)
@@ -222,6 +220,31 @@
     return found
 
 
+def _with_mates(
+    state: EntryState, claim: Claim, group: list[CandidateWorker]
+) -> list[CandidateWorker]:
+    """Add the workers of the gangs that have members on a group.
+
+    A gang is stopped as a whole, so that its room elsewhere counts too.
+    """
+    if claim.ranked.needs_one_rack:
+        return group
+    found = {candidate.key: candidate for candidate in group}
+    table = state.cluster.jobs
+    gangs = {
+        task_id.step_key: task_id
+        for candidate in group
+        for task_id in candidate.placed
+        if table.jobs[task_id.job_id].steps[task_id.step].gang
+    }
+    for task_id in gangs.values():
+        for task in table.step_tasks(task_id):
+            mate = claim.usable.get(task.worker)
+            if mate is not None:
+                found[mate.key] = mate
+    return list(found.values())
+
+
 def _groups_by_pace(
     state: EntryState, claim: Claim, group: list[CandidateWorker]
 ) -> list[list[CandidateWorker]]:
@@ -250,33 +273,10 @@
     """
     if claim.ranked.key in state.dispatch.awaited_ends:
         return (0,)
-    if not claim.is_guaranteed:
-        return HORIZONS_MS
-    is_new = claim.stake.elapsed_ms <= STOP_MS
-    return GUARANTEED_HORIZONS_MS if is_new else (0,)
-
-
-def _runs_on(state: EntryState, candidate: CandidateWorker) -> Iterable[RunOnWorker]:
-    """Yield the placed runs of a worker."""
-    table = state.cluster.jobs
-    placed = table.placed.get(candidate.key, {})
-    for task_id in candidate.placed:
-        number = placed.get(task_id)
-        if number is None:
-            continue
-        run = RunId(task_id, number)
-        progress = candidate.view.running.get(run)
-        step = table.jobs[task_id.job_id].steps[task_id.step]
-        if progress is None or step.long_running:
-            remaining_ms = step.estimated_ms
-        else:
-            remaining_ms = expected_remaining_ms(state, candidate.view, progress)
-        is_certain = (
-            progress is not None
-            and progress.percent >= MIN_ENDING_PERCENT
-            and not step.long_running
-        )
-        yield RunOnWorker(run, candidate, remaining_ms, is_certain)
+    if claim.is_guaranteed and claim.stake.elapsed_ms > STOP_MS:
+        # It must start soon, whatever that costs.
+        return (0,)
+    return HORIZONS_MS
 
 
 def _plan(
@@ -409,36 +409,5 @@
     state: EntryState, claim: Claim, group: list[CandidateWorker]
 ) -> float:
     """Return what a step is worth if it waits for room on a group."""
-    wait_ms = _wait_ms(state, claim, group)
+    wait_ms = time_until_fit_ms(state, claim.ranked, group)
     return 0.0 if wait_ms is None else claim.worth(wait_ms, USUAL_SLOWDOWN)
-
-
-def _wait_ms(
-    state: EntryState, claim: Claim, group: list[CandidateWorker]
-) -> int | None:
-    """Return the time in ms until the step fits by itself.
-
-    Workers that are kept free for steps of higher rank do not count.
-    """
-    ranked = claim.ranked
-    end_ms = state.now_ms + claim.stake.step_ms
-    opened: list[tuple[int, int]] = []
-    for candidate in group:
-        if candidate.is_held_from(ranked.key, ranked.sort_key, end_ms):
-            continue
-        free = candidate.available
-        copies = copies_on(ranked.step, free)
-        opened.append((0, copies))
-        runs = sorted(_runs_on(state, candidate), key=lambda each: each.remaining_ms)
-        for each in runs:
-            free = free + each.demand
-            more = copies_on(ranked.step, free) - copies
-            if more > 0:
-                opened.append((each.remaining_ms, more))
-                copies += more
-    unplaced = ranked.waiting_count
-    for wait_ms, copies in sorted(opened):
-        unplaced -= copies
-        if unplaced <= 0:
-            return wait_ms + END_MARGIN_MS
-    return None
