--- a/packages/core/crocuswell_core/dispatching/stoppable_units.py
+++ b/packages/core/crocuswell_core/dispatching/stoppable_units.py
@@ -4,12 +4,14 @@
 members leave counts.
 """
 
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Container, Iterable
+from functools import partial
 
 import attrs
 
 from crocuswell_core.dispatching.victims import core_equivalents
-from crocuswell_core.jobs.job_records import ResourceVector, RunId, StepSpec
+from crocuswell_core.jobs.job_records import ResourceVector, RunId, StepKey, StepSpec
 
 
 @attrs.frozen(eq=False)
@@ -23,13 +25,42 @@
     lost_core_s : float
         Lost work in core seconds.
     loss : float
-        What stopping it loses altogether, in core seconds.
+        The same, more for work that was stopped before.
+    caller_loss : float
+        What the job's caller loses by the delay, in core seconds; once,
+        however many units of the step are stopped.
     """
 
     runs: tuple[RunId, ...]
     room: dict[str, ResourceVector]
     lost_core_s: float
     loss: float
+    caller_loss: float = 0.0
+
+    @property
+    def step_key(self) -> StepKey:
+        """Key of its step."""
+        return self.runs[0].task.step_key
+
+
+def total_loss(
+    units: Iterable[StoppableUnit], charged: Container[StepKey] = ()
+) -> float:
+    """Return what stopping some units loses altogether, in core seconds.
+
+    Parameters
+    ----------
+    charged : container of StepKey
+        Steps of which other units are stopped anyway.
+    """
+    loss = 0.0
+    caller_losses: dict[StepKey, float] = {}
+    for unit in units:
+        loss += unit.loss
+        key = unit.step_key
+        if key not in charged:
+            caller_losses[key] = max(caller_losses.get(key, 0.0), unit.caller_loss)
+    return loss + sum(caller_losses.values())
 
 
 @attrs.frozen
@@ -45,10 +76,6 @@
     units: tuple[StoppableUnit, ...]
     copies: int
 
-    def loss_per_task(self, needed: int) -> float:
-        """Return the loss for each of the tasks that are needed."""
-        return sum(unit.loss for unit in self.units) / min(self.copies, needed)
-
 
 def copies_on(step: StepSpec, free: ResourceVector) -> int:
     """Return how many tasks of a step fit into a worker's resources."""
@@ -85,11 +112,13 @@
     on_worker = _units_by_worker(step, needed, free, units)
     choices = {key: _next_units(step, free, key, on_worker[key]) for key in on_worker}
     chosen: list[StoppableUnit] = []
+    charged: set[StepKey] = set()
     while needed > 0:
         usable = [choice for choice in choices.values() if choice is not None]
         if not usable:
             return None
-        best = min(usable, key=lambda choice: choice.loss_per_task(needed))
+        best = min(usable, key=partial(_loss_per_task, needed=needed, charged=charged))
+        charged.update(unit.step_key for unit in best.units)
         changed = dict.fromkeys(key for unit in best.units for key in unit.room)
         before = sum(copies_on(step, free[key]) for key in changed if key in free)
         _add_room(free, best.units)
@@ -104,6 +133,11 @@
     return _without_superfluous(step, free, chosen, -needed)
 
 
+def _loss_per_task(choice: NextUnits, needed: int, charged: set[StepKey]) -> float:
+    """Return the loss for each of the tasks that are needed."""
+    return total_loss(choice.units, charged) / min(choice.copies, needed)
+
+
 def _units_by_worker(
     step: StepSpec,
     needed: int,
@@ -111,11 +145,14 @@
     units: Iterable[StoppableUnit],
 ) -> dict[str, list[StoppableUnit]]:
     """Return the units on each worker, those with the least loss first."""
+    units = tuple(units)
     most_cores = core_equivalents(step.demand) * needed
+    of_step = Counter(unit.step_key for unit in units)
 
     def loss_per_core(unit: StoppableUnit) -> float:
         cores = sum(core_equivalents(r) for key, r in unit.room.items() if key in free)
-        return unit.loss / min(cores, most_cores)
+        loss = unit.loss + unit.caller_loss / of_step[unit.step_key]
+        return loss / min(cores, most_cores)
 
     on_worker: dict[str, list[StoppableUnit]] = {}
     for unit in units:
--- a/packages/core/crocuswell_core/dispatching/weighed_preemption.py
+++ b/packages/core/crocuswell_core/dispatching/weighed_preemption.py
@@ -35,6 +35,7 @@
     StoppableUnit,
     choose_units,
     copies_on,
+    total_loss,
 )
 from crocuswell_core.dispatching.victims import RESUME_COST_S, find_victim
 from crocuswell_core.dispatching.waiting_steps import RankedStep, WaitingStep
@@ -80,7 +81,7 @@
     @property
     def loss(self) -> float:
         """What the plan loses altogether, in core seconds."""
-        return sum(unit.loss for unit in self.units)
+        return total_loss(self.units)
 
     @property
     def lost_core_s(self) -> float:
@@ -377,8 +378,13 @@
             room[task.worker] = room.get(task.worker, ResourceVector()) + victim.demand
     if stops >= MAX_STOPS and not claim.is_guaranteed:
         return None
-    loss = dearer_by_stops(victim.cost, stops) + _lost_worth(state, claim, each)
-    return StoppableUnit(victim.gang, room, victim.cost, loss)
+    return StoppableUnit(
+        victim.gang,
+        room,
+        lost_core_s=victim.cost,
+        loss=dearer_by_stops(victim.cost, stops),
+        caller_loss=_lost_worth(state, claim, each),
+    )
 
 
 def _lost_worth(state: EntryState, claim: Claim, each: RunOnWorker) -> float:
