--- a/packages/core/crocuswell_core/dispatching/weighed_preemption.py
+++ b/packages/core/crocuswell_core/dispatching/weighed_preemption.py
@@ -236,7 +236,9 @@
         task_id.step_key: task_id
         for candidate in group
         for task_id in candidate.placed
-        if table.jobs[task_id.job_id].steps[task_id.step].gang
+        # Tasks that were placed in this plan are not in the log yet.
+        if task_id in table.placed.get(candidate.key, ())
+        and table.jobs[task_id.job_id].steps[task_id.step].gang
     }
     for task_id in gangs.values():
         for task in table.step_tasks(task_id):
--- a/tests/test_preemption_balance.py
+++ b/tests/test_preemption_balance.py
@@ -230,6 +230,21 @@
     assert bool(stopped_jobs(leader)) is is_stopped
 
 
+def test_gang_that_was_placed_in_the_same_plan_is_no_victim() -> None:
+    """Guards against a plan that looks up placements not yet in the log."""
+    leader = fleet(1)
+    leader.submit("work", step(4), queue=BATCH)
+    show_progress(leader, {"work": 2})
+    dispatch = leader.state.dispatch
+    dispatch.pending_plan, dispatch.plan_proposed_ms = "9.9", leader.now_ms
+    leader.submit("a", step(2, accelerators=2, gang=True), queue=URGENT)
+    leader.submit("b", step(1, accelerators=4), queue=URGENT)
+    dispatch.pending_plan = ""
+    leader.tick()
+    assert stopped_jobs(leader) == {"work"}
+    assert {task.job_id for task in leader.placed(worker("w0"))} == {"work", "a"}
+
+
 def test_withheld_preemption_is_reported_once() -> None:
     """Guards against a log line for each plan while a step waits."""
     leader = fleet(4)
