--- a/packages/cli/crocuswell_cli/main.py
+++ b/packages/cli/crocuswell_cli/main.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated, Any
+from urllib.parse import quote
 
 import attrs
 import typer
@@ -371,6 +372,32 @@
     set_mode(ctx, worker, "quarantined")
 
 
+@app.command()
+def evacuate(
+    ctx: typer.Context,
+    domain: Annotated[str, typer.Argument(help="Failure domain.")],
+    end: Annotated[bool, typer.Option("--end", help="End its evacuation.")] = False,
+    key: Annotated[
+        str,
+        typer.Option(help="Idempotency key, to repeat an order without an answer."),
+    ] = "",
+    yes: Yes = False,
+) -> None:
+    """Evacuate a failure domain: nothing more starts there."""
+    if not end:
+        confirm(f"Evacuate {domain}? Nothing starts there until --end.", yes)
+    path = f"/v1/evacuations/{quote(domain, safe='')}"
+    reply = ctx.obj.client.call("DELETE" if end else "POST", path, key=key).json()
+    ctx.obj.show(reply, render.format_evacuation)
+
+
+@app.command()
+def evacuations(ctx: typer.Context) -> None:
+    """Show the evacuated failure domains with what is left there."""
+    reply = ctx.obj.client.get("/v1/evacuations").json()
+    ctx.obj.show(reply["evacuations"], render.format_evacuations)
+
+
 def set_mode(ctx: typer.Context, worker: str, mode: str) -> None:
     """Set the mode of a worker."""
     path = f"/v1/workers/{worker}/mode"
--- a/packages/cli/crocuswell_cli/render.py
+++ b/packages/cli/crocuswell_cli/render.py
@@ -88,6 +88,27 @@
     return str(worker["operator_mode"])
 
 
+def format_evacuation(reply: dict[str, Any]) -> str:
+    """Return the answer to an order on a failure domain."""
+    state = "evacuated" if reply["is_evacuated"] else "in service"
+    return f"{reply['failure_domain']}: {state}"
+
+
+def format_evacuations(evacuations: Sequence[dict[str, Any]]) -> str:
+    """Return evacuated failure domains as a table."""
+    rows = [
+        [
+            evacuation["failure_domain"],
+            format_time(evacuation["started_at_ms"]),
+            evacuation["author"],
+            evacuation["workers"],
+            evacuation["attempts"],
+        ]
+        for evacuation in evacuations
+    ]
+    return format_table(("domain", "since", "author", "workers", "attempts"), rows)
+
+
 def format_explanation(document: dict[str, Any]) -> str:
     """Return as text why a request waits or where it was placed."""
     request = document["request"]
--- a/packages/core/crocuswell_core/cluster/health.py
+++ b/packages/core/crocuswell_core/cluster/health.py
@@ -155,6 +155,8 @@
         return []
     if worker.operator_mode is not WorkerMode.ACTIVE or name not in cluster.allocations:
         return []
+    if worker.info.failure_domain in cluster.evacuations:
+        return []
     request = _find_probe_request(cluster, name)
     if request is None:
         return []
--- a/packages/core/crocuswell_core/entry/call_handlers.py
+++ b/packages/core/crocuswell_core/entry/call_handlers.py
@@ -16,6 +16,7 @@
     CommandCall,
     ExplainRequest,
     GetConfiguration,
+    GetEvacuations,
     GetHistory,
     GetMembers,
     GetRequest,
@@ -115,6 +116,7 @@
 @handle_call.register(GetConfiguration)
 @handle_call.register(GetHistory)
 @handle_call.register(GetWorkers)
+@handle_call.register(GetEvacuations)
 @handle_call.register(ExplainRequest)
 @handle_call.register(GetJob)
 @handle_call.register(CountPending)
--- a/packages/core/crocuswell_core/entry/calls.py
+++ b/packages/core/crocuswell_core/entry/calls.py
@@ -56,6 +56,11 @@
     """Read all workers with their free resources and attempts."""
 
 
+@attrs.frozen
+class GetEvacuations:
+    """Read the failure domains that are evacuated."""
+
+
 @attrs.frozen
 class GetMembers:
     """Read the control group membership as known to this host."""
@@ -75,6 +80,7 @@
     | GetConfiguration
     | GetHistory
     | GetWorkers
+    | GetEvacuations
     | GetMembers
     | ExplainRequest
     | JobRead
--- a/packages/core/crocuswell_core/entry/replies.py
+++ b/packages/core/crocuswell_core/entry/replies.py
@@ -4,6 +4,7 @@
 
 from crocuswell_core.cluster.commands import EntryHost, Refused
 from crocuswell_core.cluster.configuration import ConfigurationChange
+from crocuswell_core.cluster.evacuations import Evacuation
 from crocuswell_core.cluster.records import Attempt, Request, Worker
 from crocuswell_core.cluster.resources import Resources
 from crocuswell_core.jobs.job_commands import JobReadReply
@@ -55,6 +56,29 @@
     workers: tuple[WorkerView, ...]
 
 
+@attrs.frozen
+class EvacuationView:
+    """An evacuated failure domain with what is left there.
+
+    Attributes
+    ----------
+    workers, attempts : int
+        Number of its known workers, and of attempts with a member there.
+    """
+
+    failure_domain: str
+    evacuation: Evacuation
+    workers: int
+    attempts: int
+
+
+@attrs.frozen
+class EvacuationsView:
+    """The failure domains that are evacuated, oldest order first."""
+
+    evacuations: tuple[EvacuationView, ...]
+
+
 @attrs.frozen
 class MembersView:
     """The control group membership as known to the answering host."""
@@ -92,6 +116,7 @@
     | ConfigurationView
     | HistoryView
     | WorkersView
+    | EvacuationsView
     | MembersView
     | Explanation
     | Refused
--- a/packages/core/crocuswell_core/entry/views.py
+++ b/packages/core/crocuswell_core/entry/views.py
@@ -10,6 +10,7 @@
 from crocuswell_core.entry.calls import (
     ExplainRequest,
     GetConfiguration,
+    GetEvacuations,
     GetHistory,
     GetMembers,
     GetRequest,
@@ -19,6 +20,8 @@
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.entry.replies import (
     ConfigurationView,
+    EvacuationsView,
+    EvacuationView,
     Explanation,
     HistoryView,
     MembersView,
@@ -66,6 +69,15 @@
     )
 
 
+@answer_read.register
+def _(call: GetEvacuations, state: EntryState) -> ReadReply:
+    return EvacuationsView(
+        tuple(
+            _view_evacuation(state.cluster, name) for name in state.cluster.evacuations
+        )
+    )
+
+
 @answer_read.register
 def _(call: GetMembers, state: EntryState) -> ReadReply:
     consensus = state.consensus
@@ -113,6 +125,18 @@
             yield request
 
 
+def _view_evacuation(cluster: ClusterState, domain: str) -> EvacuationView:
+    names = [
+        name
+        for name, worker in cluster.workers.items()
+        if worker.info.failure_domain == domain
+    ]
+    allocations = [cluster.allocations[n] for n in names if n in cluster.allocations]
+    attempts = {id_ for allocation in allocations for id_ in allocation.attempts}
+    evacuation = cluster.evacuations[domain]
+    return EvacuationView(domain, evacuation, len(names), len(attempts))
+
+
 def _view_worker(cluster: ClusterState, name: str) -> WorkerView:
     allocation = cluster.allocations.get(name)
     return WorkerView(
--- a/packages/core/crocuswell_core/policy/scheduling.py
+++ b/packages/core/crocuswell_core/policy/scheduling.py
@@ -225,7 +225,9 @@
     if uses_idle_reserve(cluster, request):
         return f"the preset {preset.name} keeps a share of accelerators idle"
     if not find_offers(cluster, requirements):
-        return "free room for all members at once"
+        evacuated = ", ".join(cluster.evacuations)
+        note = f"; evacuated: {evacuated}" if evacuated else ""
+        return f"free room for all members at once{note}"
     if cluster.reservations and request.id not in cluster.reservations:
         return "the free room is reserved for work that waits longer"
     return "work of other workspaces with a smaller share goes first"
--- a/packages/daemon/crocuswell_daemon/http_calls.py
+++ b/packages/daemon/crocuswell_daemon/http_calls.py
@@ -13,8 +13,10 @@
     CancelRequests,
     ChangeConfiguration,
     Command,
+    EndEvacuation,
     Proposal,
     SetWorkerMode,
+    StartEvacuation,
     SubmitRequest,
     SwitchPreset,
 )
@@ -22,6 +24,7 @@
     CommandCall,
     ExplainRequest,
     GetConfiguration,
+    GetEvacuations,
     GetHistory,
     GetMembers,
     GetRequest,
@@ -224,6 +227,16 @@
     return command.and_then(lambda set_mode: _operator_command(request, set_mode))
 
 
+def _parse_evacuation(request: HttpRequest, query: _Query, domain: str) -> ParseResult:
+    return _operator_command(request, StartEvacuation(domain, request.author or ""))
+
+
+def _parse_evacuation_end(
+    request: HttpRequest, query: _Query, domain: str
+) -> ParseResult:
+    return _operator_command(request, EndEvacuation(domain, request.author or ""))
+
+
 def _operator_command(request: HttpRequest, command: Command) -> ParseResult:
     author = _check_header("X-Author", request.author)
     if is_err(author):
@@ -311,6 +324,10 @@
     return Ok(Read(GetWorkers()))
 
 
+def _read_evacuations(request: HttpRequest, query: _Query) -> ParseResult:
+    return Ok(Read(GetEvacuations()))
+
+
 def _read_members(request: HttpRequest, query: _Query) -> ParseResult:
     return Ok(Read(GetMembers()))
 
@@ -370,5 +387,8 @@
     ),
     Route("GET", "/v1/workers", _read_workers),
     Route("POST", "/v1/workers/{id}/mode", _parse_worker_mode),
+    Route("GET", "/v1/evacuations", _read_evacuations),
+    Route("POST", "/v1/evacuations/{domain}", _parse_evacuation),
+    Route("DELETE", "/v1/evacuations/{domain}", _parse_evacuation_end),
     Route("GET", "/v1/members", _read_members),
 )
--- a/packages/daemon/crocuswell_daemon/http_replies.py
+++ b/packages/daemon/crocuswell_daemon/http_replies.py
@@ -12,6 +12,7 @@
     ChangeAccepted,
     CommandReply,
     Done,
+    EvacuationSet,
     ModeSet,
     Refused,
     RequestAccepted,
@@ -28,6 +29,8 @@
 from crocuswell_core.cluster.resources import Resources
 from crocuswell_core.entry.replies import (
     ConfigurationView,
+    EvacuationsView,
+    EvacuationView,
     Explanation,
     HistoryView,
     MembersView,
@@ -106,6 +109,11 @@
     return json_response(200, {"worker": reply.worker, "mode": reply.mode.value})
 
 
+@to_response.register
+def _(reply: EvacuationSet) -> HttpResponse:
+    return json_response(200, _converter.unstructure(reply))
+
+
 @to_response.register
 def _(reply: Done) -> HttpResponse:
     return json_response(200, {})
@@ -139,6 +147,12 @@
     return json_response(200, {"workers": [_worker_to_json(w) for w in reply.workers]})
 
 
+@to_response.register
+def _(reply: EvacuationsView) -> HttpResponse:
+    evacuations = [_evacuation_to_json(view) for view in reply.evacuations]
+    return json_response(200, {"evacuations": evacuations})
+
+
 @to_response.register
 def _(reply: MembersView) -> HttpResponse:
     return json_response(200, _converter.unstructure(reply))
@@ -260,6 +274,16 @@
     }
 
 
+def _evacuation_to_json(view: EvacuationView) -> dict[str, Any]:
+    return {
+        "failure_domain": view.failure_domain,
+        "started_at_ms": view.evacuation.since_ms,
+        "author": view.evacuation.author,
+        "workers": view.workers,
+        "attempts": view.attempts,
+    }
+
+
 def _attempt_to_json(attempt: Attempt) -> dict[str, Any]:
     reason = attempt.stop_reason
     return {
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -16,12 +16,15 @@
     ChangeAccepted,
     ChangeConfiguration,
     Done,
+    EndEvacuation,
     EntryHost,
+    EvacuationSet,
     ModeSet,
     Refused,
     RequestAccepted,
     RequestsCancelled,
     SetWorkerMode,
+    StartEvacuation,
     SubmitRequest,
     SwitchPreset,
 )
@@ -31,6 +34,7 @@
     Preset,
     Workspace,
 )
+from crocuswell_core.cluster.evacuations import Evacuation
 from crocuswell_core.cluster.records import (
     Attempt,
     AttemptId,
@@ -48,6 +52,7 @@
     CommandCall,
     ExplainRequest,
     GetConfiguration,
+    GetEvacuations,
     GetHistory,
     GetMembers,
     GetRequest,
@@ -56,6 +61,8 @@
 )
 from crocuswell_core.entry.replies import (
     ConfigurationView,
+    EvacuationsView,
+    EvacuationView,
     Explanation,
     HistoryView,
     MembersView,
@@ -292,6 +299,45 @@
         {"mode": "active"},
         OPERATOR,
     ),
+    Case(
+        "evacuation",
+        "POST",
+        "/v1/evacuations/fd%201",
+        [EvacuationSet("fd 1", is_evacuated=True)],
+        StartEvacuation("fd 1", "Jürgen"),
+        200,
+        {"failure_domain": "fd 1", "is_evacuated": True},
+        headers=OPERATOR,
+    ),
+    Case(
+        "end of an evacuation",
+        "DELETE",
+        "/v1/evacuations/fd1",
+        [EvacuationSet("fd1", is_evacuated=False)],
+        EndEvacuation("fd1", "Jürgen"),
+        200,
+        {"failure_domain": "fd1", "is_evacuated": False},
+        headers=OPERATOR,
+    ),
+    Case(
+        "evacuations",
+        "GET",
+        "/v1/evacuations",
+        [EvacuationsView((EvacuationView("fd1", Evacuation(7, "Ana"), 3, 2),))],
+        GetEvacuations(),
+        200,
+        {
+            "evacuations": [
+                {
+                    "failure_domain": "fd1",
+                    "started_at_ms": 7,
+                    "author": "Ana",
+                    "workers": 3,
+                    "attempts": 2,
+                }
+            ]
+        },
+    ),
     Case(
         "members",
         "GET",
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -6,11 +6,13 @@
 from crocuswell_core.cluster.commands import (
     CancelRequests,
     DeclareSilent,
+    EndEvacuation,
     ModeSet,
     RecordReports,
     Refused,
     RequestAccepted,
     SetWorkerMode,
+    StartEvacuation,
     SubmitRequest,
     TaskFailed,
     TaskFinished,
@@ -22,6 +24,7 @@
 from crocuswell_core.cluster.configuration import Workspace
 from crocuswell_core.cluster.records import AttemptId, JobSpec, Outcome, WorkerMode
 from crocuswell_core.cluster.resources import Adjacency, Resources, Shape
+from crocuswell_core.policy.scheduling import explain_waiting
 from crocuswell_core.runtime.errors import ErrorKind
 from tests.clusters import Cluster, gang, small_cluster
 
@@ -262,6 +265,21 @@
     assert len(cluster.orders()) == 1
 
 
+def test_request_waits_while_its_only_domain_is_evacuated() -> None:
+    """Guards against attempts in a domain that is about to go dark."""
+    cluster = small_cluster()
+    cluster.submit("reserving", JobSpec(shape=gang(2)))
+    cluster.orders()
+    cluster.apply(StartEvacuation("fd-a"))
+    assert {type(order) for _, order in cluster.orders()} == {StopTask}
+    cluster.submit("q", SINGLE)
+    assert cluster.orders() == []
+    waiting = explain_waiting(cluster.state, cluster.request("q"))
+    assert waiting.reason.endswith("evacuated: fd-a")
+    cluster.apply(EndEvacuation("fd-a"))
+    assert StartTask in {type(order) for _, order in cluster.orders()}
+
+
 def test_attempt_on_a_draining_worker_is_moved_with_its_checkpoint() -> None:
     cluster = small_cluster()
     cluster.submit("q", JobSpec(shape=gang(1), idempotent=False, checkpoint_ms=500))
