--- a/packages/core/crocuswell_core/entry/calls.py
+++ b/packages/core/crocuswell_core/entry/calls.py
@@ -56,6 +56,11 @@
     """Read all workers with their free resources and attempts."""
 
 
+@attrs.frozen
+class GetEvacuations:
+    """Read the failure domains that are evacuated."""
+
+
 @attrs.frozen
 class GetMembers:
     """Read the control group membership as known to this host."""
@@ -88,6 +93,7 @@
     | GetConfiguration
     | GetHistory
     | GetWorkers
+    | GetEvacuations
     | GetMembers
     | GetForecasts
     | ExplainRequest
