--- a/packages/core/crocuswell_core/dispatching/expected_ends.py
+++ b/packages/core/crocuswell_core/dispatching/expected_ends.py
@@ -6,6 +6,7 @@
 
 from crocuswell_core.dispatching.expectations import expected_remaining_ms
 from crocuswell_core.dispatching.fleet import CandidateWorker
+from crocuswell_core.dispatching.preemption import ENDING_SOON_MS
 from crocuswell_core.dispatching.stoppable_units import copies_on
 from crocuswell_core.dispatching.waiting_steps import RankedStep
 from crocuswell_core.entry.entry_state import EntryState
@@ -83,6 +84,8 @@
     state: EntryState, ranked: RankedStep, candidate: CandidateWorker
 ) -> list[tuple[int, int]]:
     """Return times in ms, with the number of tasks that fit from then on."""
+    # Ends that were awaited in vain are no longer expected soon.
+    has_awaited = ranked.key in state.dispatch.awaited_ends
     free = candidate.unreserved(ranked.key)
     copies = copies_on(ranked.step, free)
     opened = [(0, copies)]
@@ -91,6 +94,8 @@
         step = state.cluster.jobs.step_of(each.run.task)
         if step is None or step.long_running:
             continue
+        if has_awaited and each.remaining_ms < ENDING_SOON_MS:
+            continue
         free = free + each.demand
         more = copies_on(ranked.step, free) - copies
         if more > 0:
--- a/packages/core/crocuswell_core/dispatching/weighed_preemption.py
+++ b/packages/core/crocuswell_core/dispatching/weighed_preemption.py
@@ -272,7 +272,8 @@
 def _horizons_ms(state: EntryState, claim: Claim) -> tuple[int, ...]:
     """Return the times in ms within which runs may be awaited.
 
-    A step awaits ends only once: the runs may not end as expected.
+    With 0 none are. A step awaits ends only once: the runs may not end as
+    expected.
     """
     if claim.ranked.key in state.dispatch.awaited_ends:
         return (0,)
@@ -295,16 +296,16 @@
     free = {candidate.key: candidate.available for candidate in workers}
     awaited: set[RunId] = set()
     stopping: set[str] = set()
-    delays_ms = dict.fromkeys(free, 0)
+    ends_ms: dict[str, int] = {}
     for each in runs:
         key = each.candidate.key
         if each.run in state.dispatch.stopping:
             free[key] = free[key] + each.demand
             stopping.add(key)
-        elif each.is_certain and each.remaining_ms <= horizon_ms:
+        elif each.is_certain and each.remaining_ms < horizon_ms:
             free[key] = free[key] + each.demand
             awaited.add(each.run)
-            delays_ms[key] = max(delays_ms[key], each.remaining_ms)
+            ends_ms[key] = max(ends_ms.get(key, 0), each.remaining_ms)
     usable = dict.fromkeys(unit for run, unit in units.items() if run not in awaited)
     chosen = choose_units(ranked.step, ranked.waiting_count, free, usable)
     if chosen is None:
@@ -315,13 +316,13 @@
     tasks_by_worker = _distribute(ranked, free)
     used = [c for c in workers if c.key in tasks_by_worker]
     is_stopping = bool(chosen) or any(c.key in stopping for c in used)
-    ends_ms = max((delays_ms[c.key] for c in used), default=0)
+    awaited_ms = [ends_ms[c.key] for c in used if c.key in ends_ms]
     return PreemptionPlan(
         units=chosen,
         tasks_by_worker=tasks_by_worker,
-        delay_ms=max(STOP_MS if is_stopping else 0, ends_ms),
+        delay_ms=max(STOP_MS if is_stopping else 0, *awaited_ms, 0),
         pace=max((_pace(state, c) for c in used), default=USUAL_SLOWDOWN),
-        awaits_ends=ends_ms > 0,
+        awaits_ends=bool(awaited_ms),
     )
 
 
--- a/tests/test_preemption_balance.py
+++ b/tests/test_preemption_balance.py
@@ -1,7 +1,10 @@
 """Tests of preemptions that are weighed by gain and loss."""
 
+import attrs
 import pytest
 
+from bench.fleet_simulation import FleetSimulation
+from bench.loads import load_named
 from crocuswell_core.dispatching import weighed_preemption
 from crocuswell_core.dispatching.expectations import Slowdown
 from crocuswell_core.dispatching.features import DispatchFeatures
@@ -20,6 +23,7 @@
     StepSpec,
 )
 from crocuswell_core.runtime.effects import EmitLogEvent
+from crocuswell_daemon import wire
 from tests.job_harness import (
     BATCH,
     LONG,
@@ -202,6 +206,21 @@
     assert choose_units(StepSpec(4, CORE), 4, free, [*units, other]) == tuple(units)
 
 
+@pytest.mark.parametrize("guaranteed", [0, 16])
+def test_awaited_run_that_does_not_end_is_stopped(guaranteed: int) -> None:
+    """Guards against an urgent step that waits for a run at 100 percent."""
+    leader = fleet(1, guaranteed)
+    leader.submit("stuck", step(8, checkpointing=True), queue=BATCH)
+    show_progress(leader, {"stuck": 100})
+    leader.submit("urgent", step(1, accelerators=8), queue=URGENT)
+    assert not stopped_jobs(leader)
+    for _ in range(6):
+        leader.advance(250)
+        show_progress(leader, {"stuck": 100})
+        leader.tick()
+    assert stopped_jobs(leader) == {"stuck"}
+
+
 @pytest.mark.parametrize(("guaranteed", "stops"), [(0, False), (16, True)])
 def test_guaranteed_step_is_always_served(guaranteed: int, stops: bool) -> None:
     """Guards against a guarantee that yields to the balance.
@@ -281,3 +300,43 @@
     ends = tuple(end_of(run, kind, 0) for run, kind in zip(runs, kinds, strict=True))
     table.apply(RecordRunEnds("m1/w1@5", ends, 0))
     assert [task.stops for task in table.tasks("j")] == [0, 1]
+
+
+def test_count_of_stops_outlasts_a_snapshot() -> None:
+    """Guards against a new host that has a task stopped twice more."""
+    table = ReplicatedTable()
+    table.submit("j", step())
+    table.start(run_of("j"))
+    end = end_of(run_of("j"), RunEndKind.STOPPED, 0)
+    table.apply(RecordRunEnds("m1/w1@5", (end,), 0))
+    restored = wire.decode(wire.encode(table.cluster))
+    task = restored.jobs.jobs["j"].occurrences[0].tasks[0][0]
+    assert (task.stops, task.stopped_run) == (1, 1)
+
+
+# --- loads -----------------------------------------------------------------
+
+
+def test_flood_of_urgent_gangs_stops_no_task_again_and_again() -> None:
+    """Guards against gangs that a flood breaks again and again.
+
+    No workspace has a guarantee, for which a task may be stopped more often.
+    """
+    load = attrs.evolve(
+        load_named("competing"),
+        workers=24,
+        intensity=1.0,
+        guaranteed_share=0.0,
+        features=WEIGHED,
+    )
+    simulation = FleetSimulation(load)
+    outcome = simulation.play()
+    stops = [
+        task.stops
+        for job in simulation.leader.state.cluster.jobs.jobs.values()
+        for occurrence in job.occurrences.values()
+        for tasks in occurrence.tasks
+        for task in tasks
+    ]
+    assert outcome.stops["run_preempted"] > 0
+    assert max(stops) <= MAX_STOPS
