--- a/packages/core/crocuswell_core/dispatching/preemption_balance.py
+++ b/packages/core/crocuswell_core/dispatching/preemption_balance.py
@@ -30,6 +30,8 @@
 MIN_CHANCE = 0.25
 # A task that was stopped this often is stopped only for a guaranteed step.
 MAX_STOPS = 2
+# Lost work counts twice: it is done again on room that others wait for.
+LOST_WORK_FACTOR = 2.0
 # Each earlier stop of a task makes its work dearer by this multiple.
 STOP_SURCHARGE = 1.0
 
@@ -165,9 +167,9 @@
     )
 
 
-def dearer_by_stops(loss: float, stops: int) -> float:
-    """Return the loss of work that was stopped before."""
-    return loss * (1 + STOP_SURCHARGE * stops)
+def loss_of_work(lost_core_s: float, stops: int) -> float:
+    """Return what losing the work of a task loses, by its earlier stops."""
+    return LOST_WORK_FACTOR * lost_core_s * (1 + STOP_SURCHARGE * stops)
 
 
 def _value_factor(queue: Queue | None) -> float:
--- a/packages/core/crocuswell_core/dispatching/stoppable_units.py
+++ b/packages/core/crocuswell_core/dispatching/stoppable_units.py
@@ -25,7 +25,7 @@
     lost_core_s : float
         Lost work in core seconds.
     loss : float
-        The same, more for work that was stopped before.
+        What losing that work loses; more if it was stopped before.
     caller_loss : float
         What the job's caller loses by the delay, in core seconds; once,
         however many units of the step are stopped.
--- a/packages/core/crocuswell_core/dispatching/weighed_preemption.py
+++ b/packages/core/crocuswell_core/dispatching/weighed_preemption.py
@@ -24,7 +24,7 @@
     MIN_CHANCE,
     Balance,
     Stake,
-    dearer_by_stops,
+    loss_of_work,
     stake_of,
 )
 from crocuswell_core.dispatching.preemption_groups import (
@@ -385,7 +385,7 @@
         victim.gang,
         room,
         lost_core_s=victim.cost,
-        loss=dearer_by_stops(victim.cost, stops),
+        loss=loss_of_work(victim.cost, stops),
         caller_loss=_lost_worth(state, claim, each),
     )
 
