--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -18,6 +18,7 @@
 from bench.loads import JobClass, Load, WorkerFault
 from bench.simulated_workers import NEVER_MS, SimulatedRun, SimulatedWorker
 from bench.value_bound import FleetRate
+from crocuswell_core.dispatching.features import DispatchFeatures
 from crocuswell_core.dispatching.worker_reports import contactless_limit_ms
 from crocuswell_core.jobs.catalog import Catalog, CatalogWorkspace, Queue, Service
 from crocuswell_core.jobs.job_commands import (
@@ -64,11 +65,18 @@
         Fleet, arrivals and faults.
     seed : int
         Seed of all random choices.
+    features : DispatchFeatures
+        Optional parts of dispatching.
     """
 
-    def __init__(self, load: Load, seed: int = 1) -> None:
+    def __init__(
+        self,
+        load: Load,
+        seed: int = 1,
+        features: DispatchFeatures = DispatchFeatures(),  # noqa: B008
+    ) -> None:
         self.load = load
-        self.leader = Leader(contactless_limit_ms(WORKER_LEASE_MS))
+        self.leader = Leader(contactless_limit_ms(WORKER_LEASE_MS), features)
         self.jobs: dict[str, SubmittedJob] = {}
         self._random = random.Random(seed)
         self._events: list[tuple[int, int, Callable[[], None]]] = []
@@ -203,7 +211,7 @@
                 return
             self._schedule(self.load.lead_ms + at_ms, partial(self._submit, job_class))
 
-    def _submit(self, job_class: JobClass) -> None:
+    def _submit(self, job_class: JobClass, workspace: int | None = None) -> None:
         draw = self._random
         job_id = f"{len(self.jobs):016x}"
         gang = draw.random() < job_class.gang_share
@@ -235,14 +243,18 @@
             submitted.crashes_workers = draw.random() < job_class.crashing_share
         self.jobs[job_id] = submitted
         self._task_work_ms[job_id] = work_ms
-        address = self._address(job_class, draw.randrange(self.load.workspaces))
-        self._log_effects(
-            self.leader.apply(SubmitJob(job_id, address, "work", (step,)))
-        )
+        if workspace is None:
+            workspace = draw.randrange(self.load.workspaces)
+        submitted.workspace = workspace
+        address = self._address(job_class, workspace)
+        self._send_job(SubmitJob(job_id, address, "work", (step,)))
         if draw.random() < job_class.cancelled_share:
             delay_ms = draw.uniform(0.1, 1.5) * work_ms
             self._schedule(delay_ms, partial(self._cancel, job_id, address))
 
+    def _send_job(self, command: SubmitJob) -> None:
+        self._log_effects(self.leader.apply(command))
+
     def _address(self, job_class: JobClass, workspace: int) -> QueueAddress:
         return QueueAddress(HOST, f"/{job_class.name}/", f"key-ws{workspace}")
 
--- a/bench/load_outcomes.py
+++ b/bench/load_outcomes.py
@@ -32,6 +32,7 @@
     completed_ms: int = 0
     accelerator_s: float = 0.0
     core_s: float = 0.0
+    workspace: int = 0
 
     @property
     def is_owed(self) -> bool:
--- a/packages/core/crocuswell_core/consensus/replication.py
+++ b/packages/core/crocuswell_core/consensus/replication.py
@@ -1,5 +1,7 @@
 """Log replication: proposals, `AppendEntries`, heartbeat rounds and commit."""
 
+import attrs
+
 from crocuswell_core.cluster.commands import ChangeMembers, LogEntry, Proposal
 from crocuswell_core.consensus import (
     consensus_log,
@@ -16,7 +18,12 @@
     TimeoutNow,
 )
 from crocuswell_core.entry.entry_state import EntryState
-from crocuswell_core.runtime.dispatch import handle, handle_peer_message, handle_timer
+from crocuswell_core.runtime.dispatch import (
+    handle,
+    handle_peer_message,
+    handle_timer,
+    review_command,
+)
 from crocuswell_core.runtime.effects import (
     Effect,
     EmitLogEvent,
@@ -52,7 +59,7 @@
     command = proposal.command
     if isinstance(command, ChangeMembers) and not members.is_allowed(state, command):
         return []
-    return append(state, proposal)
+    return append(state, attrs.evolve(proposal, command=review_command(command, state)))
 
 
 def append(state: EntryState, proposal: Proposal) -> list[Effect]:
--- a/packages/core/crocuswell_core/dispatching/control.py
+++ b/packages/core/crocuswell_core/dispatching/control.py
@@ -63,7 +63,8 @@
     if state.now_ms - state.last_keepalive_ms < CLIENT_KEEPALIVE_MS:
         return []
     state.last_keepalive_ms = state.now_ms
-    return [SendAgent(id_, LinkKeepalive()) for id_ in state.clients]
+    keepalive = LinkKeepalive(state.consensus.commit_index)
+    return [SendAgent(id_, keepalive) for id_ in state.clients]
 
 
 @notify.register
--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -160,6 +160,12 @@
     ample_since_ms : dict
         Time in ms since which a waiting step could start on resources that
         are kept free for others or lie in other racks, by key of the step.
+    active_workspaces : dict
+        Time in ms of the newest submission of each workspace, the oldest
+        first, by service.
+    unfit_shapes : dict
+        Membership of the fleet for which no workers could hold a step, by its
+        service, label, demand and number of tasks that start at once.
     """
 
     term: int = -1
@@ -192,6 +198,8 @@
     held_workers: dict[StepKey, tuple[str, ...]] = attrs.Factory(dict)
     reserved_racks: dict[StepKey, str] = attrs.Factory(dict)
     ample_since_ms: dict[StepKey, int] = attrs.Factory(dict)
+    active_workspaces: dict[str, dict[str, int]] = attrs.Factory(dict)
+    unfit_shapes: dict[tuple[str, str, ResourceVector, int], int] = attrs.Factory(dict)
 
     def add_boot(self, key: str) -> None:
         """Note a boot that reports or has runs."""
--- a/packages/core/crocuswell_core/dispatching/index_checks.py
+++ b/packages/core/crocuswell_core/dispatching/index_checks.py
@@ -84,6 +84,12 @@
     rebuilt = {name: sum_ for name, sum_ in anew.demand_by_workspace.items() if sum_}
     if not dispatch.changes.jobs and totals != rebuilt:
         yield "the urgent demand of a workspace is wrong"
+    for job_id in kept.backlog.by_job.keys() | anew.backlog.by_job.keys():
+        if job_id in dispatch.changes.jobs or job_id in kept.backlog.unconfirmed:
+            continue
+        counted, due = kept.backlog.by_job.get(job_id), anew.backlog.by_job.get(job_id)
+        if (counted and counted.work) != (due and due.work):
+            yield f"job {job_id} waits with other work than its tasks"
     for key in kept.by_key.keys() | anew.by_key.keys():
         if key[0] in dispatch.changes.jobs:
             continue
--- a/packages/core/crocuswell_core/dispatching/ranking.py
+++ b/packages/core/crocuswell_core/dispatching/ranking.py
@@ -5,12 +5,24 @@
 """
 
 import math
-from collections.abc import Iterable, Iterator
-
+from collections.abc import Callable, Iterable, Iterator
+
+from crocuswell_core.dispatching.backlog import (
+    DEADLINE_INTERVAL_MS,
+    BacklogRank,
+    JobBacklog,
+)
+from crocuswell_core.dispatching.expectations import expected_run_time
 from crocuswell_core.dispatching.waiting_steps import RankedStep, UrgentDemand
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.catalog import Catalog, Queue, find_queue_by_name
-from crocuswell_core.jobs.job_records import Job, Occurrence, StepSpec, TaskPhase
+from crocuswell_core.jobs.job_records import (
+    Job,
+    Occurrence,
+    ResourceVector,
+    StepSpec,
+    TaskPhase,
+)
 
 # A job that ends later than this multiple of its objective has no value.
 ZERO_VALUE_FACTOR = 3
@@ -34,6 +46,9 @@
         _note_next_occurrence(state, job_id, job)
         steps = _rank_job(state, catalog, job) if job and catalog else []
         waiting.replace(job_id, steps)
+        if state.cfg.features.admission:
+            backlog = _measure_backlog(state, catalog, job) if job and catalog else None
+            waiting.backlog.replace(job_id, backlog)
 
 
 def _update_urgent_demand(state: EntryState, job_id: str) -> set[str]:
@@ -126,6 +141,40 @@
     ]
 
 
+def _measure_backlog(
+    state: EntryState, catalog: Catalog, job: Job
+) -> JobBacklog | None:
+    """Return the work of a job's waiting tasks, with steps not yet ready."""
+    queue = find_queue_by_name(catalog, job.queue)
+    if queue is None or not job.is_open:
+        return None
+    work = ResourceVector()
+    first_due_ms = NEVER_MS
+    for occurrence in due_occurrences(job, state.wall_ms):
+        first_due_ms = min(first_due_ms, occurrence.due_ms)
+        for index, step in enumerate(job.steps):
+            tasks = occurrence.tasks[index]
+            waiting = sum(task.phase is TaskPhase.WAITING for task in tasks)
+            if waiting and not step.long_running:
+                run_ms = expected_run_time(state, job, index).median_ms
+                work = work + step.demand.times(waiting * run_ms)
+    if work == ResourceVector():
+        return None
+    objective = objective_ms(job, queue)
+    late = state.cluster.now_ms > first_due_ms + ZERO_VALUE_FACTOR * objective
+    guaranteed = queue.priority == 0 and is_guaranteed(state, job.owner)
+    rank = backlog_rank(guaranteed, queue, first_due_ms + objective, late)
+    return JobBacklog(job.service, job.owner, rank, work)
+
+
+def backlog_rank(
+    guaranteed: bool, queue: Queue, deadline_ms: int, late: bool
+) -> BacklogRank:
+    """Return the rank of a job's work that is not long-running."""
+    tier = _tier(guaranteed, queue.priority == 0, late)
+    return tier, queue.priority, deadline_ms // DEADLINE_INTERVAL_MS
+
+
 def due_occurrences(job: Job, wall_ms: int) -> Iterator[Occurrence]:
     """Yield the occurrences that are due and not done."""
     schedule = job.schedule
@@ -206,11 +255,13 @@
 
 def _priority_tier(guaranteed: bool, urgent: bool, step: StepSpec, late: bool) -> int:
     """Return the priority tier of a step; smaller comes first."""
+    # Long-running steps have value while they run and are never late.
+    return _tier(guaranteed, urgent, late and not step.long_running)
+
+
+def _tier(guaranteed: bool, urgent: bool, late: bool) -> int:
     if guaranteed:
         return 0
-    if step.long_running:
-        # Long-running steps have value while they run and are never late.
-        return 1 if urgent else 2
     if late:
         return 3
     return 1 if urgent else 2
@@ -221,10 +272,16 @@
     return round(queue.stretch * critical_path_ms(job)) + queue.latency_allowance_ms
 
 
-def critical_path_ms(job: Job) -> int:
-    """Return the declared run time in ms of the longest chain of steps."""
+def critical_path_ms(job: Job, run_ms: Callable[[int], int] | None = None) -> int:
+    """Return the run time in ms of the longest chain of steps.
+
+    Parameters
+    ----------
+    run_ms : callable, optional
+        Returns the run time in ms of a step; by default the declared one.
+    """
     ends_ms: list[int] = []
-    for step in job.steps:
+    for index, step in enumerate(job.steps):
         start_ms = max((ends_ms[earlier] for earlier in step.after), default=0)
-        ends_ms.append(start_ms + step.estimated_ms)
+        ends_ms.append(start_ms + (run_ms(index) if run_ms else step.estimated_ms))
     return max(ends_ms, default=0)
--- a/packages/core/crocuswell_core/dispatching/waiting_steps.py
+++ b/packages/core/crocuswell_core/dispatching/waiting_steps.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from crocuswell_core.dispatching.backlog import Backlog
 from crocuswell_core.jobs.job_records import (
     Job,
     Occurrence,
@@ -137,6 +138,8 @@
     demand_by_workspace, jobs_by_workspace : dict
         Accelerators that the open urgent jobs of a workspace ask for, and
         the ids of these jobs.
+    backlog : Backlog
+        Waiting work of all open jobs, if jobs are subject to admission.
     """
 
     by_job: dict[str, list[WaitingStep]] = attrs.Factory(dict)
@@ -147,6 +150,7 @@
     urgent_demands: dict[str, UrgentDemand] = attrs.Factory(dict)
     demand_by_workspace: dict[str, int] = attrs.Factory(dict)
     jobs_by_workspace: dict[str, set[str]] = attrs.Factory(dict)
+    backlog: Backlog = attrs.Factory(Backlog)
 
     def replace(self, job_id: str, steps: list[RankedStep]) -> None:
         """Set the waiting steps of a job."""
--- a/packages/core/crocuswell_core/entry/call_handlers.py
+++ b/packages/core/crocuswell_core/entry/call_handlers.py
@@ -22,6 +22,7 @@
     GetWorkers,
     ListRequests,
     ReadCall,
+    note_known_index,
 )
 from crocuswell_core.entry.entry_state import EntryState, PendingCall, PendingProposal
 from crocuswell_core.entry.replies import ReadReply, RequestView
@@ -87,7 +88,11 @@
         return [AnswerCall(event.call_id, _unavailable("no leader is in reach"))]
     if state.stopping and state.now_ms - state.stopping_since_ms >= SHUTDOWN_DELAY_MS:
         return [AnswerCall(event.call_id, _unavailable("the entry host is stopping"))]
-    return handle_call(event.call, state, event.call_id)
+    call = event.call
+    if event.call_id > 0:
+        # A front has noted this for a call that it forwards.
+        call = note_known_index(call, state.consensus.commit_index)
+    return handle_call(call, state, event.call_id)
 
 
 @handle_call_abandoned.register
--- a/packages/core/crocuswell_core/entry/calls.py
+++ b/packages/core/crocuswell_core/entry/calls.py
@@ -1,11 +1,11 @@
 """Calls of callers and operators; `Call` also covers those of a worker."""
 
+from functools import singledispatch
+
 import attrs
 
-from crocuswell_core.cluster.commands import (
-    Proposal,
-)
-from crocuswell_core.jobs.job_commands import JobRead
+from crocuswell_core.cluster.commands import Command, Proposal
+from crocuswell_core.jobs.job_commands import JobRead, SubmitJob
 from crocuswell_core.runner.worker_calls import RunnerCall
 
 
@@ -82,3 +82,29 @@
 
 
 Call = CommandCall | ReadCall | RunnerCall
+
+
+@singledispatch
+def note_known_index(call: Call, index: int) -> Call:
+    """Return a call that tells which log entry preceded it, if it matters."""
+    return call
+
+
+@note_known_index.register
+def _(call: CommandCall, index: int) -> CommandCall:
+    command = _with_known_index(call.proposal.command, index)
+    if command is call.proposal.command:
+        return call
+    # Copies of one call share a proposal; two calls for one job do not.
+    digest = f"{call.proposal.digest}@{index}"
+    return CommandCall(Proposal(call.proposal.command_id, digest, command))
+
+
+@singledispatch
+def _with_known_index(command: Command, index: int) -> Command:
+    return command
+
+
+@_with_known_index.register
+def _(command: SubmitJob, index: int) -> Command:
+    return attrs.evolve(command, known_index=index)
--- a/packages/core/crocuswell_core/entry/handlers.py
+++ b/packages/core/crocuswell_core/entry/handlers.py
@@ -2,7 +2,7 @@
 
 from crocuswell_core.cluster import changes, fleet, requests  # noqa: F401
 from crocuswell_core.consensus import election, members, replication  # noqa: F401
-from crocuswell_core.dispatching import control  # noqa: F401
+from crocuswell_core.dispatching import admission, control  # noqa: F401
 from crocuswell_core.entry import (  # noqa: F401
     call_handlers,
     lifecycle,
--- a/packages/core/crocuswell_core/front/front.py
+++ b/packages/core/crocuswell_core/front/front.py
@@ -8,7 +8,7 @@
 from functools import singledispatch
 
 from crocuswell_core.cluster.commands import Refused
-from crocuswell_core.entry.calls import CommandCall
+from crocuswell_core.entry.calls import CommandCall, note_known_index
 from crocuswell_core.front.front_state import FrontState, PendingCall
 from crocuswell_core.front.relaying import (
     close_relayed,
@@ -130,7 +130,8 @@
 
 @handle_call_received.register
 def _(state: FrontState, event: CallReceived) -> list[Effect]:
-    call = PendingCall(event.call_id, event.call, state.now_ms)  # type: ignore[arg-type]
+    noted = note_known_index(event.call, state.uplink.known_index)
+    call = PendingCall(event.call_id, noted, state.now_ms)  # type: ignore[arg-type]
     state.calls[event.call_id] = call
     if _is_leaderless(state):
         return _expire_call(state, call)
--- a/packages/core/crocuswell_core/jobs/job_command_handlers.py
+++ b/packages/core/crocuswell_core/jobs/job_command_handlers.py
@@ -5,6 +5,7 @@
 from crocuswell_core.cluster.cluster_state import ClusterState
 from crocuswell_core.cluster.commands import LogEntry, Refused
 from crocuswell_core.jobs.catalog import (
+    Queue,
     find_key_owner,
     find_queue_by_name,
     find_queue_by_path,
@@ -12,6 +13,7 @@
 from crocuswell_core.jobs.job_commands import (
     CancelJob,
     CatalogInForce,
+    DeclineJob,
     JobAccepted,
     JobCancelled,
     PutCatalog,
@@ -20,10 +22,12 @@
 )
 from crocuswell_core.jobs.job_ends import end_job
 from crocuswell_core.jobs.job_records import (
+    DeclinedJob,
     Job,
     JobPhase,
     find_steps_problem,
 )
+from crocuswell_core.jobs.job_table import JobTable
 from crocuswell_core.runtime.dispatch import apply_command
 from crocuswell_core.runtime.effects import (
     ApplyResult,
@@ -38,6 +42,9 @@
 # Ended jobs can be read for this long.
 JOB_RETENTION_MS = 150_000
 CATALOG_RETRY_AFTER_MS = 500
+# Hosts and fronts send no copy of a call for as long as this.
+DECLINE_RETENTION_MS = 60_000
+MIN_RETRY_AFTER_MS = 1_000
 
 
 @apply_command.register
@@ -98,6 +105,13 @@
     _delete_expired_jobs(cluster)
     if command.job_id in table.jobs:
         return ApplyResult(JobAccepted(command.job_id))
+    stale = find_stale_refusal(table, command)
+    if stale is not None:
+        remaining_ms = max(MIN_RETRY_AFTER_MS, stale.until_ms - cluster.now_ms)
+        refused = _decline(remaining_ms)
+        return ApplyResult(
+            refused, _report_refused_call(command.job_id, "submit", refused)
+        )
     problem = find_steps_problem(command.steps)
     if problem:
         refused = Refused(ErrorKind.INVALID_REQUEST, problem)
@@ -111,17 +125,9 @@
             refused, _report_refused_call(command.job_id, "submit", refused)
         )
     owner = find_key_owner(table.catalog, command.address.key) or ""
-    job = Job(
-        id=command.job_id,
-        queue=queue.name,
-        service=queue.service,
-        owner=owner,
-        payload=command.payload,
-        steps=command.steps,
-        accepted_ms=cluster.now_ms,
-        schedule=command.schedule,
-    )
+    job = make_job(command, queue, owner, cluster.now_ms)
     table.jobs[job.id] = job
+    table.declined.pop(job.id, None)
     table.revision += 1
     log = EmitLogEvent(
         "job_accepted",
@@ -137,6 +143,88 @@
     return ApplyResult(JobAccepted(command.job_id), (log, count, changed))
 
 
+def make_job(command: SubmitJob, queue: Queue, owner: str, now_ms: int) -> Job:
+    """Return the job that a command submits to a queue."""
+    return Job(
+        id=command.job_id,
+        queue=queue.name,
+        service=queue.service,
+        owner=owner,
+        payload=command.payload,
+        steps=command.steps,
+        accepted_ms=now_ms,
+        schedule=command.schedule,
+    )
+
+
+@apply_command.register
+def _(command: DeclineJob, cluster: ClusterState, entry: LogEntry) -> ApplyResult:
+    table = cluster.jobs
+    queue_name = resolve_queue(cluster, command.address)
+    if isinstance(queue_name, Refused):
+        return ApplyResult(
+            queue_name, _report_refused_call(command.job_id, "submit", queue_name)
+        )
+    if command.job_id in table.jobs:
+        return ApplyResult(JobAccepted(command.job_id))
+    earlier = table.declined.pop(command.job_id, None)
+    declined = DeclinedJob(
+        index=entry.index,
+        declined_ms=cluster.now_ms,
+        until_ms=cluster.now_ms + command.retry_after_ms,
+        times=1 + (earlier.times if earlier else 0),
+    )
+    table.declined[command.job_id] = declined
+    _forget_old_refusals(cluster)
+    log = EmitLogEvent(
+        "job_declined",
+        (
+            Label("job", command.job_id),
+            Label("queue", queue_name),
+            Label("workspace", _owner_of(table, command.address)),
+            Label("reason", command.reason),
+            Label("expected_ms", str(command.expected_ms)),
+            Label("limit_ms", str(command.limit_ms)),
+            Label("retry_after_ms", str(command.retry_after_ms)),
+            Label("times", str(declined.times)),
+        ),
+    )
+    labels = (Label("queue", queue_name), Label("reason", command.reason))
+    count = Count("jobs_declined_total", labels=labels)
+    return ApplyResult(_decline(command.retry_after_ms), (log, count))
+
+
+def find_stale_refusal(table: JobTable, command: SubmitJob) -> DeclinedJob | None:
+    """Return the refusal of a job if the command may be older than it.
+
+    A host that retries, or a front, may send a copy of a call that was
+    refused meanwhile. Its caller was told that the job never runs.
+    """
+    declined = table.declined.get(command.job_id)
+    if declined is None or command.known_index >= declined.index:
+        return None
+    return declined
+
+
+def _decline(retry_after_ms: int) -> Refused:
+    detail = "the job cannot be served in time"
+    return Refused(ErrorKind.OVERLOADED, detail, retry_after_ms)
+
+
+def _owner_of(table: JobTable, address: QueueAddress) -> str:
+    catalog = table.catalog
+    return (find_key_owner(catalog, address.key) if catalog else None) or ""
+
+
+def _forget_old_refusals(cluster: ClusterState) -> None:
+    """Forget refusals that no copy of a call can be older than."""
+    declined = cluster.jobs.declined
+    cutoff_ms = cluster.now_ms - DECLINE_RETENTION_MS
+    old = takewhile(lambda item: item[1].declined_ms < cutoff_ms, declined.items())
+    for job_id in [job_id for job_id, _ in old]:
+        del declined[job_id]
+
+
 def _report_refused_call(
     job_id: str, call: str, refused: Refused
 ) -> tuple[ClusterEffect, ...]:
--- a/packages/core/crocuswell_core/jobs/job_commands.py
+++ b/packages/core/crocuswell_core/jobs/job_commands.py
@@ -32,13 +32,46 @@
 
 @attrs.frozen
 class SubmitJob:
-    """Accept a job; repeated submissions with the same id have no effect."""
+    """Accept a job; repeated submissions with the same id have no effect.
+
+    Attributes
+    ----------
+    known_index : int
+        Index of a log entry that was committed before the call was received;
+        0 if none is known. A copy of a call that was declined afterwards is
+        told from a later call by it.
+    """
 
     job_id: str
     address: QueueAddress
     payload: str
     steps: tuple[StepSpec, ...]
     schedule: Schedule | None = None
+    known_index: int = 0
+
+
+@attrs.frozen
+class DeclineJob:
+    """Refuse a job that cannot be served in time, unless it was accepted.
+
+    The leader proposes it in the place of `SubmitJob`, so that both are
+    ordered by the log.
+
+    Attributes
+    ----------
+    reason : str
+        What cannot be kept, for logs and metrics.
+    expected_ms, limit_ms : int
+        Time in ms until the job's expected end, and the most that is allowed;
+        0 if it fits nowhere.
+    """
+
+    job_id: str
+    address: QueueAddress
+    retry_after_ms: int
+    reason: str
+    expected_ms: int = 0
+    limit_ms: int = 0
 
 
 @attrs.frozen
@@ -178,6 +211,7 @@
 JobCommand = (
     PutCatalog
     | SubmitJob
+    | DeclineJob
     | CancelJob
     | PlaceRuns
     | RecordRunEnds
--- a/packages/core/crocuswell_core/jobs/job_records.py
+++ b/packages/core/crocuswell_core/jobs/job_records.py
@@ -397,6 +397,27 @@
         return all(occurrence.step_is_done(earlier) for earlier in after)
 
 
+@attrs.frozen
+class DeclinedJob:
+    """The newest refusal of a job for want of room.
+
+    Attributes
+    ----------
+    index : int
+        Index of the log entry that refused it.
+    declined_ms, until_ms : int
+        Cluster time in ms of the refusal, and at which its caller was told
+        to come back.
+    times : int
+        How often it was refused so far.
+    """
+
+    index: int
+    declined_ms: int
+    until_ms: int
+    times: int
+
+
 @attrs.frozen
 class RunEnd:
     """The end of a run, as a worker reports it.
--- a/packages/core/crocuswell_core/jobs/job_table.py
+++ b/packages/core/crocuswell_core/jobs/job_table.py
@@ -6,6 +6,7 @@
 
 from crocuswell_core.jobs.catalog import Catalog
 from crocuswell_core.jobs.job_records import (
+    DeclinedJob,
     Job,
     RunId,
     StepSpec,
@@ -37,6 +38,9 @@
         the boot and the task.
     recorded_crashes : dict
         Start in ms of the newest boot whose crash is recorded, by machine.
+    declined : dict
+        Jobs that were recently refused for want of room by id, the newest
+        refusal last.
     """
 
     revision: int = 0
@@ -47,6 +51,7 @@
     acknowledged_ends: dict[str, int] = attrs.Factory(dict)
     placed: dict[str, dict[TaskId, int]] = attrs.Factory(dict)
     recorded_crashes: dict[str, int] = attrs.Factory(dict)
+    declined: dict[str, DeclinedJob] = attrs.Factory(dict)
 
     def has_recorded(self, crash: WorkerCrash) -> bool:
         """Tell whether a crash is recorded."""
--- a/packages/core/crocuswell_core/links/link_messages.py
+++ b/packages/core/crocuswell_core/links/link_messages.py
@@ -41,7 +41,15 @@
 
 @attrs.frozen
 class LinkKeepalive:
-    """Keeps an idle stream open; sent in both directions."""
+    """Keeps an idle stream open; sent in both directions.
+
+    Attributes
+    ----------
+    commit_index : int
+        Index of the leader's newest committed entry; 0 from a client.
+    """
+
+    commit_index: int = 0
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/links/uplink.py
+++ b/packages/core/crocuswell_core/links/uplink.py
@@ -1,6 +1,7 @@
 """The stream of a client to the leader: opening, redirects and timeouts."""
 
 import enum
+from functools import singledispatch
 
 import attrs
 
@@ -71,6 +72,8 @@
     last_leader_ms : int
         Time in ms of the newest message of a leader that had attached this
         client; at first the start of the process.
+    known_index : int
+        Highest index of a log entry that is known to be committed.
     """
 
     sender: str
@@ -90,6 +93,7 @@
     last_attached_ms: int = 0
     last_lost_ms: int = 0
     last_leader_ms: int = 0
+    known_index: int = 0
 
     @property
     def is_attached(self) -> bool:
@@ -156,20 +160,28 @@
 def handle_message(
     uplink: Uplink, now_ms: int, stream_id: int, message: HostMessage
 ) -> list[Effect]:
-    """Handle `Attached` and `Redirect`; others only count as received."""
+    """Handle a message of a host; each counts as received."""
     if stream_id != uplink.stream_id or uplink.phase is UplinkPhase.IDLE:
         return []
     uplink.last_received_ms = now_ms
     if uplink.is_attached:
         uplink.last_leader_ms = now_ms
-    if isinstance(message, Attached):
-        return _attach(uplink, now_ms, message)
-    if isinstance(message, Redirect):
-        return _redirect(uplink, now_ms, message)
+    return _follow(message, uplink, now_ms)
+
+
+@singledispatch
+def _follow(message: HostMessage, uplink: Uplink, now_ms: int) -> list[Effect]:
+    return []
+
+
+@_follow.register
+def _(message: LinkKeepalive, uplink: Uplink, now_ms: int) -> list[Effect]:
+    uplink.known_index = max(uplink.known_index, message.commit_index)
     return []
 
 
-def _attach(uplink: Uplink, now_ms: int, message: Attached) -> list[Effect]:
+@_follow.register
+def _(message: Attached, uplink: Uplink, now_ms: int) -> list[Effect]:
     uplink.hosts = message.hosts
     uplink.relays = tuple(r for r in message.relays if r != uplink.relay)
     uplink.term = message.term
@@ -190,7 +202,8 @@
     ]
 
 
-def _redirect(uplink: Uplink, now_ms: int, message: Redirect) -> list[Effect]:
+@_follow.register
+def _(message: Redirect, uplink: Uplink, now_ms: int) -> list[Effect]:
     uplink.hosts = message.hosts or uplink.hosts
     uplink.next_address = message.leader if message.leader != uplink.address else ""
     effects = _close(uplink, now_ms, "redirected")
--- a/packages/core/crocuswell_core/runtime/dispatch.py
+++ b/packages/core/crocuswell_core/runtime/dispatch.py
@@ -117,6 +117,12 @@
     raise NotImplementedError(type(state).__name__)
 
 
+@singledispatch
+def review_command(command: Command, state: EntryState) -> Command:
+    """Return the command that the leader appends instead of another one."""
+    return command
+
+
 @singledispatch
 def handle_timer(timer: Timer, state: State) -> list[Effect]:
     """Handle an expired timer."""
--- a/packages/daemon/crocuswell_daemon/counters.py
+++ b/packages/daemon/crocuswell_daemon/counters.py
@@ -79,6 +79,10 @@
         "Time from acceptance to the first start", ("queue",), COMPLETION_BUCKETS_S
     ),
     "jobs_accepted_total": Metric("Accepted jobs", ("queue",)),
+    "jobs_declined_total": Metric(
+        "Jobs that were refused because they could not be served in time",
+        ("queue", "reason"),
+    ),
     "jobs_given_up_for_crashes_total": Metric(
         "Jobs that failed because a task crashed its workers", ("queue",)
     ),
--- a/packages/daemon/crocuswell_daemon/tags.py
+++ b/packages/daemon/crocuswell_daemon/tags.py
@@ -172,6 +172,8 @@
     commands.StartEvacuation,
     commands.EndEvacuation,
     commands.EvacuationSet,
+    job_commands.DeclineJob,
+    job_records.DeclinedJob,
 )
 
 TAG_OF: dict[type, int] = {
--- a/tests/job_harness.py
+++ b/tests/job_harness.py
@@ -14,6 +14,7 @@
 from crocuswell_core.consensus import replication
 from crocuswell_core.consensus.log_application import apply_entry
 from crocuswell_core.dispatching.dispatch_state import WorkerView
+from crocuswell_core.dispatching.features import DispatchFeatures
 from crocuswell_core.entry.entry_state import EntryConfig, EntryState
 from crocuswell_core.jobs.catalog import Catalog, CatalogWorkspace, Queue, Service
 from crocuswell_core.jobs.job_commands import (
@@ -151,7 +152,11 @@
 class Leader:
     """A control host as the only voter, with simulated runner streams."""
 
-    def __init__(self, task_lease_ms: int = 6_000) -> None:
+    def __init__(
+        self,
+        task_lease_ms: int = 6_000,
+        features: DispatchFeatures = DispatchFeatures(),  # noqa: B008
+    ) -> None:
         host = EntryHost("h1", "h1:1", "zone", stream_address="h1:2")
         cfg = EntryConfig(
             host,
@@ -160,6 +165,7 @@
             seeds=("h1:2",),
             founds_group=True,
             task_lease_ms=task_lease_ms,
+            features=features,
         )
         self.state = EntryState(cfg, random.Random(1))
         self.now_ms = 10_000
