--- a/bench/competing_callers.py
+++ b/bench/competing_callers.py
@@ -183,12 +183,15 @@
 COMPETITIONS: dict[str, Callable[[], Competition]] = {
     "even": lambda: Competition(base_load()),
     "one large caller against nine": lambda: Competition(base_load(), Flood(9.0)),
+    "a flood of the whole fleet": lambda: Competition(
+        base_load(), Flood(40.0, for_ms=8_000)
+    ),
     "all at once": lambda: Competition(
         _with_burst(base_load(), Burst(8_000, 2_000, 12.0))
     ),
     "a wave": lambda: Competition(_with_burst(base_load(), Burst(6_000, 14_000, 2.5))),
     "resubmissions under new ids": lambda: Competition(
-        base_load(), Flood(9.0, renames=True)
+        base_load(), Flood(20.0, for_ms=8_000, renames=True)
     ),
 }
 
--- a/packages/core/crocuswell_core/dispatching/admission.py
+++ b/packages/core/crocuswell_core/dispatching/admission.py
@@ -42,7 +42,7 @@
 # an equal part.
 OVER_SHARE_FACTOR = 1.5
 # Share of a job's slack for which work beyond its workspace's share may wait.
-LENT_SLACK_SHARE = 0.5
+LENT_SLACK_SHARE = 0.25
 # A workspace takes part in the sharing for this long after a submission.
 ACTIVE_MS = 30_000
 UNCONFIRMED_MS = 5_000
