--- a/bench/competing_callers.py
+++ b/bench/competing_callers.py
@@ -7,7 +7,6 @@
 """
 
 import argparse
-import math
 import random
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
@@ -18,6 +17,7 @@
 from bench.fleet_simulation import FleetSimulation
 from bench.load_outcomes import SubmittedJob, summarise
 from bench.loads import Burst, JobClass, Load, load_named
+from bench.simulated_workers import NEVER_MS
 from crocuswell_core.dispatching.features import DispatchFeatures
 from crocuswell_core.jobs.job_commands import SubmitJob
 from crocuswell_core.runtime.effects import EmitLogEvent
@@ -108,7 +108,9 @@
         jobs = {
             id_: job for id_, job in self.jobs.items() if job.workspace in workspaces
         }
-        outcome = summarise(self.load.classes, jobs.values(), {}, 0, {}, self._rate())
+        outcome = summarise(
+            self.load.classes, jobs.values(), {}, 0, {}, self._fleet_rate()
+        )
         return CallerOutcome(
             len(jobs),
             outcome.value,
@@ -116,7 +118,7 @@
             sum(job.work_core_s for job in jobs.values() if _has_value(job)),
             tuple(
                 sorted(
-                    job.started_ms - job.submitted_ms if job.started_ms else math.inf
+                    job.started_ms - job.submitted_ms if job.started_ms else NEVER_MS
                     for job in jobs.values()
                     if not job.cancelled
                 )
@@ -125,9 +127,6 @@
             sum(self.refusals.get(id_, 0) for id_ in jobs),
         )
 
-    def _rate(self):
-        return self._fleet_rate()
-
     def _schedule_arrivals(self, job_class: JobClass) -> None:
         super()._schedule_arrivals(job_class)
         flood = self.flood
--- a/packages/cli/crocuswell_cli/declarations.py
+++ b/packages/cli/crocuswell_cli/declarations.py
@@ -3,6 +3,7 @@
 import enum
 import types
 import typing
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -29,9 +30,21 @@
 )
 from crocuswell_core.cluster.records import WorkerInfo
 from crocuswell_core.cluster.resources import SLOTS_PER_WORKER, Resources
+from crocuswell_core.cluster.value_limits import (
+    check_float,
+    check_int,
+    check_length,
+    check_text,
+    find_out_of_bounds,
+)
 from crocuswell_core.consensus.log_application import apply_entry
 from crocuswell_core.runtime import reducer  # noqa: F401  (registers the handlers)
 
+VALUE_CHECKS: dict[type, Callable[[Any], str]] = {
+    int: check_int,
+    float: check_float,
+    str: check_text,
+}
 SCHEMA_DIALECT = "https://json-schema.org/draft/2020-12/schema"
 
 
@@ -85,19 +98,42 @@
         of every finding.
     """
     documents = read_folder(folder)
+    declared = parse(documents)
+    findings = find_semantic_errors(declared, documents)
+    if findings:
+        raise DeclarationError(tuple(findings))
+    return declared
+
+
+def parse(documents: Documents) -> Declarations:
+    """Convert well-formed declarations.
+
+    Raises
+    ------
+    DeclarationError
+        If a key is unknown or missing, or a value has another type.
+    """
+    configuration, fleet = build_with_fleet(Configuration, documents)
+    return Declarations(configuration, fleet)
+
+
+def build_with_fleet(cls: Any, documents: Documents) -> tuple[Any, tuple[Rack, ...]]:
+    """Convert the documents to a class, and the fleet that they declare.
+
+    Raises
+    ------
+    DeclarationError
+        If a key is unknown or missing, or a value has another type.
+    """
     findings: list[Finding] = []
     values = dict(documents.values)
     fleet = _build(
         tuple[Rack, ...], values.pop("fleet", ()), ("fleet",), findings, documents
     )
-    configuration = _build(Configuration, values, (), findings, documents)
+    built = _build(cls, values, (), findings, documents)
     if findings:
         raise DeclarationError(tuple(findings))
-    declared = Declarations(configuration, fleet)
-    findings = find_semantic_errors(declared, documents)
-    if findings:
-        raise DeclarationError(tuple(findings))
-    return declared
+    return built, fleet
 
 
 # --- parsing -------------------------------------------------------------
@@ -124,18 +160,31 @@
     if issubclass(hint, enum.Enum):
         return _build_enum(hint, value, path, findings, documents)
     accepted = (int, float) if hint is float else (hint,)
-    if type(value) not in accepted:
-        problem = f"found {value!r}, expected {_type_description(hint)}"
+    expected = (
+        _type_description(hint)
+        if type(value) not in accepted
+        else VALUE_CHECKS.get(hint, _accept_any)(value)
+    )
+    if expected:
+        problem = f"found {value!r}, expected {expected}"
         findings.append(documents.finding(path, problem))
     return value
 
 
+def _accept_any(value: Any) -> str:
+    return ""
+
+
 def _build_tuple(
     item: Any, value: Any, path: KeyPath, findings: list[Finding], documents: Documents
 ) -> Any:
     if type(value) not in (list, tuple):
         findings.append(documents.finding(path, f"found {value!r}, expected a list"))
         return ()
+    if expected := check_length(value):
+        problem = f"found {len(value)} values, expected {expected}"
+        findings.append(documents.finding(path, problem))
+        return ()
     return tuple(
         _build(item, entry, (*path, index), findings, documents)
         for index, entry in enumerate(value)
@@ -177,7 +226,13 @@
     complete = all(
         f.default is not attrs.NOTHING or f.name in parts for f in fields.values()
     )
-    return cls(**parts) if complete and len(findings) == before else None
+    if not complete or len(findings) > before:
+        return None
+    built = cls(**parts)
+    if wrong := find_out_of_bounds(built):
+        problem = f"found {wrong.found}, expected {wrong.expected}"
+        findings.append(documents.finding((*path, wrong.field), problem))
+    return built
 
 
 def _type_description(hint: Any) -> str:
@@ -267,7 +322,19 @@
 
 
 def _check_guarantees(declared: Declarations, documents: Documents) -> list[Finding]:
-    """Check that the scheduler can plan all guarantees on the fleet."""
+    return check_guarantees(declared, documents, "the declared fleet")
+
+
+def check_guarantees(
+    declared: Declarations, documents: Documents, fleet: str
+) -> list[Finding]:
+    """Check that the scheduler can plan all guarantees on a fleet.
+
+    Parameters
+    ----------
+    fleet : str
+        How to call it in the findings.
+    """
     if not declared.fleet:
         return []
     cluster = ClusterState()
@@ -289,7 +356,7 @@
         )
         shape = planned.shape
         problem = (
-            f"the declared fleet cannot hold {shape.members} x "
+            f"{fleet} cannot hold {shape.members} x "
             f"{shape.per_member.accelerators} accelerators in one "
             f"{shape.adjacency.value} beside the other guarantees"
         )
--- a/packages/cli/crocuswell_cli/documents.py
+++ b/packages/cli/crocuswell_cli/documents.py
@@ -72,7 +72,7 @@
 
 
 def read_folder(folder: Path) -> Documents:
-    """Read and merge all `*.yaml` files of a folder.
+    """Read and merge all `*.yaml` files of a folder, or read one file.
 
     Raises
     ------
@@ -81,7 +81,9 @@
         or two files declare the same top-level key.
     """
     documents = Documents()
-    paths = sorted(folder.glob("*.yaml")) if folder.is_dir() else []
+    paths = sorted(folder.glob("*.yaml")) if folder.is_dir() else [folder]
+    if not folder.exists():
+        paths = []
     if not paths:
         finding = Finding(str(folder), 0, "(folder)", "holds no *.yaml file")
         raise DeclarationError((finding,))
--- a/packages/cli/crocuswell_cli/main.py
+++ b/packages/cli/crocuswell_cli/main.py
@@ -11,7 +11,13 @@
 import attrs
 import typer
 
-from crocuswell_cli import burn, declarations, render, trace as tracing
+from crocuswell_cli import (
+    burn,
+    check as checking,
+    declarations,
+    render,
+    trace as tracing,
+)
 from crocuswell_cli.client import CallError, Client
 from crocuswell_cli.documents import DeclarationError
 
@@ -126,6 +132,39 @@
     )
 
 
+@app.command()
+def check(
+    ctx: typer.Context,
+    path: Annotated[
+        Path, typer.Argument(metavar="FILE", help="File or folder to check.")
+    ],
+    against: Annotated[
+        str,
+        typer.Option(help="File, folder or host:port of an entry host to compare to."),
+    ] = "",
+) -> None:
+    """Check a configuration or catalog before it is sent.
+
+    Exit codes: 0 nothing found, 1 it would be accepted with warnings or
+    displaces someone, 2 it would be refused or cannot be read.
+    """
+    report = checking.check(path, read_compared(ctx, against) if against else None)
+    ctx.obj.show(checking.to_document(report), lambda _: checking.to_text(report))
+    raise typer.Exit(report.exit_code)
+
+
+def read_compared(ctx: typer.Context, against: str) -> checking.Checked:
+    """Read what to compare with from a file, a folder or a host."""
+    if Path(against).exists():
+        return checking.load(Path(against))
+    client = Client((against,), ctx.obj.client.author)
+    try:
+        reply = client.get("/v1/configuration").json()
+    except CallError as exc:
+        fail(f"{against}: {exc.detail}", EXIT_USAGE)
+    return checking.from_reply(reply["configuration"])
+
+
 @app.command()
 def schema() -> None:
     """Print the JSON Schema of declarations."""
@@ -407,9 +446,8 @@
 def main() -> None:
     """Run the command; errors become a message and an exit code."""
     try:
-        app(standalone_mode=False)
-    except typer.Exit as exc:
-        sys.exit(exc.exit_code)
+        # An exit within a command is returned, not raised.
+        sys.exit(app(standalone_mode=False))
     except typer.Abort:
         print("aborted; no changes were made", file=sys.stderr)
         sys.exit(EXIT_REFUSED)
--- a/packages/daemon/crocuswell_daemon/http_bodies.py
+++ b/packages/daemon/crocuswell_daemon/http_bodies.py
@@ -9,7 +9,6 @@
 import binascii
 import enum
 import json
-import math
 from collections.abc import Callable
 from typing import Any, TypeVar, get_args, get_origin
 
@@ -23,24 +22,18 @@
 from cattrs.gen import make_dict_structure_fn
 from result import Err, Ok, Result
 
-from crocuswell_core.cluster.configuration import (
-    Configuration,
-    Limits,
-    Objective,
-    Preset,
-    Workspace,
-)
+from crocuswell_core.cluster.configuration import Configuration
 from crocuswell_core.cluster.records import JobSpec, WorkerMode
-from crocuswell_core.cluster.resources import Shape
+from crocuswell_core.cluster.value_limits import (
+    LIST_LIMIT,
+    check_float,
+    check_int,
+    check_length,
+    check_text,
+    find_out_of_bounds,
+)
 from crocuswell_daemon.problems import Problem, invalid
 
-# Largest integer that all JSON parsers and the wire format can represent.
-INT_MAX = 2**53 - 1
-TEXT_LIMIT = 1_024
-LIST_LIMIT = 10_000
-# Twice the slots of the target fleet; a larger gang is taken for a typing
-# error.
-MEMBERS_LIMIT = 10_000
 MAX_SHOWN_CHARACTERS = 60
 
 T = TypeVar("T")
@@ -76,35 +69,6 @@
     mode: OperatorMode
 
 
-@attrs.frozen
-class _Bound:
-    """Inclusive range of a numeric field."""
-
-    field: str
-    low: float
-    high: float
-
-
-_BOUNDS: dict[type, tuple[_Bound, ...]] = {
-    Shape: (_Bound("members", 1, MEMBERS_LIMIT),),
-    JobSpec: (_Bound("run_time_ms", 1, INT_MAX),),
-    Workspace: (
-        _Bound("weight", 1, INT_MAX),
-        _Bound("queue_limit", 1, INT_MAX),
-    ),
-    Preset: (_Bound("reserve_share", 0, 1),),
-    Limits: (
-        _Bound("run_lease_ms", 1, INT_MAX),
-        _Bound("quarantine_share", 0, 1),
-        _Bound("attempts", 1, INT_MAX),
-    ),
-    Objective: (
-        _Bound("completion_ms", 1, INT_MAX),
-        _Bound("target", 0, 1),
-    ),
-}
-
-
 class _MismatchError(ValueError):
     """Raised for an invalid value; `path` is relative to the current class."""
 
@@ -212,18 +176,18 @@
     return text[:MAX_SHOWN_CHARACTERS] + "..."
 
 
+def _require(value: Any, expected: str) -> None:
+    if expected:
+        raise _MismatchError(value, expected)
+
+
 def _structure_int(value: Any, _: Any) -> int:
-    if type(value) is not int or not 0 <= value <= INT_MAX:
-        raise _MismatchError(value, f"an integer from 0 to {INT_MAX}")
-    return value
+    _require(value, check_int(value))
+    return int(value)
 
 
 def _structure_float(value: Any, _: Any) -> float:
-    expected = "a number of at least 0"
-    if type(value) not in (int, float) or abs(value) > INT_MAX:
-        raise _MismatchError(value, expected)
-    if not math.isfinite(value) or value < 0:
-        raise _MismatchError(value, expected)
+    _require(value, check_float(value))
     return float(value)
 
 
@@ -234,14 +198,8 @@
 
 
 def _structure_str(value: Any, _: Any) -> str:
-    expected = f"text of at most {TEXT_LIMIT} characters"
-    if type(value) is not str or len(value) > TEXT_LIMIT:
-        raise _MismatchError(value, expected)
-    try:
-        value.encode()
-    except UnicodeEncodeError:
-        raise _MismatchError(value, "text in valid Unicode") from None
-    return value
+    _require(value, check_text(value))
+    return str(value)
 
 
 def _structure_bytes(value: Any, _: Any) -> bytes:
@@ -265,7 +223,7 @@
 
 
 def _structure_tuple(value: Any, cls: Any) -> tuple[Any, ...]:
-    if type(value) is not list or len(value) > LIST_LIMIT:
+    if type(value) is not list or check_length(value):
         raise _MismatchError(value, f"a list of at most {LIST_LIMIT} values")
     element = get_args(cls)[0]
     return tuple(_CONVERTER.structure(value, list[element]))  # type: ignore[valid-type]
@@ -283,14 +241,9 @@
         if type(value) is not dict:
             raise _MismatchError(value, "an object")
         record = structure(value, cls)
-        for bound in _BOUNDS.get(cls, ()):
-            number = getattr(record, bound.field)
-            if not bound.low <= number <= bound.high:
-                raise _MismatchError(
-                    number,
-                    f"a number from {bound.low} to {bound.high}",
-                    f".{bound.field}",
-                )
+        wrong = find_out_of_bounds(record)
+        if wrong is not None:
+            raise _MismatchError(wrong.found, wrong.expected, f".{wrong.field}")
         return record
 
     return hook
