--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -214,7 +214,7 @@
                 return
             self._schedule(self.load.lead_ms + at_ms, partial(self._submit, job_class))
 
-    def _submit(self, job_class: JobClass) -> None:
+    def _submit(self, job_class: JobClass, workspace: int | None = None) -> None:
         draw = self._random
         job_id = f"{len(self.jobs):016x}"
         gang = draw.random() < job_class.gang_share
@@ -248,10 +248,11 @@
             submitted.crashes_workers = draw.random() < job_class.crashing_share
         self.jobs[job_id] = submitted
         self._task_work_ms[job_id] = work_ms
-        address = self._address(job_class, self._draw_workspace())
-        self._log_effects(
-            self.leader.apply(SubmitJob(job_id, address, "work", (step,)))
-        )
+        if workspace is None:
+            workspace = self._draw_workspace()
+        submitted.workspace = workspace
+        address = self._address(job_class, workspace)
+        self._send_job(SubmitJob(job_id, address, "work", (step,)))
         if draw.random() < job_class.cancelled_share:
             delay_ms = draw.uniform(0.1, 1.5) * work_ms
             self._schedule(delay_ms, partial(self._cancel, job_id, address))
@@ -263,6 +264,9 @@
         weights = [1 / (index + 1) ** skew for index in range(count)]
         return self._random.choices(range(count), weights)[0]
 
+    def _send_job(self, command: SubmitJob) -> None:
+        self._log_effects(self.leader.apply(command))
+
     def _address(self, job_class: JobClass, workspace: int) -> QueueAddress:
         return QueueAddress(HOST, f"/{job_class.name}/", f"key-ws{workspace}")
 
--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -173,6 +173,12 @@
     expected_ratios : dict
         Ratios of real to declared times that were read lately, by the keys of
         their classes.
+    active_workspaces : dict
+        Time in ms of the newest submission of each workspace, the oldest
+        first, by service.
+    unfit_shapes : dict
+        Membership of the fleet for which no workers could hold a step, by its
+        service, label, demand and number of tasks that start at once.
     """
 
     term: int = -1
@@ -210,6 +216,8 @@
     empty_domains: set[str] = attrs.Factory(set)
     unfit_claims: set[StepKey] = attrs.Factory(set)
     expected_ratios: dict[tuple[str, ...], ExpectedRatio] = attrs.Factory(dict)
+    active_workspaces: dict[str, dict[str, int]] = attrs.Factory(dict)
+    unfit_shapes: dict[tuple[str, str, ResourceVector, int], int] = attrs.Factory(dict)
 
     def add_boot(self, key: str) -> None:
         """Note a boot that reports or has runs."""
--- a/packages/daemon/crocuswell_daemon/tags.py
+++ b/packages/daemon/crocuswell_daemon/tags.py
@@ -175,6 +175,8 @@
     commands.EvacuationSet,
     run_times.RatioHistogram,
     run_times.RunTimes,
+    job_commands.DeclineJob,
+    job_records.DeclinedJob,
 )
 
 TAG_OF: dict[type, int] = {
