--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -12,7 +12,7 @@
     StepKey,
     parse_boot_key,
 )
-from crocuswell_core.learning.run_times import ExpectedRatio
+from crocuswell_core.learning.expected_ratios import ExpectedRatio
 from crocuswell_core.learning.worker_speeds import WorkerSpeeds
 
 
--- a/packages/core/crocuswell_core/dispatching/expectations.py
+++ b/packages/core/crocuswell_core/dispatching/expectations.py
@@ -12,7 +12,7 @@
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_records import Job, RunProgress
 from crocuswell_core.jobs.run_time_records import run_classes
-from crocuswell_core.learning.run_times import ExpectedRatio
+from crocuswell_core.learning.expected_ratios import ExpectedRatio, expected_ratios
 from crocuswell_core.learning.worker_speeds import keep_newest
 
 USUAL_SLOWDOWN = 1.0
@@ -88,7 +88,7 @@
     expected = kept.get(keys)
     if expected is None or expected.until_ms <= state.now_ms:
         until_ms = state.now_ms + RATIO_VALID_MS
-        learned = state.cluster.learned_times.distribution(keys)
+        learned = expected_ratios(state.cluster.learned_times, keys)
         expected = kept[keys] = ExpectedRatio.of(learned, until_ms)
         keep_newest(kept, RATIO_LIMIT)
     return expected
--- a/packages/core/crocuswell_core/entry/views.py
+++ b/packages/core/crocuswell_core/entry/views.py
@@ -33,6 +33,7 @@
     WorkersView,
     WorkerView,
 )
+from crocuswell_core.learning.expected_ratios import expected_ratios
 from crocuswell_core.policy.scheduling import explain_waiting
 from crocuswell_core.runtime.dispatch import answer_read
 from crocuswell_core.runtime.errors import ErrorKind
@@ -89,7 +90,7 @@
     times, speeds = state.cluster.learned_times, state.dispatch.speeds
     run_times = []
     for key in islice(reversed(times.classes), call.limit):
-        learned = times.distribution((key,))
+        learned = expected_ratios(times, (key,))
         quantiles = learned.quantile(0.5), learned.quantile(0.9)
         run_times.append(RunTimeForecast(key, learned.runs, *quantiles))
     leads = election.holds_lease(state)
--- a/packages/core/crocuswell_core/jobs/run_time_records.py
+++ b/packages/core/crocuswell_core/jobs/run_time_records.py
@@ -2,6 +2,7 @@
 
 from crocuswell_core.cluster.cluster_state import ClusterState
 from crocuswell_core.jobs.job_records import Job, RunEndKind, RunId, StepSpec, Task
+from crocuswell_core.learning.expected_ratios import expected_ratios
 from crocuswell_core.learning.run_times import RUN_WEIGHT
 from crocuswell_core.runtime.effects import ClusterEffect, Count, Label, Observe
 
@@ -50,7 +51,7 @@
     cluster: ClusterState, job: Job, step: StepSpec, keys: tuple[str, ...], ran_ms: int
 ) -> list[ClusterEffect]:
     """Report how far a run's time is from what its class let expect."""
-    expected = cluster.learned_times.distribution(keys)
+    expected = expected_ratios(cluster.learned_times, keys)
     queue = (Label("queue", job.queue),)
     error_ms = abs(ran_ms - step.estimated_ms * expected.quantile(0.5))
     effects: list[ClusterEffect] = [
--- a/packages/core/crocuswell_core/learning/worker_speeds.py
+++ b/packages/core/crocuswell_core/learning/worker_speeds.py
@@ -9,7 +9,6 @@
 """
 
 import math
-import statistics
 from collections.abc import Sequence
 from typing import Any
 
@@ -36,6 +35,7 @@
 # Weight of evidence from a step, relative to that from the next newer one.
 FADING = 0.9
 CELLS_PER_WORKER = 16
+CELL_WEIGHTS = tuple(FADING**age for age in reversed(range(CELLS_PER_WORKER)))
 RUNS_PER_CELL = 6
 WORKER_LIMIT = 4_096
 STEP_LIMIT = 1_024
@@ -150,19 +150,25 @@
     to_step: Gaussian = NOTHING
     to_worker: Gaussian = NOTHING
 
-    def evidence(self, expected: Gaussian) -> Gaussian:
+    def evidence(self, expected_mean: float, doubt: float) -> Gaussian:
         """Return the distribution of the mean of the runs' times.
 
         Runs far from what is expected have less weight.
+
+        Parameters
+        ----------
+        expected_mean, doubt : float
+            Mean and variance of what other evidence lets expect.
         """
-        total = NOTHING
+        task_variance = self.step.deviation**2
+        precision = weighted_mean = 0.0
         for pace in self.runs.values():
-            variance = self.step.deviation**2 + pace.variance
-            surprise = (pace.log_ms - expected.mean) ** 2
-            surprise /= variance + expected.variance
-            weight = (TAIL_DEGREES + 1) / (TAIL_DEGREES + surprise)
-            total += Gaussian.of(pace.log_ms, variance).faded(min(1.0, weight))
-        return total
+            variance = task_variance + pace.variance
+            surprise = (pace.log_ms - expected_mean) ** 2 / (variance + doubt)
+            weight = min(1.0, (TAIL_DEGREES + 1) / (TAIL_DEGREES + surprise))
+            precision += weight / variance
+            weighted_mean += weight / variance * pace.log_ms
+        return Gaussian(precision, weighted_mean)
 
 
 @attrs.define(eq=False)
@@ -202,8 +208,7 @@
 
     def update(self) -> None:
         """Weigh all evidence anew."""
-        count = len(self.cells)
-        weights = [FADING ** (count - 1 - rank) for rank in range(count)]
+        weights = CELL_WEIGHTS[-len(self.cells) :]
         total = WORKER_PRIOR
         for cell, weight in zip(self.cells.values(), weights, strict=True):
             total += cell.to_worker.faded(weight)
@@ -225,14 +230,13 @@
     step = cell.step.log_ms - cell.to_step
     cell.to_step = cell.to_worker = NOTHING
     if not cell.step.may_advance_together():
-        runs = cell.evidence(
-            Gaussian.of(step.mean + worker.mean, step.variance + worker.variance)
-        )
-        cell.to_step = Gaussian.of(
-            runs.mean - worker.mean, runs.variance + worker.variance
-        )
+        step_mean, step_variance = step.mean, step.variance
+        mean, variance = worker.mean, worker.variance
+        runs = cell.evidence(step_mean + mean, step_variance + variance)
+        runs_mean, runs_variance = runs.mean, runs.variance
+        cell.to_step = Gaussian.of(runs_mean - mean, runs_variance + variance)
         cell.to_worker = Gaussian.of(
-            runs.mean - step.mean, runs.variance + step.variance
+            runs_mean - step_mean, runs_variance + step_variance
         )
     cell.step.log_ms = step + cell.to_step
 
@@ -303,9 +307,10 @@
         worker.update()
         if now_ms - self.usual_ms >= USUAL_SPEED_INTERVAL_MS:
             self.usual_ms = now_ms
-            self.usual_log = statistics.median(
-                worker.log_slowdown.mean for worker in self.workers.values()
-            )
+            logs = sorted(each.log_slowdown.mean for each in self.workers.values())
+            middle = len(logs) // 2
+            # Agents load this module, and `statistics` takes much memory.
+            self.usual_log = (logs[middle] + logs[-1 - middle]) / 2
 
     def step_log_ms(self, step_key: StepKey) -> Gaussian | None:
         """Return the distribution of the logarithms of a step's times in ms.
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -16,7 +16,8 @@
 from crocuswell_core.dispatching.features import DispatchFeatures
 from crocuswell_core.jobs.job_commands import MarkWorkerLost, RecordRunEnds
 from crocuswell_core.jobs.job_records import RunEndKind, RunProgress
-from crocuswell_core.learning.run_times import CLASS_LIMIT, DECLARED, RunTimes
+from crocuswell_core.learning.expected_ratios import DECLARED, expected_ratios
+from crocuswell_core.learning.run_times import CLASS_LIMIT, RunTimes
 from crocuswell_daemon.wire import decode_state, encode
 from tests.job_harness import (
     TIGHT,
@@ -53,7 +54,7 @@
 
 def test_class_never_seen_is_expected_as_declared() -> None:
     """Load: a class without any run."""
-    assert RunTimes().distribution(KEYS) is DECLARED
+    assert expected_ratios(RunTimes(), KEYS) is DECLARED
     assert DECLARED.quantile(0.5) == pytest.approx(1.0, rel=0.05)
 
 
@@ -62,8 +63,8 @@
     times = RunTimes()
     for _ in range(2):
         times.observe(KEYS, 4 * DECLARED_MS, DECLARED_MS, is_done=True)
-    assert 1.3 < times.distribution(KEYS).quantile(0.5) < 5
-    assert 1.2 < times.distribution(("other", "coarse", "queue")).quantile(0.5) < 5
+    assert 1.3 < expected_ratios(times, KEYS).quantile(0.5) < 5
+    assert 1.2 < expected_ratios(times, ("other", "coarse", "queue")).quantile(0.5) < 5
 
 
 @pytest.mark.parametrize("factor", [0.1, 1.0, 10.0])
@@ -71,7 +72,7 @@
     """Load: a heavy tail, and estimates off by ten in either direction."""
     times, rng = RunTimes(), random.Random(1)
     learn(times, rng, 100, factor)
-    learned = times.distribution(KEYS)
+    learned = expected_ratios(times, KEYS)
     assert learned.quantile(0.5) == pytest.approx(factor, rel=0.25)
     later = learn(times, rng, 600, factor)
     above = sum(ms > DECLARED_MS * learned.quantile(0.9) for ms in later)
@@ -83,7 +84,7 @@
     times, rng = RunTimes(), random.Random(1)
     learn(times, rng, 200)
     learn(times, rng, 60, factor=4)
-    assert times.distribution(KEYS).quantile(0.5) > 2.5
+    assert expected_ratios(times, KEYS).quantile(0.5) > 2.5
 
 
 def test_runs_that_were_only_stopped_raise_the_expectation() -> None:
@@ -91,14 +92,14 @@
     times = RunTimes()
     for _ in range(20):
         times.observe(KEYS, 3 * DECLARED_MS, DECLARED_MS, is_done=False)
-    assert times.distribution(KEYS).quantile(0.5) > 2.5
+    assert expected_ratios(times, KEYS).quantile(0.5) > 2.5
 
 
 def test_run_that_outlived_its_estimate_is_expected_to_last() -> None:
     """Load: a run of ten times the declared time in a heavy tail."""
     times = RunTimes()
     learn(times, random.Random(1), 100)
-    learned = times.distribution(KEYS)
+    learned = expected_ratios(times, KEYS)
     assert learned.median_remaining(4) > learned.median_remaining(1.5) > 0.1
     assert learned.median_remaining(1_000) > 100
 
@@ -117,7 +118,7 @@
     times = RunTimes()
     for real_ms, declared_ms, is_done in runs:
         times.observe(KEYS, real_ms, declared_ms, is_done)
-    learned = times.distribution(KEYS)
+    learned = expected_ratios(times, KEYS)
     assert sum(learned.weights) == pytest.approx(1)
     assert 0 < learned.quantile(0.5) <= learned.quantile(0.9)
     assert learned.median_remaining(worked) >= 0
