--- a/bench/simulated_workers.py
+++ b/bench/simulated_workers.py
@@ -28,9 +28,16 @@
     at_work: bool = False
     stop_ms: int = NEVER_MS
 
+    @property
+    def is_at_work(self) -> bool:
+        """Whether it has not done its share of the work."""
+        return self.done_ms < self.work_ms - 2
+
     @property
     def percent(self) -> int:
         """Completed share of the work in percent."""
+        if not self.is_at_work:
+            return 100
         return min(99, int(100 * self.done_ms / max(self.work_ms, 1.0)))
 
 
@@ -41,7 +48,9 @@
     Attributes
     ----------
     speed : float
-        Share of a sound worker's speed.
+        Multiple of the usual speed.
+    sound_speed : float
+        The same without faults.
     silent_until_ms : int
         Time in ms before which no message passes in either direction.
     leaves_ms : int
@@ -56,6 +65,7 @@
     ended: list[RunEnd] = attrs.Factory(list)
     ends: int = 0
     speed: float = 1.0
+    sound_speed: float = 1.0
     fails_all: bool = False
     silent_until_ms: int = 0
     lease_end_ms: int = NEVER_MS
--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -149,6 +149,8 @@
         Reservations by key of the step.
     awaited_ends : set of StepKey
         Waiting steps that have counted on runs to end by themselves.
+    withheld : dict
+        Why no runs are stopped for a waiting step, by its key.
     unsaved_checkpoints : dict
         Checkpoints that are not in the log yet, by step and index of the
         task; -1 stands for all members of a gang.
@@ -159,6 +161,10 @@
         key of the step.
     reserved_racks : dict
         Rack that is kept free for a waiting gang, by key of the step.
+    empty_domains : set of str
+        Evacuated failure domains in which no run is left.
+    unfit_claims : set of StepKey
+        Waiting urgent steps that the fleet could not hold, even without runs.
     ample_since_ms : dict
         Time in ms since which a waiting step could start on resources that
         are kept free for others or lie in other racks, by key of the step.
@@ -192,6 +198,7 @@
     stopping: set[RunId] = attrs.Factory(set)
     reservations: dict[StepKey, Reservation] = attrs.Factory(dict)
     awaited_ends: set[StepKey] = attrs.Factory(set)
+    withheld: dict[StepKey, str] = attrs.Factory(dict)
     unsaved_checkpoints: dict[tuple[StepKey, int], SavedCheckpoint] = attrs.Factory(
         dict
     )
@@ -200,6 +207,8 @@
     reserved_racks: dict[StepKey, str] = attrs.Factory(dict)
     ample_since_ms: dict[StepKey, int] = attrs.Factory(dict)
     speeds: WorkerSpeeds = attrs.Factory(WorkerSpeeds)
+    empty_domains: set[str] = attrs.Factory(set)
+    unfit_claims: set[StepKey] = attrs.Factory(set)
     expected_ratios: dict[tuple[str, ...], ExpectedRatio] = attrs.Factory(dict)
 
     def add_boot(self, key: str) -> None:
--- a/tests/job_harness.py
+++ b/tests/job_harness.py
@@ -56,8 +56,8 @@
 URGENT, LONG, TIGHT, BATCH = "urgent", "long", "tight", "batch"
 HOST = "queues.example"
 KEY = "key-a"
-NO_FEATURES = DispatchFeatures()
 CAPACITY = ResourceVector(128_000, 262_144, 8)
+NO_FEATURES = DispatchFeatures()
 
 
 def address(queue: str, key: str = KEY) -> QueueAddress:
@@ -154,9 +154,7 @@
     """A control host as the only voter, with simulated runner streams."""
 
     def __init__(
-        self,
-        task_lease_ms: int = 6_000,
-        features: DispatchFeatures = NO_FEATURES,
+        self, task_lease_ms: int = 6_000, features: DispatchFeatures = NO_FEATURES
     ) -> None:
         host = EntryHost("h1", "h1:1", "zone", stream_address="h1:2")
         cfg = EntryConfig(
