--- a/packages/core/crocuswell_core/consensus/replication.py
+++ b/packages/core/crocuswell_core/consensus/replication.py
@@ -59,7 +59,10 @@
     command = proposal.command
     if isinstance(command, ChangeMembers) and not members.is_allowed(state, command):
         return []
-    return append(state, attrs.evolve(proposal, command=review_command(command, state)))
+    reviewed = review_command(command, state)
+    if reviewed is not command:
+        proposal = attrs.evolve(proposal, command=reviewed)
+    return append(state, proposal)
 
 
 def append(state: EntryState, proposal: Proposal) -> list[Effect]:
--- a/packages/core/crocuswell_core/dispatching/admission.py
+++ b/packages/core/crocuswell_core/dispatching/admission.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from crocuswell_core.cluster.commands import Refused
 from crocuswell_core.dispatching.backlog import Backlog, JobBacklog
 from crocuswell_core.dispatching.expectations import expected_run_time
 from crocuswell_core.dispatching.ranking import (
@@ -19,8 +20,12 @@
     objective_ms,
 )
 from crocuswell_core.entry.entry_state import EntryState
-from crocuswell_core.jobs.catalog import Queue, find_key_owner, find_queue_by_path
-from crocuswell_core.jobs.job_command_handlers import make_job
+from crocuswell_core.jobs.catalog import Queue, find_key_owner, find_queue_by_name
+from crocuswell_core.jobs.job_command_handlers import (
+    find_stale_refusal,
+    make_job,
+    resolve_queue,
+)
 from crocuswell_core.jobs.job_commands import DeclineJob, SubmitJob
 from crocuswell_core.jobs.job_records import (
     Job,
@@ -90,12 +95,12 @@
 def find_shortfall(prospect: Prospect) -> Shortfall | None:
     """Return why a job has no chance, None if it may have one.
 
-    A job that would be too late on an idle fleet is not declined, as there is
-    no time at which it had better come back.
+    A job without an objective, or that would be too late on an idle fleet, is
+    not declined, as there is no time at which it had better come back.
     """
     no_value_ms = ZERO_VALUE_FACTOR * prospect.objective_ms
     expected_ms = round(SURE_SHARE * prospect.wait_ms + prospect.work_ms)
-    if prospect.work_ms > no_value_ms:
+    if not prospect.objective_ms or prospect.work_ms > no_value_ms:
         return None
     if expected_ms > no_value_ms:
         return Shortfall("no_value", expected_ms, no_value_ms)
@@ -124,13 +129,9 @@
 def _(command: SubmitJob, state: EntryState) -> SubmitJob | DeclineJob:
     if not state.cfg.features.admission or not _is_settled(state, SETTLING_MS):
         return command
-    table = state.cluster.jobs
-    if table.catalog is None or command.job_id in table.jobs:
-        return command
-    address = command.address
-    queue = find_queue_by_path(table.catalog, address.host, address.path)
-    if queue is None or find_steps_problem(command.steps):
-        # The command is refused for another reason.
+    table, address = state.cluster.jobs, command.address
+    queue = find_queue_by_name(table.catalog, _queue_name(state, command))
+    if table.catalog is None or queue is None or queue.needs_placement_advice:
         return command
     owner = find_key_owner(table.catalog, address.key) or ""
     job = make_job(command, queue, owner, state.cluster.now_ms)
@@ -159,6 +160,16 @@
     )
 
 
+def _queue_name(state: EntryState, command: SubmitJob) -> str:
+    """Return the queue of a new job, empty if the command adds none."""
+    table = state.cluster.jobs
+    is_known = command.job_id in table.jobs or find_stale_refusal(table, command)
+    if is_known or find_steps_problem(command.steps):
+        return ""
+    name = resolve_queue(state.cluster, command.address)
+    return "" if isinstance(name, Refused) else name
+
+
 def _is_settled(state: EntryState, after_ms: int) -> bool:
     """Tell whether the leader has known jobs and workers for some time."""
     dispatch = state.dispatch
