--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -19,6 +19,7 @@
     find_shortfall,
     retry_after_ms,
 )
+from crocuswell_core.dispatching.features import DispatchFeatures
 from crocuswell_core.dispatching.index_checks import find_index_problems
 from crocuswell_core.entry.calls import CommandCall
 from crocuswell_core.jobs.job_commands import (
@@ -255,12 +256,18 @@
     assert played.refusals
 
 
-def test_flood_from_one_caller_leaves_the_others_their_share() -> None:
+@pytest.mark.parametrize("seed", [1, 2])
+def test_flood_from_one_caller_leaves_the_others_most_of_their_value(
+    seed: int,
+) -> None:
     """Guards against one caller whose flood takes what is the others'."""
     load = attrs.evolve(base_load(0.25), workers=8, length_ms=20_000)
-    flood = Flood(9.0, at_ms=4_000, for_ms=14_000)
-    played = CompetingCallers(Competition(load, flood), 1, ADMISSION)
-    played.play()
-    for workspace in range(1, WORKSPACES):
-        got = played.callers(workspace)
-        assert got.value >= 0.8 * got.owed
+    flooded = Competition(load, Flood(40.0, at_ms=4_000, for_ms=8_000))
+    earned = {}
+    for features in (DispatchFeatures(), ADMISSION):
+        played = CompetingCallers(flooded, seed, features)
+        played.play()
+        others = played.callers(*range(1, WORKSPACES))
+        earned[features.admission] = others.value + played.callers(0).value
+    assert others.value >= 0.8 * others.owed
+    assert earned[True] >= earned[False]
