--- a/packages/core/crocuswell_core/dispatching/fleet.py
+++ b/packages/core/crocuswell_core/dispatching/fleet.py
@@ -99,6 +99,8 @@
     speed_rank : int
         Place among the workers by how their speed suits that step; workers
         with the same place suit it alike.
+    pace : float
+        Time that a task takes there, as a multiple of the usual time.
     """
 
     key: str
@@ -113,6 +115,7 @@
     spare: ResourceVector = attrs.field(init=False, factory=ResourceVector)
     available: ResourceVector = attrs.field(init=False, factory=ResourceVector)
     speed_rank: int = attrs.field(init=False, default=0)
+    pace: float = attrs.field(init=False, default=1.0)
 
     def is_held_from(
         self, key: StepKey, rank: tuple[int, int, int], end_ms: int
--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -8,7 +8,12 @@
     FittingWorkers,
     Fleet,
 )
-from crocuswell_core.dispatching.speed_fit import rank_by_speed
+from crocuswell_core.dispatching.speed_fit import (
+    GangFit,
+    GangGroup,
+    gang_groups,
+    rank_by_speed,
+)
 from crocuswell_core.dispatching.waiting_steps import RankedStep, WaitingStep
 from crocuswell_core.entry.entry_state import EntryState
 
@@ -252,7 +257,7 @@
             fitting_racks,
             key=lambda rack_workers: (
                 _has_failed_worker(ranked, rack_workers),
-                _speed_rank_of_gang(ranked, rack_workers),
+                _gang_fit(ranked, rack_workers),
                 fleet.rack_accelerators[rack_workers[0].worker.rack],
             ),
         )
@@ -262,14 +267,17 @@
     return place_gang(fleet, ranked, candidates)
 
 
-def _speed_rank_of_gang(ranked: RankedStep, candidates: list[CandidateWorker]) -> int:
-    """Return the place by speed of the worst worker that a gang must use."""
-    unplaced = ranked.waiting_count
-    for candidate in sorted(candidates, key=lambda c: c.speed_rank):
-        unplaced -= max_copies_on(ranked, candidate)
-        if unplaced <= 0:
-            return candidate.speed_rank
-    return max(candidate.speed_rank for candidate in candidates)
+def _gang_fit(ranked: RankedStep, candidates: list[CandidateWorker]) -> GangFit:
+    """Return how well the speeds of workers that can hold a gang suit it."""
+    return _gang_groups(ranked, candidates)[0].fit
+
+
+def _gang_groups(
+    ranked: RankedStep, candidates: list[CandidateWorker]
+) -> list[GangGroup]:
+    copies = {c.key: max_copies_on(ranked, c) for c in candidates}
+    with_room = [candidate for candidate in candidates if copies[candidate.key]]
+    return gang_groups(with_room, copies, ranked.waiting_count)
 
 
 def _failed_worker_ids(ranked: RankedStep) -> set[str]:
@@ -285,7 +293,18 @@
 def place_gang(
     fleet: Fleet, ranked: RankedStep, candidates: list[CandidateWorker]
 ) -> Placements:
-    """Place all tasks, filling the fullest workers first."""
+    """Place all tasks, on workers of one speed if possible."""
+    for group in _gang_groups(ranked, candidates):
+        placements = _fill_workers(fleet, ranked, group.candidates)
+        if placements:
+            return placements
+    return {}
+
+
+def _fill_workers(
+    fleet: Fleet, ranked: RankedStep, candidates: list[CandidateWorker]
+) -> Placements:
+    """Place all tasks of a gang, filling the fullest workers first."""
     failed_on = _failed_worker_ids(ranked)
     is_suspect = bool(ranked.suspects)
     crashed = {name for task in ranked.tasks for name in task.crashed_machines}
--- a/packages/core/crocuswell_core/dispatching/speed_fit.py
+++ b/packages/core/crocuswell_core/dispatching/speed_fit.py
@@ -25,6 +25,9 @@
 # Workers within this range count as equally fast, so that the order by free
 # resources decides among them.
 ALIKE_FACTOR = 1.2
+# Largest ratio between the paces of workers that count as of one speed.
+CLUSTER_SPAN = 1.35
+LATE_RANK = 4
 
 
 @attrs.frozen
@@ -49,7 +52,7 @@
     def rank(self, slowdown: Slowdown) -> int:
         """Return the place of a worker in the step's order; 0 comes first."""
         if self.is_late_on(slowdown):
-            return 4
+            return LATE_RANK
         if not slowdown.is_known:
             return 1
         if not self.has_slack or slowdown.factor * SLACK_FACTOR > self.tolerated:
@@ -89,8 +92,70 @@
     """Note the place of each worker in a step's order by speed."""
     fit = find_speed_fit(state, ranked)
     for candidate in candidates:
-        if math.isinf(fit.tolerated):
-            candidate.speed_rank = 0
-            continue
         slowdown = expectations.slowdown(state, candidate.worker.machine)
+        candidate.pace = slowdown.factor
         candidate.speed_rank = fit.rank(slowdown)
+
+
+# --- gangs -----------------------------------------------------------------
+
+# Whether the gang ends late, the work that its fast members could have done
+# while they wait for the slowest one, and its place in the step's order.
+GangFit = tuple[bool, float, int]
+
+
+@attrs.frozen
+class GangGroup:
+    """Workers that could hold a whole gang, and how well they suit it."""
+
+    fit: GangFit
+    candidates: list[CandidateWorker]
+
+
+def gang_groups(
+    candidates: Iterable[CandidateWorker], copies: dict[str, int], needed: int
+) -> list[GangGroup]:
+    """Return groups of workers that could hold a gang, the best first.
+
+    The members of a gang wait for the slowest one, so that workers of one
+    speed waste least.
+
+    Parameters
+    ----------
+    copies : dict
+        Number of members that fit on a worker, by its key.
+    needed : int
+        Number of members.
+    """
+    clusters = _clusters_by_pace(candidates)
+    found: list[GangGroup] = []
+    for first in range(len(clusters)):
+        group: list[CandidateWorker] = []
+        for cluster in clusters[first:]:
+            group = [*group, *cluster]
+            if sum(copies[c.key] for c in group) >= needed:
+                found.append(GangGroup(_gang_fit(group, copies), group))
+    return sorted(found, key=lambda each: each.fit)
+
+
+def _clusters_by_pace(
+    candidates: Iterable[CandidateWorker],
+) -> list[list[CandidateWorker]]:
+    """Return the workers by pace, those that are nearly as fast together."""
+    clusters: list[list[CandidateWorker]] = []
+    for candidate in sorted(candidates, key=lambda c: c.pace):
+        if clusters and candidate.pace <= clusters[-1][0].pace * CLUSTER_SPAN:
+            clusters[-1].append(candidate)
+        else:
+            clusters.append([candidate])
+    return clusters
+
+
+def _gang_fit(group: list[CandidateWorker], copies: dict[str, int]) -> GangFit:
+    slowest = max(candidate.pace for candidate in group)
+    total = sum(copies[candidate.key] for candidate in group)
+    used = sum(slowest / c.pace * copies[c.key] for c in group) / total
+    rank = max(candidate.speed_rank for candidate in group)
+    # Differences within a cluster of workers do not count.
+    wasted = max(0.0, round(used / ALIKE_FACTOR - 1, 1))
+    return rank == LATE_RANK, wasted, rank
--- a/packages/core/crocuswell_core/runner/run_orders.py
+++ b/packages/core/crocuswell_core/runner/run_orders.py
@@ -18,8 +18,9 @@
 
 # No start is sent to the worker with less than this left of the grant.
 MIN_REMAINING_GRANT_MS = 500
-# No start is sent to the worker without an answer from the leader to a report
-# of this last time: the leader may have withdrawn it.
+# Where failure domains may be evacuated, no start is sent to the worker
+# without an answer from the leader to a report of this last time: the leader
+# may have withdrawn it.
 MAX_CONTACT_AGE_MS = 2_000
 
 
@@ -67,6 +68,12 @@
     return start.was_sent or start.phase is OrderPhase.CALLING
 
 
+def _may_be_withdrawn(state: RunnerState) -> bool:
+    """Tell whether an evacuation may have withdrawn the starts."""
+    age_ms = state.now_ms - state.contact_ms
+    return state.cfg.may_be_evacuated and age_ms > MAX_CONTACT_AGE_MS
+
+
 def send_due_starts(state: RunnerState) -> list[Effect]:
     """Send the worker the starts that are due."""
     if state.heartbeat is None or not state.uplink.is_attached:
@@ -75,7 +82,7 @@
         _withdraw_outdated_starts(state)
     if (
         state.granted_until_ms - state.now_ms < MIN_REMAINING_GRANT_MS
-        or state.now_ms - state.contact_ms > MAX_CONTACT_AGE_MS
+        or _may_be_withdrawn(state)
         or not state.clock.read_ms
     ):
         return []
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -35,6 +35,8 @@
         acknowledged all ends.
     clock_drift : float
         Largest fraction by which the worker's clock may run slow.
+    may_be_evacuated : bool
+        Whether operators may evacuate the worker's failure domain.
     """
 
     name: str
@@ -42,6 +44,7 @@
     list_wait_ms: int = 500
     call_retry_ms: int = 250
     end_ack_wait_ms: int = 100
+    may_be_evacuated: bool = False
     clock_drift: float = 0.02
     stop_limit_ms: int = 500
 
--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -227,7 +227,8 @@
 
     def _boot_runner(self, name: str) -> None:
         uplink = Uplink(name, tuple(f"{seed}:2" for seed in SEEDS))
-        state: Any = RunnerState(RunnerConfig(name), uplink)
+        cfg = RunnerConfig(name, may_be_evacuated=not self._evacuations_ended)
+        state: Any = RunnerState(cfg, uplink)
         self.hosts[name] = Host(name, state, Disk(name))
         self.post(self.hosts[name], RunnerBooted())
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -263,6 +263,7 @@
     The grant lasts longer than the time after which no start may go to an
     evacuated domain.
     """
+    runner.state.cfg = attrs.evolve(runner.state.cfg, may_be_evacuated=True)
     runner.order(run_of("j"))
     runner.reply(StartOnWorker, NoAnswer("timed out", sent=True))
     runner.tick(2_001)
--- a/tests/test_speed_fit.py
+++ b/tests/test_speed_fit.py
@@ -6,6 +6,7 @@
 from crocuswell_core.dispatching.expectations import Slowdown
 from crocuswell_core.dispatching.features import DispatchFeatures
 from crocuswell_core.dispatching.speed_fit import SpeedFit, path_from_ms
+from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_records import StepSpec, TaskId
 from crocuswell_core.links.link_messages import WorkerDescription
 from tests.job_harness import BATCH, LONG, URGENT, Leader, step, worker
@@ -17,7 +18,9 @@
 
 @pytest.fixture
 def known_speeds(monkeypatch: pytest.MonkeyPatch) -> None:
-    def slowdown(state: object, machine: str) -> Slowdown:
+    def slowdown(state: EntryState, machine: str) -> Slowdown:
+        if not state.cfg.features.worker_speeds:
+            return Slowdown()
         known = machine in KNOWN
         return Slowdown(KNOWN.get(machine, 1.0), known)
 
@@ -79,6 +82,21 @@
     assert not placed & {"slow"}
 
 
+def test_gang_takes_workers_of_one_speed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against fast members that wait for a slow one for long."""
+    paces = dict.fromkeys(("f0", "f1"), 0.6) | {"u0": 1.0, "u1": 1.0, "s0": 1.67}
+    monkeypatch.setattr(
+        expectations, "slowdown", lambda _, name: Slowdown(paces[name[2:]], True)
+    )
+    fleet = [worker(name) for name in paces]
+    gang = step(2, accelerators=8, gang=True)
+    for queue in (URGENT, LONG):
+        placed = placed_on(*fleet, spec=gang, queue=queue)
+        assert placed in ({"f0", "f1"}, {"u0", "u1"})
+    three = step(3, accelerators=8, gang=True)
+    assert placed_on(*fleet, spec=three, queue=URGENT) < {"f0", "f1", "u0", "u1"}
+
+
 def test_late_step_uses_any_worker() -> None:
     """Guards against a late job that waits longer for a better worker."""
     assert SpeedFit().rank(Slowdown(5.0, True)) == 0
