--- a/tests/test_preemption_balance.py
+++ b/tests/test_preemption_balance.py
@@ -327,9 +327,8 @@
         workers=24,
         intensity=1.0,
         guaranteed_share=0.0,
-        features=WEIGHED,
     )
-    simulation = FleetSimulation(load)
+    simulation = FleetSimulation(load, features=WEIGHED)
     outcome = simulation.play()
     stops = [
         task.stops
