--- a/packages/core/crocuswell_core/dispatching/expectations.py
+++ b/packages/core/crocuswell_core/dispatching/expectations.py
@@ -95,10 +95,17 @@
 
 
 def slowdown(state: EntryState, machine: str) -> Slowdown:
-    """Return how slow the worker on a machine is."""
-    if not state.cfg.features.worker_speeds:
+    """Return how slow the worker on a machine is.
+
+    Workers count as alike until they differ by more than the queue with the
+    tightest objective tolerates: then no job is late for its worker.
+    """
+    catalog = state.cluster.jobs.catalog
+    if not state.cfg.features.worker_speeds or catalog is None:
         return Slowdown()
     speeds = state.dispatch.speeds
+    if speeds.spread <= catalog.least_stretch:
+        return Slowdown()
     return Slowdown(speeds.factor(machine), speeds.is_known(machine))
 
 
--- a/packages/core/crocuswell_core/jobs/catalog.py
+++ b/packages/core/crocuswell_core/jobs/catalog.py
@@ -97,6 +97,11 @@
         """Queues by their names."""
         return {queue.name: queue for queue in reversed(self.queues)}
 
+    @cached_property
+    def least_stretch(self) -> float:
+        """Stretch of the queue with the tightest objective, at least 1."""
+        return max(1.0, min((queue.stretch for queue in self.queues), default=1.0))
+
     @cached_property
     def queues_by_host(self) -> dict[str, list[Queue]]:
         """Queues of each host."""
--- a/packages/core/crocuswell_core/learning/worker_speeds.py
+++ b/packages/core/crocuswell_core/learning/worker_speeds.py
@@ -38,6 +38,8 @@
 WORKER_LIMIT = 4_096
 STEP_LIMIT = 1_024
 USUAL_SPEED_INTERVAL_MS = 1_000
+# From this number of known workers on their spread is measured.
+MIN_KNOWN_WORKERS = 4
 # Factors at which a worker begins and ceases to be reported as slow.
 SLOW_FACTOR = 1.3
 USUAL_FACTOR = 1.15
@@ -228,6 +230,9 @@
         Recently seen steps, in order of the newest evidence.
     usual_log : float
         Logarithm of the median slowdown, to which slowdowns are relative.
+    spread : float
+        Ratio between the slowdowns of slow and fast workers (the 90th and the
+        10th percentile of the known ones); 1.0 while few are known.
     usual_ms : int
         Time in ms at which it was computed.
     """
@@ -235,6 +240,7 @@
     workers: dict[str, WorkerSpeed] = attrs.Factory(dict)
     steps: dict[StepKey, StepTime] = attrs.Factory(dict)
     usual_log: float = 0.0
+    spread: float = 1.0
     usual_ms: int = -USUAL_SPEED_INTERVAL_MS
 
     def observe(
@@ -283,6 +289,15 @@
             middle = len(logs) // 2
             # Agents load this module, and `statistics` takes much memory.
             self.usual_log = (logs[middle] + logs[-1 - middle]) / 2
+            self.spread = self._measure_spread()
+
+    def _measure_spread(self) -> float:
+        known = [w.log_slowdown.mean for w in self.workers.values() if w.is_known]
+        if len(known) < MIN_KNOWN_WORKERS:
+            return 1.0
+        known.sort()
+        last = len(known) - 1
+        return math.exp(known[round(0.9 * last)] - known[round(0.1 * last)])
 
     def step_log_ms(self, step_key: StepKey) -> Gaussian | None:
         """Return the distribution of the logarithms of a step's times in ms.
--- a/tests/test_worker_speeds.py
+++ b/tests/test_worker_speeds.py
@@ -10,12 +10,23 @@
 from crocuswell_core.dispatching.speed_fit import ALIKE_FACTOR
 from crocuswell_core.entry.calls import GetForecasts
 from crocuswell_core.entry.replies import ForecastsView, SpeedForecast
+from crocuswell_core.jobs.catalog import Queue
+from crocuswell_core.jobs.job_commands import PutCatalog
 from crocuswell_core.jobs.job_records import RunEndKind, RunId, RunProgress, StepKey
 from crocuswell_core.learning.paces import Pace, PaceMeter
 from crocuswell_core.learning.worker_speeds import WorkerSpeeds, new_step_time
 from crocuswell_core.runtime.dispatch import answer_read
 from crocuswell_core.runtime.effects import EmitLogEvent
-from tests.job_harness import TIGHT, URGENT, Leader, end_of, step, worker
+from tests.job_harness import (
+    HOST,
+    TIGHT,
+    URGENT,
+    Leader,
+    catalog,
+    end_of,
+    step,
+    worker,
+)
 
 LIST_MS = 500
 DECLARED_MS = 6_000
@@ -174,6 +185,20 @@
     assert fleet.factor("m3") < before * 1.15
 
 
+def test_workers_that_every_queue_tolerates_count_as_alike() -> None:
+    """Guards against other placements where no job is late for its worker."""
+    leader = Leader(features=DispatchFeatures(worker_speeds=True))
+    queue = Queue(URGENT, HOST, f"/{URGENT}/", "press", 0, 2, 1.5, 250)
+    leader.apply(PutCatalog(catalog(queues=(queue,))))
+    for speeds, is_slow in (((1.0, 1.3), False), ((0.6, 1.6), True)):
+        names = {f"m{i}": speeds[i % 2] for i in range(12)}
+        fleet = Fleet(names, gang=True, tasks_per_step=4)
+        fleet.play(30_000)
+        leader.state.dispatch.speeds = fleet.learned
+        factor = slowdown(leader.state, "m0").factor
+        assert (factor != slowdown(leader.state, "m1").factor) is is_slow
+
+
 def test_member_that_waits_for_its_gang_is_not_taken_for_slow() -> None:
     """Failure: a fast worker waits for the slowest member of a gang."""
     leader = Leader(features=DispatchFeatures(worker_speeds=True))
