--- a/packages/core/crocuswell_core/dispatching/preemption_balance.py
+++ b/packages/core/crocuswell_core/dispatching/preemption_balance.py
@@ -9,6 +9,7 @@
 
 from crocuswell_core.dispatching.expectations import RunTime, expected_run_time
 from crocuswell_core.dispatching.ranking import ZERO_VALUE_FACTOR
+from crocuswell_core.dispatching.step_chains import paths_after_ms
 from crocuswell_core.dispatching.victims import core_equivalents
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.catalog import Queue, find_queue_by_name
@@ -151,7 +152,7 @@
     queue = find_queue_by_name(state.cluster.jobs.catalog, job.queue)
     times = [expected_run_time(state, job, index) for index in range(len(job.steps))]
     urgent = queue is not None and queue.priority == 0
-    after_ms = _paths_after_ms(job.steps, times)
+    after_ms = paths_after_ms(job.steps, [time.median_ms for time in times])
     longest_ms = max(
         times[index].median_ms + after_ms[index] for index in range(len(times))
     )
@@ -185,16 +186,6 @@
     )
 
 
-def _paths_after_ms(steps: tuple[StepSpec, ...], times: list[RunTime]) -> list[int]:
-    """Return the length in ms of the longest chain after each step."""
-    after_ms = [0] * len(steps)
-    for index in range(len(steps) - 1, -1, -1):
-        for earlier in steps[index].after:
-            path_ms = times[index].median_ms + after_ms[index]
-            after_ms[earlier] = max(after_ms[earlier], path_ms)
-    return after_ms
-
-
 def _spread(time: RunTime) -> float:
     if not time.observations:
         return DECLARED_SPREAD
--- a/packages/core/crocuswell_core/dispatching/speed_fit.py
+++ b/packages/core/crocuswell_core/dispatching/speed_fit.py
@@ -5,6 +5,7 @@
 which the speed is not known yet, to keep the fast ones free.
 """
 
+import enum
 import math
 from collections.abc import Iterable
 
@@ -13,6 +14,7 @@
 from crocuswell_core.dispatching import expectations
 from crocuswell_core.dispatching.expectations import Slowdown
 from crocuswell_core.dispatching.fleet import CandidateWorker
+from crocuswell_core.dispatching.step_chains import paths_after_ms
 from crocuswell_core.dispatching.waiting_steps import RankedStep
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_records import Job
@@ -27,7 +29,16 @@
 ALIKE_FACTOR = 1.2
 # Largest ratio between the paces of workers that count as of one speed.
 CLUSTER_SPAN = 1.35
-LATE_RANK = 4
+
+
+class SpeedRank(enum.IntEnum):
+    """Place of a worker in a step's order; the least comes first."""
+
+    SUITED = 0
+    UNKNOWN = 1
+    USUAL_IF_SLACK = 2
+    FAST_IF_SLACK = 3
+    LATE = 4
 
 
 @attrs.frozen
@@ -49,22 +60,23 @@
         """Tell whether the step would certainly end late on a worker."""
         return slowdown.is_known and slowdown.factor > self.tolerated
 
-    def rank(self, slowdown: Slowdown) -> int:
-        """Return the place of a worker in the step's order; 0 comes first."""
+    def rank(self, slowdown: Slowdown) -> SpeedRank:
+        """Return the place of a worker in the step's order."""
         if self.is_late_on(slowdown):
-            return LATE_RANK
+            return SpeedRank.LATE
         if not slowdown.is_known:
-            return 1
+            return SpeedRank.UNKNOWN
         if not self.has_slack or slowdown.factor * SLACK_FACTOR > self.tolerated:
-            return 0
+            return SpeedRank.SUITED
         if slowdown.factor > ALIKE_FACTOR:
-            return 0
-        return 2 if slowdown.factor * ALIKE_FACTOR >= 1 else 3
+            return SpeedRank.SUITED
+        is_fast = slowdown.factor * ALIKE_FACTOR < 1
+        return SpeedRank.FAST_IF_SLACK if is_fast else SpeedRank.USUAL_IF_SLACK
 
 
 def find_speed_fit(state: EntryState, ranked: RankedStep) -> SpeedFit:
     """Return what a step asks of the speed of its workers."""
-    if not state.cfg.features.worker_speeds or ranked.step.long_running:
+    if ranked.step.long_running:
         return SpeedFit()
     path_ms = path_from_ms(ranked.job, ranked.step_index)
     if not path_ms:
@@ -78,18 +90,16 @@
 
 def path_from_ms(job: Job, step_index: int) -> int:
     """Return the declared time in ms of the longest chain from a step on."""
-    longest = [step.estimated_ms for step in job.steps]
-    for index in range(len(job.steps) - 1, -1, -1):
-        for earlier in job.steps[index].after:
-            through_ms = job.steps[earlier].estimated_ms + longest[index]
-            longest[earlier] = max(longest[earlier], through_ms)
-    return longest[step_index]
+    times_ms = [step.estimated_ms for step in job.steps]
+    return times_ms[step_index] + paths_after_ms(job.steps, times_ms)[step_index]
 
 
 def rank_by_speed(
     state: EntryState, ranked: RankedStep, candidates: Iterable[CandidateWorker]
 ) -> None:
     """Note the place of each worker in a step's order by speed."""
+    if not state.cfg.features.worker_speeds:
+        return
     fit = find_speed_fit(state, ranked)
     for candidate in candidates:
         slowdown = expectations.slowdown(state, candidate.worker.machine)
@@ -158,4 +168,4 @@
     rank = max(candidate.speed_rank for candidate in group)
     # Differences within a cluster of workers do not count.
     wasted = max(0.0, round(used / ALIKE_FACTOR - 1, 1))
-    return rank == LATE_RANK, wasted, rank
+    return rank == SpeedRank.LATE, wasted, rank
--- a/tests/test_speed_fit.py
+++ b/tests/test_speed_fit.py
@@ -5,7 +5,7 @@
 from crocuswell_core.dispatching import expectations
 from crocuswell_core.dispatching.expectations import Slowdown
 from crocuswell_core.dispatching.features import DispatchFeatures
-from crocuswell_core.dispatching.speed_fit import SpeedFit, path_from_ms
+from crocuswell_core.dispatching.speed_fit import SpeedFit, SpeedRank, path_from_ms
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_records import StepSpec, TaskId
 from crocuswell_core.links.link_messages import WorkerDescription
@@ -99,7 +99,7 @@
 
 def test_late_step_uses_any_worker() -> None:
     """Guards against a late job that waits longer for a better worker."""
-    assert SpeedFit().rank(Slowdown(5.0, True)) == 0
+    assert SpeedFit().rank(Slowdown(5.0, True)) is SpeedRank.SUITED
 
 
 def test_workers_that_are_alike_are_ordered_by_room(known_speeds: None) -> None:
