--- a/packages/core/crocuswell_core/learning/worker_speeds.py
+++ b/packages/core/crocuswell_core/learning/worker_speeds.py
@@ -292,12 +292,15 @@
             self.spread = self._measure_spread()
 
     def _measure_spread(self) -> float:
-        known = [w.log_slowdown.mean for w in self.workers.values() if w.is_known]
+        known = [w.log_slowdown for w in self.workers.values() if w.is_known]
         if len(known) < MIN_KNOWN_WORKERS:
             return 1.0
-        known.sort()
+        known.sort(key=lambda each: each.mean)
         last = len(known) - 1
-        return math.exp(known[round(0.9 * last)] - known[round(0.1 * last)])
+        slow, fast = known[round(0.9 * last)], known[round(0.1 * last)]
+        # What may be an error of the estimates is no difference.
+        doubt = math.sqrt(slow.variance + fast.variance)
+        return math.exp(max(0.0, slow.mean - fast.mean - doubt))
 
     def step_log_ms(self, step_key: StepKey) -> Gaussian | None:
         """Return the distribution of the logarithms of a step's times in ms.
