Repeat a stop until the worker accepts it

Cause: the runner took each answer to a stop for its end. A worker that answers 503, 429 or 409 has done nothing; it may still carry out a start that had no answer. The next list without the run then made it absent, and the leader placed the next run elsewhere. The new line stop_not_taken shows it: run 1 is called absent 0.07 s after its stop was refused as unwell. A list from before the stop, or a placement before the runner's report, are ruled out by the same lines.

Change: only an accepted stop is answered. The random runs of jobs can have workers that refuse orders.

--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -325,14 +325,20 @@
     if stop is None:
         return []
     count_event(state, f"stop {_reply_kind(reply)}")
-    if isinstance(reply, (OrderAccepted, OrderRefused)):
+    if isinstance(reply, OrderAccepted):
         stop.phase = OrderPhase.ANSWERED
         stop.list_predates_reply = state.list_in_flight
         state.next_list_ms = state.now_ms
         return list_runs_if_due(state)
+    # A worker that refused the stop may still carry out a start that had no
+    # answer, so that the run counts as absent only once a stop was taken.
     stop.phase = OrderPhase.WAITING
     stop.retry_at_ms = state.now_ms + state.cfg.call_retry_ms
-    return []
+    if stop.was_logged:
+        return []
+    stop.was_logged = True
+    labels = (*run_labels(call.run), Label("reply", _reply_reason(reply)))
+    return [EmitLogEvent("stop_not_taken", labels)]
 
 
 @_handle_worker_reply.register
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -50,7 +50,10 @@
 
 
 class OrderPhase(enum.Enum):
-    """Progress of an order to the worker."""
+    """Progress of an order to the worker.
+
+    `ANSWERED` is a stop that the worker carried out.
+    """
 
     WAITING = "waiting"
     CALLING = "calling"
@@ -82,11 +85,14 @@
     list_predates_reply : bool
         Whether the run list in flight was requested before the worker
         answered the stop, so that it may not show the stop's effect.
+    was_logged : bool
+        Whether a log line says that the worker did not take the stop.
     """
 
     phase: OrderPhase = OrderPhase.WAITING
     retry_at_ms: int = 0
     list_predates_reply: bool = False
+    was_logged: bool = False
 
 
 @attrs.define
--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -114,6 +114,7 @@
     ends: int = 0
     refused: dict[TaskId, int] = attrs.Factory(dict)
     down_until_ms: int = 0
+    unwell_until_ms: int = 0
     lapsed_end: int = 0
 
     @property
@@ -141,11 +142,15 @@
     evacuates : bool
         Whether an operator evacuates failure domains; no task crashes its
         workers then.
+    refuses : bool
+        Whether workers refuse starts and stops for some seconds at a time.
     """
 
     snapshot_entries = 60
 
-    def __init__(self, seed: int, evacuates: bool = False) -> None:
+    def __init__(
+        self, seed: int, evacuates: bool = False, refuses: bool = False
+    ) -> None:
         super().__init__(SEEDS)
         self.rng = random.Random(seed)
         self.faults: Counter[str] = Counter()
@@ -188,6 +193,8 @@
             for end_ms in (EVACUATIONS_MS, PLAY_MS):
                 self._schedule(end_ms, self._end_evacuations)
         self._schedule(3_000, self._inject_fault)
+        if refuses:
+            self._schedule(3_000, self._make_unwell)
 
     def play(self, ms: int) -> None:
         """Run with faults, then without, and check what callers were told."""
@@ -365,6 +372,9 @@
         if call.worker != worker.id:
             return OtherWorker()
         self._lapse(worker)
+        if self.now_ms < worker.unwell_until_ms and not isinstance(call, ListRuns):
+            self.faults["refused_order"] += 1
+            return OrderRefused(0, "unwell")
         if call.fence < worker.fence:
             return OrderRefused(self.now_ms, "fence")
         worker.fence = call.fence
@@ -639,6 +649,14 @@
         worker = Worker(name, self.now_ms, down_until_ms=self.now_ms + down_ms)
         self.workers[name] = worker
 
+    def _make_unwell(self) -> None:
+        """Make a worker refuse orders for a while; it still lists its runs."""
+        if self.is_calm:
+            return
+        self._schedule(self.rng.randint(1_000, 4_000), self._make_unwell)
+        worker = self.workers[self.rng.choice(sorted(self.workers))]
+        worker.unwell_until_ms = self.now_ms + self.rng.randint(500, 6_000)
+
     def _slow_down(self) -> None:
         self._slow_until_ms = self.now_ms + self.rng.randint(500, 3_000)
 
--- a/tests/test_job_fleet.py
+++ b/tests/test_job_fleet.py
@@ -66,6 +66,15 @@
     assert fleet.faults["evacuation"]
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_task_runs_twice_on_workers_that_refuse_orders(seed: int) -> None:
+    """Guards against a late start beside the next run after a refused stop."""
+    fleet = JobFleet(seed, refuses=True)
+    fleet.play(PLAY_MS)
+    assert fleet.starts > 50
+    assert fleet.faults["refused_order"]
+
+
 # --- planted faults ----------------------------------------------------------
 
 
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -44,7 +44,7 @@
     WorkerReplied,
 )
 from crocuswell_core.runtime.reducer import reduce
-from crocuswell_core.runtime.timers import RunnerTimer
+from crocuswell_core.runtime.timers import RunnerTimer, UplinkTimer
 from tests.job_harness import end_of, run_of
 
 HEARTBEAT = WorkerHeartbeat(
@@ -232,6 +232,61 @@
     assert runner.reports[-1].ended
 
 
+@pytest.mark.parametrize("reason", ["unwell", "fence", "invalid"])
+def test_refused_stop_is_repeated_until_the_worker_takes_it(
+    runner: Runner, reason: str
+) -> None:
+    """Guards against a late start beside the next run after a refused stop."""
+    run = run_of("j")
+    runner.order(run)
+    runner.reply(StartOnWorker, NoAnswer("timed out", sent=True))
+    runner.order(stops=[run])
+    runner.calls = [call for call in runner.calls if not isinstance(call, ListRuns)]
+    runner.state.list_in_flight = False
+    for _ in range(3):
+        runner.reply(StopOnWorker, OrderRefused(0, reason))
+        for _ in range(2):
+            runner.tick(150)
+            runner.reply_with_list()
+        assert not runner.reports[-1].absent
+    assert [call.run for call in runner.calls if isinstance(call, StopOnWorker)] == [
+        run
+    ]
+    runner.reply(StopOnWorker, OrderAccepted(0))
+    for _ in range(2):
+        runner.tick(150)
+        runner.reply_with_list()
+    assert runner.reports[-1].absent == (run,)
+
+
+def test_refused_stop_of_a_cancelled_job_is_repeated(runner: Runner) -> None:
+    """Guards against runs that work on after the cancellation of their job."""
+    run = run_of("j")
+    runner.tick()
+    runner.reply_with_list(run)
+    runner.order(stops=[run])
+    runner.reply(StopOnWorker, OrderRefused(0, "unwell"))
+    runner.tick(300)
+    assert [call.run for call in runner.calls if isinstance(call, StopOnWorker)] == [
+        run
+    ]
+
+
+def test_fenced_stop_is_repeated_with_the_term_of_the_next_leader(
+    runner: Runner,
+) -> None:
+    """Guards against a stop that is lost with the leader that ordered it."""
+    runner.order(stops=[run_of("j")])
+    runner.reply(StopOnWorker, OrderRefused(0, "fence"))
+    runner.post(EntryStreamClosed(runner.state.uplink.stream_id, "lost"))
+    runner.now_ms += 500
+    runner.post(TimerFired(UplinkTimer()))
+    runner.attach(term=5)
+    runner.calls.clear()
+    runner.tick(300)
+    assert [c.fence for c in runner.calls if isinstance(c, StopOnWorker)] == [5]
+
+
 def test_stopped_run_that_never_started_is_reported_absent(runner: Runner) -> None:
     """Guards against resources that stay held for a run that never starts."""
     runner.order(stops=[run_of("j")])
@@ -300,8 +355,6 @@
     runner.attach()
     runner.post(EntryStreamClosed(runner.state.uplink.stream_id, "lost"))
     runner.now_ms += 500
-    from crocuswell_core.runtime.timers import UplinkTimer  # noqa: PLC0415
-
     effects = runner.post(TimerFired(UplinkTimer()))
     assert any(isinstance(effect, OpenEntryStream) for effect in effects)
 
