Keep the queues of accepted jobs beside a catalog that lacks them

While its queue was away, an accepted job was not started at all, and its runs were never preempted for urgent work within a guarantee.

Cause: the attempt limit, the rank, the urgent demand and the preemption of accepted jobs were looked up in the catalog of the moment; a queue that is not in it counted as one with a single attempt. The line job_ended says "failed 1 times" with failures=1 between catalog_replaced for the versions without and with the queue.

Change: the replicated job table keeps the last definition of a removed queue while it has open jobs, and JobTable.queue_of is the only look-up for accepted jobs. A changed limit fails jobs whose waiting task has no attempt left.

--- a/packages/core/crocuswell_core/dispatching/indexing.py
+++ b/packages/core/crocuswell_core/dispatching/indexing.py
@@ -14,7 +14,6 @@
 )
 from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.entry.entry_state import EntryState
-from crocuswell_core.jobs.catalog import find_queue_by_name
 from crocuswell_core.jobs.job_records import ResourceVector, StepKey, TaskId
 from crocuswell_core.runtime.dispatch import translate_effect
 from crocuswell_core.runtime.effects import (
@@ -130,7 +129,7 @@
         step = job.steps[task_id.step]
         placed[task_id] = step.demand
         free = free - step.demand
-        queue = find_queue_by_name(table.catalog, job.queue)
+        queue = table.queue_of(job)
         task = table.task(task_id)
         if queue is not None and task is not None and not step.max_unavailable:
             work = preemptible.setdefault(queue.priority, PreemptibleWork())
--- a/packages/core/crocuswell_core/dispatching/preemption_balance.py
+++ b/packages/core/crocuswell_core/dispatching/preemption_balance.py
@@ -12,7 +12,7 @@
 from crocuswell_core.dispatching.step_chains import paths_after_ms
 from crocuswell_core.dispatching.victims import core_equivalents
 from crocuswell_core.entry.entry_state import EntryState
-from crocuswell_core.jobs.catalog import Queue, find_queue_by_name
+from crocuswell_core.jobs.catalog import Queue
 from crocuswell_core.jobs.job_records import Job, Occurrence, StepSpec
 
 # Value of a core second of work by the priority of its queue: callers of the
@@ -149,7 +149,7 @@
     state: EntryState, job: Job, occurrence: Occurrence, step_index: int
 ) -> Stake:
     """Return what a job's caller has at stake in one of its steps."""
-    queue = find_queue_by_name(state.cluster.jobs.catalog, job.queue)
+    queue = state.cluster.jobs.queue_of(job)
     times = [expected_run_time(state, job, index) for index in range(len(job.steps))]
     urgent = queue is not None and queue.priority == 0
     after_ms = paths_after_ms(job.steps, [time.median_ms for time in times])
--- a/packages/core/crocuswell_core/dispatching/ranking.py
+++ b/packages/core/crocuswell_core/dispatching/ranking.py
@@ -15,7 +15,7 @@
 from crocuswell_core.dispatching.expectations import expected_run_time
 from crocuswell_core.dispatching.waiting_steps import RankedStep, UrgentDemand
 from crocuswell_core.entry.entry_state import EntryState
-from crocuswell_core.jobs.catalog import Catalog, Queue, find_queue_by_name
+from crocuswell_core.jobs.catalog import Queue
 from crocuswell_core.jobs.job_records import (
     Job,
     Occurrence,
@@ -37,17 +37,16 @@
 def rank_jobs(state: EntryState, job_ids: Iterable[str]) -> None:
     """Rank the waiting steps of jobs, and of jobs that this affects."""
     waiting = state.dispatch.waiting
-    catalog = state.cluster.jobs.catalog
     outdated = set(job_ids)
     for job_id in tuple(outdated):
         outdated |= _update_urgent_demand(state, job_id)
     for job_id in sorted(outdated):
         job = state.cluster.jobs.jobs.get(job_id)
         _note_next_occurrence(state, job_id, job)
-        steps = _rank_job(state, catalog, job) if job and catalog else []
+        steps = _rank_job(state, job) if job else []
         waiting.replace(job_id, steps)
         if state.cfg.features.admission:
-            backlog = _measure_backlog(state, catalog, job) if job and catalog else None
+            backlog = _measure_backlog(state, job) if job else None
             waiting.backlog.replace(job_id, backlog)
 
 
@@ -118,9 +117,9 @@
 def _urgent_demand(state: EntryState, job_id: str) -> UrgentDemand | None:
     table = state.cluster.jobs
     job = table.jobs.get(job_id)
-    if job is None or not job.is_open or table.catalog is None:
+    if job is None or not job.is_open:
         return None
-    queue = find_queue_by_name(table.catalog, job.queue)
+    queue = table.queue_of(job)
     if queue is None or queue.priority != 0:
         return None
     return UrgentDemand(
@@ -128,9 +127,8 @@
     )
 
 
-def _rank_job(state: EntryState, catalog: Catalog, job: Job) -> list[RankedStep]:
-    queue = find_queue_by_name(catalog, job.queue)
-    # Jobs of a queue that is no longer in the catalog are not dispatched.
+def _rank_job(state: EntryState, job: Job) -> list[RankedStep]:
+    queue = state.cluster.jobs.queue_of(job)
     if queue is None or not job.is_open:
         return []
     guaranteed = queue.priority == 0 and is_guaranteed(state, job.owner)
@@ -141,11 +139,9 @@
     ]
 
 
-def _measure_backlog(
-    state: EntryState, catalog: Catalog, job: Job
-) -> JobBacklog | None:
+def _measure_backlog(state: EntryState, job: Job) -> JobBacklog | None:
     """Return the work of a job's waiting tasks, with steps not yet ready."""
-    queue = find_queue_by_name(catalog, job.queue)
+    queue = state.cluster.jobs.queue_of(job)
     if queue is None or not job.is_open:
         return None
     work = ResourceVector()
--- a/packages/core/crocuswell_core/dispatching/victims.py
+++ b/packages/core/crocuswell_core/dispatching/victims.py
@@ -5,7 +5,6 @@
 from crocuswell_core.dispatching.fleet import CandidateWorker
 from crocuswell_core.dispatching.waiting_steps import RankedStep
 from crocuswell_core.entry.entry_state import EntryState
-from crocuswell_core.jobs.catalog import find_queue_by_name
 from crocuswell_core.jobs.job_records import ResourceVector, RunId
 
 # Time that a preempted run takes to restart, in addition to its lost work.
@@ -48,7 +47,7 @@
     """
     table = state.cluster.jobs
     job = table.jobs[run.task.job_id]
-    queue = find_queue_by_name(table.catalog, job.queue)
+    queue = table.queue_of(job)
     if queue is None or queue.priority <= ranked.priority:
         return False
     if run in state.dispatch.stopping:
--- a/packages/core/crocuswell_core/jobs/job_command_handlers.py
+++ b/packages/core/crocuswell_core/jobs/job_command_handlers.py
@@ -5,6 +5,7 @@
 from crocuswell_core.cluster.cluster_state import ClusterState
 from crocuswell_core.cluster.commands import LogEntry, Refused
 from crocuswell_core.jobs.catalog import (
+    Catalog,
     Queue,
     find_key_owner,
     find_queue_by_name,
@@ -20,11 +21,12 @@
     QueueAddress,
     SubmitJob,
 )
-from crocuswell_core.jobs.job_ends import end_job
+from crocuswell_core.jobs.job_ends import end_job, fail_exhausted_job
 from crocuswell_core.jobs.job_records import (
     DeclinedJob,
     Job,
     JobPhase,
+    TaskPhase,
     find_steps_problem,
 )
 from crocuswell_core.jobs.job_table import JobTable
@@ -61,9 +63,12 @@
         return ApplyResult(CatalogInForce(current.version))
     if current is not None and new.version < current.version:
         return ApplyResult(CatalogInForce(current.version))
+    limits = _attempt_limits(table)
+    _keep_removed_queues(table, new)
     table.catalog = new
     table.catalog_ms = cluster.now_ms
     table.revision += 1
+    ended = _fail_exhausted_jobs(cluster, limits)
     log = EmitLogEvent(
         "catalog_replaced",
         (
@@ -72,9 +77,45 @@
             Label("queues", str(len(new.queues))),
         ),
     )
-    return ApplyResult(
-        CatalogInForce(new.version), (log, PlacementsChanged(everything=True))
-    )
+    changed = PlacementsChanged(everything=True)
+    return ApplyResult(CatalogInForce(new.version), (log, *ended, changed))
+
+
+def _keep_removed_queues(table: JobTable, new: Catalog) -> None:
+    """Keep the queues that a new catalog lacks and that open jobs need."""
+    known = dict(table.removed_queues)
+    if table.catalog is not None:
+        known |= table.catalog.queues_by_name
+    needed = {job.queue for job in table.jobs.values() if job.is_open}
+    table.removed_queues = {
+        name: queue
+        for name, queue in known.items()
+        if name in needed and name not in new.queues_by_name
+    }
+
+
+def _attempt_limits(table: JobTable) -> dict[str, int]:
+    """Return the known attempt limits of the open jobs' queues by name."""
+    queues = (table.queue_of(job) for job in table.jobs.values() if job.is_open)
+    return {queue.name: queue.attempt_limit for queue in queues if queue is not None}
+
+
+def _fail_exhausted_jobs(
+    cluster: ClusterState, earlier_limits: dict[str, int]
+) -> list[ClusterEffect]:
+    """Fail the jobs that a changed attempt limit leaves without an attempt.
+
+    A task that is at work keeps its attempt.
+    """
+    table = cluster.jobs
+    limits = _attempt_limits(table)
+    changed = {name for name, n in limits.items() if earlier_limits.get(name) != n}
+    effects: list[ClusterEffect] = []
+    for job in table.jobs.values():
+        if job.is_open and job.queue in changed:
+            waiting = table.tasks_in_phase(job, TaskPhase.WAITING)
+            effects += fail_exhausted_job(cluster, job, [id_ for id_, _ in waiting])
+    return effects
 
 
 def resolve_queue(cluster: ClusterState, address: QueueAddress) -> Refused | str:
--- a/packages/core/crocuswell_core/jobs/job_table.py
+++ b/packages/core/crocuswell_core/jobs/job_table.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from crocuswell_core.jobs.catalog import Catalog
+from crocuswell_core.jobs.catalog import Catalog, Queue, find_queue_by_name
 from crocuswell_core.jobs.job_records import (
     DeclinedJob,
     Job,
@@ -41,6 +41,9 @@
     declined : dict
         Jobs that were recently refused for want of room by id, the newest
         refusal last.
+    removed_queues : dict
+        Last definitions of queues that left the catalog before all of their
+        jobs had ended, by name.
     """
 
     revision: int = 0
@@ -52,6 +55,16 @@
     placed: dict[str, dict[TaskId, int]] = attrs.Factory(dict)
     recorded_crashes: dict[str, int] = attrs.Factory(dict)
     declined: dict[str, DeclinedJob] = attrs.Factory(dict)
+    removed_queues: dict[str, Queue] = attrs.Factory(dict)
+
+    def queue_of(self, job: Job) -> Queue | None:
+        """Return the newest known definition of an accepted job's queue.
+
+        The job keeps its limits and its turn while its queue is not in the
+        catalog. None if an earlier version of the program applied the removal.
+        """
+        queue = find_queue_by_name(self.catalog, job.queue)
+        return queue or self.removed_queues.get(job.queue)
 
     def has_recorded(self, crash: WorkerCrash) -> bool:
         """Tell whether a crash is recorded."""
@@ -85,10 +98,16 @@
 
     def placed_tasks(self, job: Job) -> Iterator[tuple[TaskId, Task]]:
         """Yield the placed tasks of a job with their ids."""
+        return self.tasks_in_phase(job, TaskPhase.PLACED)
+
+    def tasks_in_phase(
+        self, job: Job, phase: TaskPhase
+    ) -> Iterator[tuple[TaskId, Task]]:
+        """Yield the tasks in a phase of a job's started occurrences."""
         for number, occurrence in job.occurrences.items():
             for step, tasks in enumerate(occurrence.tasks):
                 for index, task in enumerate(tasks):
-                    if task.phase is TaskPhase.PLACED:
+                    if task.phase is phase:
                         yield TaskId(job.id, step, index, number), task
 
     def step_tasks(self, task_id: TaskId) -> list[Task]:
--- a/packages/core/crocuswell_core/jobs/run_command_handlers.py
+++ b/packages/core/crocuswell_core/jobs/run_command_handlers.py
@@ -4,7 +4,6 @@
 
 from crocuswell_core.cluster.cluster_state import ClusterState
 from crocuswell_core.cluster.commands import Done, LogEntry
-from crocuswell_core.jobs.catalog import find_queue_by_name
 from crocuswell_core.jobs.crash_records import record_crash
 from crocuswell_core.jobs.job_commands import (
     MarkWorkerLost,
@@ -12,7 +11,7 @@
     RecordCheckpoints,
     RecordRunEnds,
 )
-from crocuswell_core.jobs.job_ends import end_job
+from crocuswell_core.jobs.job_ends import end_job, fail_exhausted_job
 from crocuswell_core.jobs.job_records import (
     Job,
     JobPhase,
@@ -26,7 +25,7 @@
     parse_worker_id,
 )
 from crocuswell_core.jobs.job_table import JobTable
-from crocuswell_core.jobs.run_labels import run_labels, task_label
+from crocuswell_core.jobs.run_labels import run_labels
 from crocuswell_core.jobs.run_time_records import observe_run_time
 from crocuswell_core.runtime.dispatch import apply_command
 from crocuswell_core.runtime.effects import (
@@ -235,12 +234,7 @@
     failed_task = tasks[run.task.index]
     if worker_id not in failed_task.failed_on:
         failed_task.failed_on = (*failed_task.failed_on, worker_id)
-    queue = find_queue_by_name(cluster.jobs.catalog, job.queue)
-    limit = queue.attempt_limit if queue else 1
-    if job.is_open and not step.long_running and failed_task.failures >= limit:
-        reason = f"task {task_label(run.task)} failed {failed_task.failures} times"
-        return list(end_job(cluster, job, JobPhase.FAILED, reason))
-    return []
+    return list(fail_exhausted_job(cluster, job, [run.task]))
 
 
 @apply_command.register
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -4,7 +4,7 @@
 import pytest
 
 from crocuswell_core.dispatching.dispatch_state import FailureHistory
-from crocuswell_core.jobs.job_commands import CancelJob
+from crocuswell_core.jobs.job_commands import CancelJob, PutCatalog
 from crocuswell_core.jobs.job_records import (
     ResourceVector,
     RunEndKind,
@@ -26,6 +26,7 @@
     URGENT,
     Leader,
     address,
+    catalog,
     end_of,
     run_of,
     step,
@@ -690,3 +691,26 @@
     leader.submit("b", step(1, accelerators=1), queue=TIGHT)
     leader.tick()
     assert TaskId("b", 0, 0) not in leader.placed(W1)
+
+
+def test_accepted_job_starts_while_its_queue_is_out_of_the_catalog() -> None:
+    """Guards against accepted work that waits though the fleet is idle."""
+    leader = Leader()
+    leader.submit("j", step(), queue=LONG)
+    leader.propose(PutCatalog(catalog(2, queues=())))
+    leader.report(1, W1)
+    leader.tick()
+    assert leader.placed(W1) == {TaskId("j", 0, 0): 1}
+
+
+def test_work_of_a_removed_queue_gives_way_to_urgent_work() -> None:
+    """Guards against a guarantee that work of a removed queue keeps."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("j", step(1, 8), queue=LONG)
+    urgent_only = tuple(queue for queue in catalog().queues if queue.name == URGENT)
+    leader.propose(PutCatalog(catalog(2, queues=urgent_only)))
+    progress = running_progress(leader, W1)
+    leader.report(1, W1, running=progress)
+    leader.submit("urgent", step(1, 8), queue=URGENT)
+    assert leader.state.dispatch.stopping == {run_of("j")}
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -5,6 +5,7 @@
 
 from crocuswell_core.cluster.commands import Refused
 from crocuswell_core.jobs.catalog import (
+    Catalog,
     CatalogWorkspace,
     Queue,
     find_catalog_problem,
@@ -29,6 +30,7 @@
     TaskPhase,
 )
 from crocuswell_core.runtime.errors import ErrorKind
+from crocuswell_daemon.wire import decode_state, encode
 from tests.job_harness import (
     BATCH,
     HOST,
@@ -281,3 +283,93 @@
     """Guards against one configuration that ends each leader in turn."""
     queue = attrs.evolve(catalog().queues[0], stretch=stretch)
     assert find_catalog_problem(catalog(queues=(queue,)))
+
+
+def without_queue(version: int, name: str = LONG) -> Catalog:
+    """Return a catalog that lacks one of the queues."""
+    queues = tuple(queue for queue in catalog().queues if queue.name != name)
+    return catalog(version, queues=queues)
+
+
+def fail_run(table: ReplicatedTable, number: int, index: int = 0) -> None:
+    """Let a run of job j end as failed."""
+    table.start(run_of("j", index, number))
+    failed = end_of(run_of("j", index, number), RunEndKind.FAILED, number)
+    record_run_ends(table, failed, acknowledged_end=number)
+
+
+def restore_snapshot(table: ReplicatedTable) -> None:
+    """Replace the state by what a host reads from a snapshot of it."""
+    table.cluster = decode_state(encode(table.cluster))
+
+
+def test_job_keeps_its_attempts_while_its_queue_is_out_of_the_catalog() -> None:
+    """Guards against a job that fails after one attempt of several."""
+    table = ReplicatedTable()
+    table.submit("j", step())
+    table.start(run_of("j"))
+    table.apply(PutCatalog(without_queue(2)))
+    restore_snapshot(table)
+    fail_run(table, 1)
+    assert table.phase("j") == "running"
+    table.apply(PutCatalog(without_queue(3)))
+    fail_run(table, 2)
+    assert table.phase("j") == "running"
+    fail_run(table, 3)
+    assert table.phase("j") == "failed"
+
+
+def test_failed_gang_keeps_its_attempts_while_its_queue_is_away() -> None:
+    """Guards against a gang that fails after one attempt of several."""
+    table = ReplicatedTable()
+    table.submit("j", step(2, gang=True))
+    table.start(run_of("j", 0), run_of("j", 1))
+    table.apply(PutCatalog(without_queue(2)))
+    record_run_ends(table, end_of(run_of("j", 1), RunEndKind.FAILED))
+    assert table.phase("j") == "running"
+
+
+def test_only_queues_with_open_jobs_are_kept_beside_the_catalog() -> None:
+    """Guards against state that grows with each queue that is removed."""
+    table = ReplicatedTable()
+    table.submit("j", step())
+    table.apply(PutCatalog(catalog(2, queues=())))
+    assert set(table.cluster.jobs.removed_queues) == {LONG}
+    table.apply(PutCatalog(catalog(3)))
+    assert not table.cluster.jobs.removed_queues
+    table.apply(PutCatalog(catalog(4, queues=())))
+    table.start(run_of("j"))
+    record_run_ends(table, end_of(run_of("j"), RunEndKind.DONE))
+    assert table.phase("j") == "completed"
+    table.apply(PutCatalog(catalog(5, queues=())))
+    assert not table.cluster.jobs.removed_queues
+
+
+def test_job_with_an_unknown_limit_fails_once_its_queue_is_back() -> None:
+    """Guards against one attempt too many after an upgrade.
+
+    A snapshot of an earlier version lacks the queues that were removed.
+    """
+    table = ReplicatedTable()
+    table.submit("j", step(), queue=URGENT)
+    table.start(run_of("j"))
+    table.apply(PutCatalog(without_queue(2, URGENT)))
+    table.cluster.jobs.removed_queues.clear()
+    fail_run(table, 1)
+    fail_run(table, 2)
+    assert table.phase("j") == "running"
+    table.apply(PutCatalog(catalog(3)))
+    assert table.phase("j") == "failed"
+
+
+def test_lower_limit_spares_a_task_that_is_at_work() -> None:
+    """Guards against a job that fails while its last attempt is at work."""
+    table = ReplicatedTable()
+    table.submit("j", step())
+    fail_run(table, 1)
+    table.start(run_of("j", number=2))
+    lower = [attrs.evolve(queue, attempt_limit=1) for queue in catalog().queues]
+    table.apply(PutCatalog(catalog(2, queues=tuple(lower))))
+    assert table.phase("j") == "running"
+    record_run_ends(table, end_of(run_of("j", number=2), RunEndKind.DONE, 2))
+    assert table.phase("j") == "completed"
