--- a/packages/daemon/crocuswell_daemon/http_calls.py
+++ b/packages/daemon/crocuswell_daemon/http_calls.py
@@ -1,6 +1,5 @@
 """Route and parse HTTP requests into calls, without side effects."""
 
-import hashlib
 import re
 from collections.abc import Callable
 from http import HTTPStatus
@@ -41,7 +40,7 @@
     parse_mode,
     parse_preset,
 )
-from crocuswell_daemon.http_messages import Header, HttpRequest
+from crocuswell_daemon.http_messages import Header, HttpRequest, content_digest
 from crocuswell_daemon.problems import Problem, invalid
 
 # Below the 30 s after which common load balancers time out a response.
@@ -253,20 +252,14 @@
     request: HttpRequest, scope: str, command: Command
 ) -> Result[CommandCall, Problem]:
     key = _check_header("Idempotency-Key", request.idempotency_key)
-    digest = _request_digest(request)
+    digest = content_digest(
+        request.method.encode(), request.path.encode(), request.body
+    )
     return key.map(
         lambda text: CommandCall(Proposal(f"{scope}:{text}", digest, command))
     )
 
 
-def _request_digest(request: HttpRequest) -> str:
-    content = hashlib.sha256()
-    for part in (request.method.encode(), request.path.encode(), request.body):
-        content.update(len(part).to_bytes(8, "big"))
-        content.update(part)
-    return content.hexdigest()
-
-
 def _check_header(name: str, text: str | None) -> Result[str, Problem]:
     if text is None:
         return Err(invalid(f"{name}: found nothing, expected text"))
--- a/packages/daemon/crocuswell_daemon/http_messages.py
+++ b/packages/daemon/crocuswell_daemon/http_messages.py
@@ -1,5 +1,6 @@
 """HTTP requests and responses as plain data."""
 
+import hashlib
 import json
 from http import HTTPStatus
 from typing import Any
@@ -56,6 +57,15 @@
     headers: tuple[Header, ...] = ()
 
 
+def content_digest(*parts: bytes) -> str:
+    """Return a digest that tells calls with different content apart."""
+    content = hashlib.sha256()
+    for part in parts:
+        content.update(len(part).to_bytes(8, "big"))
+        content.update(part)
+    return content.hexdigest()
+
+
 def metrics_response(body: bytes) -> HttpResponse:
     """Return a response in the Prometheus text format."""
     return HttpResponse(HTTPStatus.OK, body, METRICS_TYPE)
