Grant no lease to a runner whose worker is not known

What callers would see: a task that is done runs again, or runs twice (TWICE).

Cause: the leader answered the reports of a runner that had just restarted, and did not know its worker yet, with full grants, and noted none of them. Once the worker had registered, the runner extended its lease by them. When its machine was cut off before the first report on the worker arrived, the leader gave the runs up by the older grant that it had noted, 3.6 s before the worker's lease ended.

Change: such a report is answered with a grant of 0 ms. The first report on a worker gets a grant, and the grant is sent before the orders.

Result: test_runner_without_a_worker_gets_no_grant failed before (6,000 ms).

--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -81,7 +81,8 @@
     term = state.consensus.term
     lease_ms = state.cfg.task_lease_ms
     if message.worker is None:
-        return [SendAgent(stream_id, LeaseGrant(message.sequence, term, lease_ms))]
+        # A grant would outlast what is noted of the worker on this machine.
+        return [SendAgent(stream_id, LeaseGrant(message.sequence, term, 0))]
     key = message.worker.key
     if key in state.dispatch.pending_losses and key in table.placed:
         # Its runs are about to restart elsewhere: do not extend their lease.
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -714,3 +714,36 @@
     leader.report(1, W1, running=progress)
     leader.submit("urgent", step(1, 8), queue=URGENT)
     assert leader.state.dispatch.stopping == {run_of("j")}
+
+
+def messages(effects: list[Effect], kind: type) -> list[object]:
+    return [
+        effect.message
+        for effect in effects
+        if isinstance(effect, SendAgent) and isinstance(effect.message, kind)
+    ]
+
+
+def test_runner_without_a_worker_gets_no_grant() -> None:
+    """Guards against a lease that outlasts what the leader notes of it.
+
+    A runner that had just restarted extended its worker's lease beyond the
+    time at which the leader gave the worker's runs to others.
+    """
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("j", step())
+    (grant,) = messages(leader.report(2, None), LeaseGrant)
+    assert isinstance(grant, LeaseGrant)
+    assert grant.lease_ms == 0
+
+
+def test_restarted_runner_gets_its_grant_before_its_orders() -> None:
+    """Guards against orders that a runner withdraws for want of a grant."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("j", step())
+    leader.report(2, None)
+    sent = messages(leader.report(2, W1), LeaseGrant | RunOrders)  # type: ignore[arg-type]
+    assert [type(message) for message in sent] == [LeaseGrant, RunOrders]
+    assert sent[0].lease_ms == 6_000  # type: ignore[attr-defined]
