Serve a boot only once the worker has answered as that boot

What callers saw: after one odd heartbeat of another writer no job ran on a worker any more.

Cause: a runner took each heartbeat with a later start for a new boot, dropped its state and called the new id, which the worker refuses (421). From then on the worker's own heartbeats were older and ignored; a sequence number that is too large had the same effect within a boot.

Change: the runner asks the process at the worker's address whether it is the boot (ConfirmBoot, a list call), and serves the boot when it has answered as that. Within a boot, a heartbeat with the worker's present clock counts though its sequence number is lower. Ports out of range and ids that cannot be sent in a header are refused.

Tests that change: test_new_boot_starts_with_nothing answers the new call. test_random_runs_detect no longer takes the first violation of any kind for the verdict: only the kinds that the planted fault is known by count as detected.

--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -15,11 +15,10 @@
     LeaseGrant,
     RunOrders,
 )
-from crocuswell_core.runner.crash_witness import drop_recorded_crashes, witness_crash
+from crocuswell_core.runner.crash_witness import drop_recorded_crashes
 from crocuswell_core.runner.run_lists import (
     apply_run_list,
     count_event,
-    list_runs,
     list_runs_if_due,
     send_report,
     worker_boot_key,
@@ -38,9 +37,14 @@
     RunnerState,
     StartOrder,
     StopOrder,
-    WorkerClock,
+)
+from crocuswell_core.runner.worker_boots import (
+    confirm_candidate,
+    receive_heartbeat,
+    settle_candidate,
 )
 from crocuswell_core.runner.worker_calls import (
+    ConfirmBoot,
     ListRuns,
     NoAnswer,
     OrderAccepted,
@@ -177,29 +181,7 @@
 
 @_handle_worker_call.register
 def _(call: WorkerHeartbeat, state: RunnerState) -> list[Effect]:
-    previous = state.heartbeat
-    if previous is not None and call.born_ms < previous.born_ms:
-        return []
-    is_same_boot = previous is not None and (previous.id, previous.born_ms) == (
-        call.id,
-        call.born_ms,
-    )
-    if is_same_boot and previous is not None:
-        if call.sequence <= previous.sequence:
-            return []
-        draining_changed = previous.draining != call.draining
-        state.heartbeat = call
-        return send_report(state) if draining_changed else []
-    crashed = witness_crash(state)
-    state.heartbeat = call
-    _reset_boot_state(state)
-    labels = (
-        Label("worker", call.id),
-        Label("born_ms", str(call.born_ms)),
-        Label("service", call.service),
-        Label("rack", call.rack),
-    )
-    return [*crashed, EmitLogEvent("worker_registered", labels), *list_runs(state)]
+    return receive_heartbeat(state, call)
 
 
 @_handle_worker_call.register
@@ -214,24 +196,6 @@
     ]
 
 
-def _reset_boot_state(state: RunnerState) -> None:
-    """Reset what belongs to a boot; a new one has no runs, ends or lease."""
-    state.reachable = False
-    state.unreachable_since_ms = None
-    state.is_leaving = False
-    state.clock = WorkerClock()
-    state.lease_until_ms = 0
-    state.acknowledged_end = 0
-    state.list_in_flight = False
-    state.next_list_ms = state.now_ms
-    state.running.clear()
-    state.confirmed_ms.clear()
-    state.ended = ()
-    state.starts.clear()
-    state.stops.clear()
-    state.absent.clear()
-
-
 # --- grants and orders from the leader -----------------------------------
 
 
@@ -283,11 +247,22 @@
 
 @handle.register
 def _(event: WorkerReplied, state: RunnerState) -> list[Effect]:
-    if event.call.worker != worker_id(state):
+    if not _concerns_served_boot(event.call, state):
         return []
     return _handle_worker_reply(event.call, state, event.reply)
 
 
+@singledispatch
+def _concerns_served_boot(call: WorkerCall, state: RunnerState) -> bool:
+    """Tell whether a call was made to the boot that is served now."""
+    return call.worker == worker_id(state)
+
+
+@_concerns_served_boot.register
+def _(call: ConfirmBoot, state: RunnerState) -> bool:
+    return True
+
+
 @singledispatch
 def _handle_worker_reply(
     call: WorkerCall, state: RunnerState, reply: WorkerReply
@@ -295,6 +270,11 @@
     raise NotImplementedError(type(call).__name__)
 
 
+@_handle_worker_reply.register
+def _(call: ConfirmBoot, state: RunnerState, reply: WorkerReply) -> list[Effect]:
+    return settle_candidate(reply, state, call.heartbeat)
+
+
 @_handle_worker_reply.register
 def _(call: StartOnWorker, state: RunnerState, reply: WorkerReply) -> list[Effect]:
     start = state.starts.get(call.run)
@@ -409,6 +389,7 @@
     since_ms = state.stopping_since_ms
     if since_ms is not None and state.now_ms - since_ms >= state.cfg.stop_limit_ms:
         return [Halt()]
+    effects += confirm_candidate(state)
     effects += send_due_starts(state)
     effects += send_due_stops(state)
     effects += list_runs_if_due(state)
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -110,7 +110,13 @@
     Attributes
     ----------
     heartbeat : WorkerHeartbeat or None
-        Newest heartbeat of the newest boot.
+        Newest heartbeat of the newest boot that the worker confirmed.
+    candidate : WorkerHeartbeat or None
+        Newest heartbeat of a boot that the worker has not confirmed.
+    candidate_ms : int
+        Time in ms at which that heartbeat was received.
+    confirm_at_ms : int
+        Time in ms at which the worker is asked about it again.
     is_leaving : bool
         Whether this boot announced that it is terminating.
     reports : dict
@@ -144,6 +150,9 @@
     now_ms: int = 0
     wall_ms: int = 0
     heartbeat: WorkerHeartbeat | None = None
+    candidate: WorkerHeartbeat | None = None
+    candidate_ms: int = 0
+    confirm_at_ms: int = 0
     is_leaving: bool = False
     reachable: bool = False
     clock: WorkerClock = attrs.Factory(WorkerClock)
--- /dev/null
+++ b/packages/core/crocuswell_core/runner/worker_boots.py
@@ -0,0 +1,151 @@
+"""Which boot of the local worker a runner serves.
+
+Heartbeats may come from another writer. A runner serves a boot only once the
+process at the worker's address has answered as that boot.
+"""
+
+from functools import singledispatch
+
+from crocuswell_core.runner.crash_witness import witness_crash
+from crocuswell_core.runner.run_lists import (
+    apply_run_list,
+    count_event,
+    send_report,
+)
+from crocuswell_core.runner.runner_state import RunnerState, WorkerClock
+from crocuswell_core.runner.worker_calls import (
+    ConfirmBoot,
+    OtherWorker,
+    RunsListed,
+    WorkerHeartbeat,
+    WorkerReply,
+)
+from crocuswell_core.runtime.effects import CallWorker, Effect, EmitLogEvent, Label
+
+CONFIRM_RETRY_MS = 200
+# Workers send a heartbeat about every 1.5 s.
+CANDIDATE_RETENTION_MS = 3_000
+# Largest difference between the clock in a heartbeat and the worker's clock by
+# its newest list with which the heartbeat counts as one of this moment.
+MAX_CLOCK_DEVIATION_MS = 1_000
+
+
+def receive_heartbeat(state: RunnerState, heartbeat: WorkerHeartbeat) -> list[Effect]:
+    """Update the served boot, or ask the worker whether it is another one."""
+    served = state.heartbeat
+    if served is not None and served.is_of_same_boot(heartbeat):
+        if _is_outdated(state, served, heartbeat):
+            return []
+        state.heartbeat = heartbeat
+        return send_report(state) if served.draining != heartbeat.draining else []
+    if served is not None and heartbeat.born_ms < served.born_ms:
+        return []
+    state.candidate = heartbeat
+    state.candidate_ms = state.now_ms
+    return _ask_candidate(state, heartbeat)
+
+
+def _is_outdated(
+    state: RunnerState, served: WorkerHeartbeat, heartbeat: WorkerHeartbeat
+) -> bool:
+    """Tell whether a newer heartbeat of the boot was received before.
+
+    The sequence number decides, unless the clocks show that the number of the
+    earlier heartbeat was wrong.
+    """
+    if heartbeat.sequence > served.sequence:
+        return False
+    clock_ms = state.clock.clock_ms + state.now_ms - state.clock.read_ms
+    latest_ms = clock_ms + MAX_CLOCK_DEVIATION_MS
+    is_current = clock_ms - MAX_CLOCK_DEVIATION_MS <= heartbeat.clock_ms <= latest_ms
+    is_later = served.clock_ms < heartbeat.clock_ms or served.clock_ms > latest_ms
+    return not (is_current and is_later)
+
+
+def confirm_candidate(state: RunnerState) -> list[Effect]:
+    """Ask the worker again whether it is the candidate, if that is due."""
+    candidate = state.candidate
+    if candidate is None or state.now_ms < state.confirm_at_ms:
+        return []
+    if state.now_ms - state.candidate_ms > CANDIDATE_RETENTION_MS:
+        state.candidate = None
+        return []
+    return _ask_candidate(state, candidate)
+
+
+def _ask_candidate(state: RunnerState, candidate: WorkerHeartbeat) -> list[Effect]:
+    state.confirm_at_ms = state.now_ms + CANDIDATE_RETENTION_MS
+    return [CallWorker(ConfirmBoot(candidate, state.fence))]
+
+
+@singledispatch
+def settle_candidate(
+    reply: WorkerReply, state: RunnerState, heartbeat: WorkerHeartbeat
+) -> list[Effect]:
+    """Handle the answer to `ConfirmBoot`; ask again if there is none."""
+    state.confirm_at_ms = state.now_ms + CONFIRM_RETRY_MS
+    return []
+
+
+@settle_candidate.register
+def _(
+    reply: RunsListed, state: RunnerState, heartbeat: WorkerHeartbeat
+) -> list[Effect]:
+    if reply.born_ms not in (0, heartbeat.born_ms):
+        return _refuse_candidate(state, heartbeat)
+    served = state.heartbeat
+    if served is not None and (
+        served.is_of_same_boot(heartbeat) or heartbeat.born_ms < served.born_ms
+    ):
+        return []
+    crashed = witness_crash(state)
+    state.heartbeat = heartbeat
+    _reset_boot_state(state)
+    labels = (
+        Label("worker", heartbeat.id),
+        Label("born_ms", str(heartbeat.born_ms)),
+        Label("service", heartbeat.service),
+        Label("rack", heartbeat.rack),
+    )
+    registered = EmitLogEvent("worker_registered", labels)
+    return [*crashed, registered, *apply_run_list(state, reply)]
+
+
+@settle_candidate.register
+def _(
+    reply: OtherWorker, state: RunnerState, heartbeat: WorkerHeartbeat
+) -> list[Effect]:
+    return _refuse_candidate(state, heartbeat)
+
+
+def _refuse_candidate(state: RunnerState, heartbeat: WorkerHeartbeat) -> list[Effect]:
+    """Drop a heartbeat that does not come from the worker."""
+    if state.candidate is not None and state.candidate.is_of_same_boot(heartbeat):
+        state.candidate = None
+    count_event(state, "heartbeat refused")
+    labels = (
+        Label("worker", heartbeat.id),
+        Label("born_ms", str(heartbeat.born_ms)),
+        Label("service", heartbeat.service),
+    )
+    return [EmitLogEvent("heartbeat_refused", labels)]
+
+
+def _reset_boot_state(state: RunnerState) -> None:
+    """Reset what belongs to a boot; a new one has no runs, ends or lease."""
+    state.candidate = None
+    state.reachable = False
+    state.unreachable_since_ms = None
+    state.is_leaving = False
+    state.clock = WorkerClock()
+    state.lease_until_ms = 0
+    state.acknowledged_end = 0
+    state.list_in_flight = False
+    state.list_sent_ms = state.now_ms
+    state.next_list_ms = state.now_ms
+    state.running.clear()
+    state.confirmed_ms.clear()
+    state.ended = ()
+    state.starts.clear()
+    state.stops.clear()
+    state.absent.clear()
--- a/packages/core/crocuswell_core/runner/worker_calls.py
+++ b/packages/core/crocuswell_core/runner/worker_calls.py
@@ -4,6 +4,54 @@
 
 from crocuswell_core.jobs.job_records import ResourceVector, RunEnd, RunId, RunProgress
 
+# --- calls from the worker -----------------------------------------------
+
+
+@attrs.frozen
+class WorkerHeartbeat:
+    """A worker's heartbeat.
+
+    Attributes
+    ----------
+    address : str
+        `host:port` at which the worker accepts calls.
+    sequence : int
+        Increases with each heartbeat of a boot.
+    """
+
+    id: str
+    born_ms: int
+    sequence: int
+    address: str
+    service: str
+    zone: str
+    rack: str
+    labels: tuple[str, ...]
+    capacity: ResourceVector
+    clock_ms: int
+    draining: bool = False
+    remaining_ms: int = 0
+    warm_up_ms: int = 0
+
+    def is_of_same_boot(self, other: "WorkerHeartbeat") -> bool:
+        """Tell whether two heartbeats describe the same boot."""
+        return (self.id, self.born_ms) == (other.id, other.born_ms)
+
+
+@attrs.frozen
+class WorkerLeaving:
+    """A worker announces that it is terminating."""
+
+    id: str
+
+
+@attrs.frozen
+class WorkerCallAcknowledged:
+    """The call of the worker was received."""
+
+
+RunnerCall = WorkerHeartbeat | WorkerLeaving
+
 # --- calls to the worker -------------------------------------------------
 
 
@@ -60,7 +108,23 @@
     wait_ms: int = 0
 
 
-WorkerCall = StartOnWorker | StopOnWorker | ListRuns
+@attrs.frozen
+class ConfirmBoot:
+    """List the runs of a boot of which only a heartbeat is known.
+
+    Any process can send a heartbeat; only the boot itself answers this call.
+    """
+
+    heartbeat: WorkerHeartbeat
+    fence: int
+
+    @property
+    def worker(self) -> str:
+        """Id of the addressed worker."""
+        return self.heartbeat.id
+
+
+WorkerCall = StartOnWorker | StopOnWorker | ListRuns | ConfirmBoot
 
 # --- replies from the worker ---------------------------------------------
 
@@ -110,47 +174,3 @@
 
 
 WorkerReply = OrderAccepted | OrderRefused | RunsListed | OtherWorker | NoAnswer
-
-# --- calls from the worker -----------------------------------------------
-
-
-@attrs.frozen
-class WorkerHeartbeat:
-    """A worker's heartbeat.
-
-    Attributes
-    ----------
-    address : str
-        `host:port` at which the worker accepts calls.
-    sequence : int
-        Increases with each heartbeat of a boot.
-    """
-
-    id: str
-    born_ms: int
-    sequence: int
-    address: str
-    service: str
-    zone: str
-    rack: str
-    labels: tuple[str, ...]
-    capacity: ResourceVector
-    clock_ms: int
-    draining: bool = False
-    remaining_ms: int = 0
-    warm_up_ms: int = 0
-
-
-@attrs.frozen
-class WorkerLeaving:
-    """A worker announces that it is terminating."""
-
-    id: str
-
-
-@attrs.frozen
-class WorkerCallAcknowledged:
-    """The call of the worker was received."""
-
-
-RunnerCall = WorkerHeartbeat | WorkerLeaving
--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -45,6 +45,7 @@
 from crocuswell_core.links.uplink import Uplink
 from crocuswell_core.runner.runner_state import RunnerConfig, RunnerState
 from crocuswell_core.runner.worker_calls import (
+    ConfirmBoot,
     ListRuns,
     NoAnswer,
     OrderAccepted,
@@ -372,7 +373,8 @@
         if call.worker != worker.id:
             return OtherWorker()
         self._lapse(worker)
-        if self.now_ms < worker.unwell_until_ms and not isinstance(call, ListRuns):
+        is_order = isinstance(call, StartOnWorker | StopOnWorker)
+        if is_order and self.now_ms < worker.unwell_until_ms:
             self.faults["refused_order"] += 1
             return OrderRefused(0, "unwell")
         if call.fence < worker.fence:
@@ -414,6 +416,10 @@
         self._schedule(STOP_MS, stop)
         return OrderAccepted(self.now_ms)
 
+    @_obey.register
+    def _(self, call: ConfirmBoot, worker: Worker) -> WorkerReply:
+        return self._obey(ListRuns(call.worker, call.fence, 0), worker)
+
     @_obey.register
     def _(self, call: ListRuns, worker: Worker) -> WorkerReply:
         if call.lease_end_ms:
--- a/tests/test_job_fleet.py
+++ b/tests/test_job_fleet.py
@@ -172,6 +172,8 @@
         try:
             JobFleet(seed, evacuates).play(PLAY_MS)
         except (InvariantError, IndexError) as exc:
-            assert any(broken in str(exc) for broken in PLANTED[plant])
-            return
+            # Another violation, which a seed may have for its own reason, does
+            # not show that the fault is detected.
+            if any(broken in str(exc) for broken in PLANTED[plant]):
+                return
     pytest.fail("no seed detects the fault")
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -408,6 +408,47 @@
         parse_run_lists({"clock_ms": 1, "running": [row], "ended": []})
 
 
+@pytest.mark.parametrize(
+    "port", ["", "x", "0", "65536", "99999", "-1", "9" * 5_000, "\u0661"]
+)
+def test_heartbeat_with_a_port_out_of_range_is_refused(port) -> None:
+    """Guards against an address that no connection can be made to."""
+    body = {**HEARTBEAT, "address": f"10.128.0.9:{port}"}
+    with pytest.raises(BadBodyError, match="address"):
+        parse_heartbeat("i-1", json.dumps(body).encode())
+
+
+@pytest.mark.parametrize(
+    "key", ["sequence", "clock_ms", "born", "remaining_ms", "cold_remaining_ms"]
+)
+@pytest.mark.parametrize("value", ["1" + "0" * 400, "1" + "0" * 5_000, "1e999", "-1"])
+def test_heartbeat_with_a_number_out_of_range_is_refused(key, value) -> None:
+    """Guards against a number that a message cannot hold."""
+    text = json.dumps({**HEARTBEAT, key: "NUMBER"}).replace('"NUMBER"', value)
+    with pytest.raises(BadBodyError):
+        parse_heartbeat("i-1", text.encode())
+
+
+@pytest.mark.parametrize("depth", [1_000, 100_000])
+def test_deeply_nested_bodies_are_refused(depth) -> None:
+    """Guards against a body that exhausts the stack."""
+    text = json.dumps({**HEARTBEAT, "labels": "DEEP"})
+    deep = "[" * depth + "]" * depth
+    body = text.replace('"DEEP"', deep).encode()
+    with pytest.raises(BadBodyError):
+        parse_heartbeat("i-1", body)
+    config = json.dumps({**CONFIG, "a_new_field": "DEEP"}).replace('"DEEP"', deep)
+    with pytest.raises(BadBodyError):
+        parse_operator_call(HttpRequest("PUT", "/config", body=config.encode()))
+
+
+@pytest.mark.parametrize("worker_id", ["", "a b", "a\r\nX: 1", "\u00e9", "i" * 201])
+def test_worker_id_that_cannot_be_sent_in_a_header_is_refused(worker_id) -> None:
+    """Guards against calls to a worker that cannot be made."""
+    with pytest.raises(BadBodyError, match="id"):
+        parse_heartbeat(worker_id, json.dumps(HEARTBEAT).encode())
+
+
 @pytest.mark.parametrize("value", [2**53 + 1, 10**400])
 @pytest.mark.parametrize("key", ["estimated_ms", "cpu", "mem_mb", "gpus"])
 def test_amounts_out_of_range_are_refused(key, value) -> None:
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -1,5 +1,7 @@
 """Handlers of a runner: heartbeats, orders, leases and reports."""
 
+from typing import Any
+
 import attrs
 import pytest
 
@@ -15,6 +17,7 @@
 from crocuswell_core.links.uplink import Uplink
 from crocuswell_core.runner.runner_state import RunnerConfig, RunnerState
 from crocuswell_core.runner.worker_calls import (
+    ConfirmBoot,
     ListRuns,
     NoAnswer,
     OrderAccepted,
@@ -102,7 +105,7 @@
     def send_heartbeat(self, **changes) -> list[Effect]:
         return self.post(CallReceived(1, attrs.evolve(HEARTBEAT, **changes)))
 
-    def reply(self, kind: type, reply: WorkerReply) -> list[Effect]:
+    def reply(self, kind: Any, reply: WorkerReply) -> list[Effect]:
         """Answer the oldest open call of a kind."""
         call = next(call for call in self.calls if isinstance(call, kind))
         self.calls.remove(call)
@@ -111,7 +114,8 @@
     def reply_with_list(self, *running, ended=(), born_ms: int = 5) -> list[Effect]:
         clock_ms = WORKER_CLOCK_MS + self.now_ms
         listed = tuple(RunProgress(run, "", 10) for run in running)
-        return self.reply(ListRuns, RunsListed(clock_ms, born_ms, listed, tuple(ended)))
+        lists = RunsListed(clock_ms, born_ms, listed, tuple(ended))
+        return self.reply(ListRuns | ConfirmBoot, lists)
 
     def grant(self, **fields) -> list[Effect]:
         sequence = self.reports[-1].sequence
@@ -319,6 +323,7 @@
     """Guards against orders for an earlier boot that reach the new one."""
     runner.order(run_of("j"))
     runner.send_heartbeat(id="w2", born_ms=9, sequence=1)
+    runner.reply(ConfirmBoot, RunsListed(WORKER_CLOCK_MS, 9, (), ()))
     assert not runner.state.starts
     assert runner.state.acknowledged_end == 0
     runner.order(run_of("j"), worker=KEY)
