Leave out rows of run lists that name no run

What callers would see: one odd row in a worker's list of runs (a name that is none, a number too large, a nested list) made the worker unreachable for as long as the row was there; its runs were given up with its lease. A run number of 400 digits was read, and the report could not be sent to the leader.

Cause: the whole list was refused for one row, and numbers had no bound.

Change: rows that name no run are left out and counted (rows unread).

--- a/packages/core/crocuswell_core/runner/run_lists.py
+++ b/packages/core/crocuswell_core/runner/run_lists.py
@@ -80,7 +80,9 @@
     # The leader grants no lease while the worker is unreachable.
     changed = before != set(state.running) or bool(state.ended) or was_unreachable
     state.next_list_ms = state.now_ms
-    if state.ended:
+    if reply.unread_rows:
+        count_event(state, "rows unread")
+    if state.ended or reply.unread_rows:
         # The worker does not hold the list back while it has unacknowledged
         # ends, so an immediate call would only repeat this list.
         state.next_list_ms += state.cfg.end_ack_wait_ms
--- a/packages/core/crocuswell_core/runner/worker_calls.py
+++ b/packages/core/crocuswell_core/runner/worker_calls.py
@@ -152,12 +152,15 @@
     ----------
     born_ms : int
         Start of the answering boot in ms since the epoch; 0 if not given.
+    unread_rows : int
+        Number of rows that name no run and were left out.
     """
 
     clock_ms: int
     born_ms: int
     running: tuple[RunProgress, ...]
     ended: tuple[RunEnd, ...]
+    unread_rows: int = 0
 
 
 @attrs.frozen
