Choose another worker after a refused start

Cause: an absent run freed its task at once and left no trace of the refusal, and the idle worker suited the task best again.

Change: a worker that refuses a wanted start is left out of placements for 1 s, twice as long after each further refusal in a row, up to 8 s. Any run that began there ends the row.

--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -28,11 +28,14 @@
         Time in ms before which no new task is placed there.
     bar_count : int
         How often the worker was barred since the last success.
+    refused_starts : int
+        Starts in a row that the worker did not carry out.
     """
 
     failed_jobs: dict[str, None] = attrs.Factory(dict)
     barred_until_ms: int = 0
     bar_count: int = 0
+    refused_starts: int = 0
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/dispatching/health.py
+++ b/packages/core/crocuswell_core/dispatching/health.py
@@ -19,6 +19,8 @@
 FAILED_JOBS_LIMIT = 2
 # Doubles with each further bar, up to three times.
 BAR_BASE_MS = 6_000
+# Doubles with each further start that the worker refuses, up to three times.
+REFUSAL_BAR_MS = 1_000
 # Even the longest tasks on slow workers advance by one percent within this
 # time.
 STALL_TIMEOUT_MS = 2_500
@@ -42,6 +44,12 @@
 def record_run_end(state: EntryState, view: WorkerView, end: RunEnd) -> None:
     """Update a worker's failure history with the end of a run."""
     histories = state.dispatch.failure_histories
+    if end.kind is RunEndKind.ABSENT:
+        if _was_refused(state, view, end.run):
+            _bar_after_refusal(state, view)
+        return
+    if view.worker.id in histories:
+        histories[view.worker.id].refused_starts = 0
     if end.kind is RunEndKind.DONE:
         history = histories.get(view.worker.id)
         if history is None:
@@ -57,6 +65,23 @@
             bar_worker(state, view)
 
 
+def _was_refused(state: EntryState, view: WorkerView, run: RunId) -> bool:
+    """Tell whether a run that never started was meant to start."""
+    job = state.cluster.jobs.jobs.get(run.task.job_id)
+    is_wanted = job is not None and job.is_open and run not in state.dispatch.stopping
+    return is_wanted and not view.worker.draining
+
+
+def _bar_after_refusal(state: EntryState, view: WorkerView) -> None:
+    """Exclude a worker that refused a start, so that another one is chosen."""
+    history = state.dispatch.failure_histories.setdefault(
+        view.worker.id, FailureHistory()
+    )
+    bar_ms = REFUSAL_BAR_MS << min(history.refused_starts, 3)
+    history.barred_until_ms = max(history.barred_until_ms, state.now_ms + bar_ms)
+    history.refused_starts += 1
+
+
 def bar_worker(state: EntryState, view: WorkerView) -> None:
     """Exclude a worker from new placements for a while, longer each time."""
     if is_barred(state, view):
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -16,6 +16,7 @@
     LeaseGrant,
     Redirect,
     RunOrders,
+    WorkerDescription,
 )
 from crocuswell_core.runtime.effects import Effect, SendAgent
 from crocuswell_core.runtime.events import AgentMessageReceived, AgentStreamClosed
@@ -747,3 +748,52 @@
     sent = messages(leader.report(2, W1), LeaseGrant | RunOrders)  # type: ignore[arg-type]
     assert [type(message) for message in sent] == [LeaseGrant, RunOrders]
     assert sent[0].lease_ms == 6_000  # type: ignore[attr-defined]
+
+
+def refuse_start(leader: Leader, number: int) -> WorkerDescription:
+    """Report run `number` of job j as absent; return where it was placed."""
+    workers = {1: W1, 2: W2, 3: W3}
+    (stream_id,) = [s for s, each in workers.items() if leader.placed(each)]
+    absent = (run_of("j", number=number),)
+    leader.report(stream_id, workers[stream_id], absent=absent)
+    return workers[stream_id]
+
+
+def test_refused_start_is_tried_on_another_worker() -> None:
+    """Guards against a start that is repeated where it is refused."""
+    leader = Leader()
+    for stream_id, description in ((1, W1), (2, W2), (3, W3)):
+        leader.report(stream_id, description)
+    leader.submit("j", step(1, 8))
+    refusing = refuse_start(leader, 1)
+    leader.tick()
+    assert not leader.placed(refusing)
+    assert refuse_start(leader, 2) != refusing
+
+
+def test_worker_that_goes_on_refusing_starts_is_left_alone_for_longer() -> None:
+    """Guards against starts without an end on a worker that refuses them."""
+    leader = Leader()
+    leader.report(1, W1)
+    history = FailureHistory()
+    leader.state.dispatch.failure_histories[W1.id] = history
+    leader.submit("j", step(1, 8))
+    bars_ms = []
+    for number in range(1, 6):
+        refuse_start(leader, number)
+        bars_ms.append(history.barred_until_ms - leader.now_ms)
+        leader.tick()
+    assert bars_ms == [1_000, 2_000, 4_000, 8_000, 8_000]
+    ended = end_of(run_of("j", number=6), RunEndKind.LAPSED)
+    leader.report(1, W1, ended=[ended])
+    assert history.refused_starts == 0
+
+
+def test_start_that_was_withdrawn_is_not_held_against_the_worker() -> None:
+    """Guards against workers that are barred for the leader's own orders."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("j", step())
+    leader.propose(CancelJob("j", address(LONG)))
+    refuse_start(leader, 1)
+    assert W1.id not in leader.state.dispatch.failure_histories
