--- a/packages/core/crocuswell_core/consensus/consensus_state.py
+++ b/packages/core/crocuswell_core/consensus/consensus_state.py
@@ -70,6 +70,8 @@
         saved snapshot may stay in memory for hosts that lag behind.
     saved_snapshot_index : int
         Index of the newest saved snapshot.
+    unsaved_bytes : int
+        Size in bytes of the content of the entries applied since then.
     synced_index : int
         Highest index known to be durable on this host's disk.
     term_start_index : int
@@ -99,6 +101,7 @@
     snapshot_index: int = 0
     snapshot_term: int = 0
     saved_snapshot_index: int = 0
+    unsaved_bytes: int = 0
     synced_index: int = 0
     commit_index: int = 0
     applied_index: int = 0
--- a/packages/core/crocuswell_core/consensus/log_application.py
+++ b/packages/core/crocuswell_core/consensus/log_application.py
@@ -12,6 +12,7 @@
 from crocuswell_core.cluster.invariants import check_sample
 from crocuswell_core.cluster.outcomes import RECORD_RETENTION_MS
 from crocuswell_core.consensus.consensus_state import Role
+from crocuswell_core.consensus.content_sizes import content_bytes
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.policy.scheduling import schedule
 from crocuswell_core.runtime.dispatch import apply_command, notify, translate_effect
@@ -86,6 +87,7 @@
         entry = consensus.entries[consensus.applied_index - consensus.snapshot_index]
         applied = apply_entry(state.cluster, entry)
         consensus.applied_index += 1
+        consensus.unsaved_bytes += content_bytes(entry.proposal.command)
         # Metrics and log lines for an entry of an earlier term were emitted
         # by the leader of that term.
         is_current_term = entry.term == consensus.term
--- a/packages/core/crocuswell_core/consensus/snapshots.py
+++ b/packages/core/crocuswell_core/consensus/snapshots.py
@@ -10,6 +10,7 @@
     members,
 )
 from crocuswell_core.consensus.consensus_state import Membership, PeerProgress
+from crocuswell_core.consensus.content_sizes import content_bytes
 from crocuswell_core.consensus.peer_messages import AppendEntriesReply
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.runtime.dispatch import handle, notify
@@ -36,21 +37,39 @@
 def save_if_due(state: EntryState) -> list[Effect]:
     """Save a snapshot if enough entries were applied since the last one.
 
-    The newest `snapshot_entries // 2` applied entries stay in memory, so
-    that a host that lags slightly needs no snapshot.
+    The limit is on their number and on the size of their content. The newest
+    applied entries, up to half of either limit, stay in memory, so that a host
+    that lags slightly needs no snapshot.
     """
     consensus = state.consensus
     applied = consensus.applied_index
-    if applied - consensus.saved_snapshot_index <= state.cfg.snapshot_entries:
+    has_many = applied - consensus.saved_snapshot_index > state.cfg.snapshot_entries
+    if not has_many and consensus.unsaved_bytes <= state.cfg.snapshot_bytes:
         return []
     consensus.saved_snapshot_index = applied
-    keep_from = applied - state.cfg.snapshot_entries // 2
+    consensus.unsaved_bytes = 0
+    keep_from = _keep_from(state)
     effects = _save(state) if state.cfg.host.has_disk else []
     if keep_from > consensus.snapshot_index:
         consensus_log.compact_up_to(consensus, keep_from)
     return effects
 
 
+def _keep_from(state: EntryState) -> int:
+    """Return the index after which applied entries stay in memory."""
+    consensus = state.consensus
+    first = consensus.applied_index - state.cfg.snapshot_entries // 2
+    room = state.cfg.snapshot_bytes // 2
+    for index in range(consensus.applied_index, max(first, 0), -1):
+        entry = consensus_log.entry_at(consensus, index)
+        if entry is None:
+            break
+        room -= content_bytes(entry.proposal.command)
+        if room < 0:
+            return index
+    return first
+
+
 def _save(state: EntryState) -> list[Effect]:
     consensus = state.consensus
     index = consensus.applied_index
@@ -133,6 +152,7 @@
         consensus.synced_index = event.index
     consensus.synced_index = max(consensus.synced_index, event.index)
     consensus.saved_snapshot_index = event.index
+    consensus.unsaved_bytes = 0
     consensus.commit_index = event.index
     consensus.applied_index = event.index
     state.cluster = cast(ClusterState, event.state)
--- a/packages/core/crocuswell_core/entry/entry_state.py
+++ b/packages/core/crocuswell_core/entry/entry_state.py
@@ -37,6 +37,9 @@
         from the group; 0 for never.
     features : DispatchFeatures
         Optional parts of dispatching.
+    snapshot_entries, snapshot_bytes : int
+        Number of applied entries, and size in bytes of their content, after
+        which a snapshot is saved.
     append_entries : int
         Maximum number of entries in one `AppendEntries`; a host that lags
         behind gets the next ones when it acknowledges these.
@@ -60,6 +63,7 @@
     voter_target: int = 0
     forget_host_ms: int = 0
     snapshot_entries: int = 2_000
+    snapshot_bytes: int = 16_000_000
     replace_voter_ms: int = 30_000
     call_limit_ms: int = 30_000
     stop_limit_ms: int = 20_000
--- a/tests/group_harness.py
+++ b/tests/group_harness.py
@@ -123,6 +123,7 @@
     """Runs entry hosts in virtual time, in ms."""
 
     snapshot_entries = 2_000
+    snapshot_bytes = 16_000_000
 
     def __init__(self, seeds: tuple[str, ...]) -> None:
         self.seeds = seeds
@@ -153,6 +154,7 @@
             seeds=tuple(f"{seed}:2" for seed in self.seeds),
             founds_group=founder,
             snapshot_entries=self.snapshot_entries,
+            snapshot_bytes=self.snapshot_bytes,
         )
         state = EntryState(cfg, random.Random(f"{name}{disk.identity}"))
         running = Host(name, state, disk)
--- a/tests/test_group_forming.py
+++ b/tests/test_group_forming.py
@@ -96,6 +96,46 @@
         assert group.voters() == {group.member(name) for name in SEEDS}
 
 
+class SmallLogGroup(Group):
+    """A group whose logs hold little content."""
+
+    snapshot_bytes = 10_000
+
+
+def test_log_of_large_catalogs_is_bounded_by_its_size() -> None:
+    """Guards against hosts that outgrow their memory before a restart.
+
+    Their number of entries is far below that which makes a snapshot due.
+    """
+    group = SmallLogGroup(SEEDS)
+    for name in SEEDS:
+        group.start(name, founds=name == min(SEEDS))
+    group.run(3_000)
+    for version in range(1, 61):
+        group.propose(PutCatalog(catalog(version, document="x" * 1_000)))
+    for name in SEEDS:
+        catalogs = [
+            entry
+            for entry in group.hosts[name].state.consensus.entries
+            if isinstance(entry.proposal.command, PutCatalog)
+        ]
+        assert len(catalogs) <= 16
+        stored = [
+            entry
+            for entry in group.disks[name].entries
+            if isinstance(entry.proposal.command, PutCatalog)
+        ]
+        assert len(stored) <= 11
+    group.kill("c")
+    group.propose(PutCatalog(catalog(70, document="x" * 100_000)))
+    for name in ("a", "b"):
+        group.kill(name)
+    for name in SEEDS:
+        group.start(name)
+    group.run(CATCH_UP_MS)
+    assert {catalog_version(group, name) for name in SEEDS} == {70}
+
+
 def test_restarted_hosts_remain_the_same_voters() -> None:
     """Guards against a restarted host that joins as a second member."""
     group = formed_group()
