--- a/packages/daemon/crocuswell_daemon/setting_rules.py
+++ b/packages/daemon/crocuswell_daemon/setting_rules.py
@@ -14,6 +14,7 @@
 MAX_PORT = 65_535
 MAX_TIMING_MS = 3_600_000
 MAX_ENTRIES = 1_000_000
+MAX_BYTES = 1_000_000_000
 MAX_SEED = 2**63 - 1
 
 # In each pair the first time must be shorter than the second, or leases could
@@ -186,13 +187,20 @@
         )
 
 
+def _maximum_of(key: str) -> tuple[int, str]:
+    """Return the largest value of a key, and its unit for messages."""
+    if key.endswith("_ms"):
+        return MAX_TIMING_MS, " ms"
+    if key.endswith("_bytes"):
+        return MAX_BYTES, " bytes"
+    return MAX_ENTRIES, ""
+
+
 def _check_timing(
     timing: dict[str, int], cls: type, order: tuple[tuple[str, str], ...]
 ) -> None:
     for key, value in timing.items():
-        is_time = key.endswith("_ms")
-        maximum = MAX_TIMING_MS if is_time else MAX_ENTRIES
-        unit = " ms" if is_time else ""
+        maximum, unit = _maximum_of(key)
         if not 1 <= value <= maximum:
             raise Mismatch(key, str(value), f"1 to {maximum}{unit}")
     defaults = {field.name: field.default for field in attrs.fields(cls)}
