Give back what urgent work borrows of a guarantee

Cause: a run could be stopped only for a queue of a smaller priority, so that urgent runs were never stopped.

Change: when stopping less urgent runs does not make room for a guaranteed step, the preemption is chosen once more and may then stop urgent runs of workspaces whose open urgent jobs need more than their guarantee. Other decisions are as before. Steps with a limit on absences are still never stopped, so a guarantee that such work borrows is not given back.

--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -190,16 +190,16 @@
     """Preempt runs for an urgent step, or limit backfill for a waiting one."""
     ranked = waiting.ranked
     effects: list[Effect] = []
-    if not ranked.may_preempt:
-        preemption = None
-    elif state.cfg.features.weighed_preemption and not ranked.step.long_running:
-        weighing = weigh_preemption(state, waiting, fitting)
-        preemption = weighing.preemption
-        effects += note_withheld(state, ranked, weighing)
-    else:
-        preemption = choose_preemption(state, waiting, fitting)
-        if preemption and preemption.cost > ranked.preemption_limit_core_s:
-            preemption = None
+    preemption = None
+    if ranked.may_preempt:
+        preemption, effects = _find_preemption(state, waiting, fitting)
+    if preemption is None and ranked.is_guaranteed:
+        # Less urgent work does not make enough room: the step takes back what
+        # urgent work of others uses beyond their guarantees.
+        reclaiming = attrs.evolve(ranked, reclaims=True)
+        again = attrs.evolve(waiting, ranked=reclaiming)
+        preemption, more_effects = _find_preemption(state, again, fitting)
+        effects += more_effects
     if preemption is None:
         if ranked.limits_backfill:
             limit_backfill(state, waiting, fitting)
@@ -215,6 +215,20 @@
     return [*effects, *_preempt_runs(state, ranked, preemption)]
 
 
+def _find_preemption(
+    state: EntryState, waiting: WaitingStep, fitting: FittingWorkers
+) -> tuple[Preemption | None, list[Effect]]:
+    """Return the runs to stop for a step, None if it waits, with log lines."""
+    ranked = waiting.ranked
+    if state.cfg.features.weighed_preemption and not ranked.step.long_running:
+        weighing = weigh_preemption(state, waiting, fitting)
+        return weighing.preemption, note_withheld(state, ranked, weighing)
+    preemption = choose_preemption(state, waiting, fitting)
+    if preemption and preemption.cost > ranked.preemption_limit_core_s:
+        return None, []
+    return preemption, []
+
+
 def _report_unfit_claim(state: EntryState, waiting: WaitingStep) -> list[Effect]:
     """Report an urgent step that no longer fits because of an evacuation."""
     dispatch, ranked = state.dispatch, waiting.ranked
--- a/packages/core/crocuswell_core/dispatching/preemption_groups.py
+++ b/packages/core/crocuswell_core/dispatching/preemption_groups.py
@@ -8,8 +8,10 @@
 from crocuswell_core.dispatching.fleet import CandidateWorker, FittingWorkers
 from crocuswell_core.dispatching.indexing import accepts_tasks
 from crocuswell_core.dispatching.packing import by_rack, exclude_failed_workers
+from crocuswell_core.dispatching.victims import may_stop
 from crocuswell_core.dispatching.waiting_steps import RankedStep
 from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.jobs.job_records import ResourceVector, RunId
 
 # Bounds the workers and racks whose runs are compared one by one.
 MIN_PREEMPTION_WORKERS = 16
@@ -39,9 +41,27 @@
         if priority > ranked.priority:
             available = available + work.demand
             cost += work.lost_core_s(state.cluster.now_ms)
+    if ranked.reclaims and ranked.priority in candidate.preemptible:
+        available = available + _reclaimable(state, ranked, candidate)
+        work = candidate.preemptible[ranked.priority]
+        cost += work.lost_core_s(state.cluster.now_ms)
     return RoomEstimate(available.max_copies(ranked.step.demand), cost)
 
 
+def _reclaimable(
+    state: EntryState, ranked: RankedStep, candidate: CandidateWorker
+) -> ResourceVector:
+    """Return what runs of the same priority use that may be stopped."""
+    table = state.cluster.jobs
+    room = ResourceVector()
+    for task_id, number in table.placed.get(candidate.key, {}).items():
+        queue = table.queue_of(table.jobs[task_id.job_id])
+        is_equal = queue is not None and queue.priority == ranked.priority
+        if is_equal and may_stop(state, ranked, RunId(task_id, number)):
+            room = room + candidate.placed[task_id]
+    return room
+
+
 def promising_groups(
     state: EntryState, ranked: RankedStep, candidates: list[CandidateWorker]
 ) -> list[list[CandidateWorker]]:
--- a/packages/core/crocuswell_core/dispatching/victims.py
+++ b/packages/core/crocuswell_core/dispatching/victims.py
@@ -3,9 +3,10 @@
 import attrs
 
 from crocuswell_core.dispatching.fleet import CandidateWorker
+from crocuswell_core.dispatching.ranking import is_guaranteed
 from crocuswell_core.dispatching.waiting_steps import RankedStep
 from crocuswell_core.entry.entry_state import EntryState
-from crocuswell_core.jobs.job_records import ResourceVector, RunId
+from crocuswell_core.jobs.job_records import Job, ResourceVector, RunId
 
 # Time that a preempted run takes to restart, in addition to its lost work.
 RESUME_COST_S = 0.5
@@ -43,18 +44,26 @@
 def may_stop(state: EntryState, ranked: RankedStep, run: RunId) -> bool:
     """Tell whether a run may be stopped for a step.
 
-    It is less urgent, need not stay available, and is not being stopped.
+    It is less urgent or borrows what the step reclaims, need not stay
+    available, and is not being stopped.
     """
     table = state.cluster.jobs
     job = table.jobs[run.task.job_id]
     queue = table.queue_of(job)
-    if queue is None or queue.priority <= ranked.priority:
+    if queue is None or queue.priority < ranked.priority:
+        return False
+    if queue.priority == ranked.priority and not _may_reclaim(state, ranked, job):
         return False
     if run in state.dispatch.stopping:
         return False
     return not job.steps[run.task.step].max_unavailable
 
 
+def _may_reclaim(state: EntryState, ranked: RankedStep, job: Job) -> bool:
+    """Tell whether a job of the same priority has to give room back."""
+    return ranked.reclaims and not is_guaranteed(state, job.owner)
+
+
 def core_equivalents(demand: ResourceVector) -> float:
     """Return a demand in processor cores, never zero."""
     return max(demand.core_equivalents, 0.001)
--- a/packages/core/crocuswell_core/dispatching/waiting_steps.py
+++ b/packages/core/crocuswell_core/dispatching/waiting_steps.py
@@ -1,5 +1,7 @@
 """The steps that have tasks to start, in order of priority."""
 
+import math
+
 import attrs
 
 from crocuswell_core.dispatching.backlog import Backlog
@@ -42,6 +44,9 @@
         Whether the job has enough slack for the step to start later.
     limits_backfill : bool
         Whether resources are kept free for it while it waits.
+    reclaims : bool
+        Whether urgent runs of workspaces beyond their guarantee may be stopped
+        for it too.
     """
 
     key: StepKey
@@ -60,6 +65,12 @@
     preemption_limit_core_s: float
     is_deferrable: bool
     limits_backfill: bool
+    reclaims: bool = False
+
+    @property
+    def is_guaranteed(self) -> bool:
+        """Whether its workspace's guarantee covers it."""
+        return math.isinf(self.preemption_limit_core_s)
 
     @property
     def done(self) -> int:
--- a/packages/core/crocuswell_core/dispatching/weighed_preemption.py
+++ b/packages/core/crocuswell_core/dispatching/weighed_preemption.py
@@ -6,7 +6,6 @@
 """
 
 import enum
-import math
 
 import attrs
 
@@ -144,7 +143,7 @@
     @property
     def is_guaranteed(self) -> bool:
         """Whether the step must start soon, whatever that costs."""
-        return math.isinf(self.ranked.preemption_limit_core_s)
+        return self.ranked.is_guaranteed
 
     def path_ms(self, pace: float) -> float:
         """Return the time in ms from the step's start to the job's end."""
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -4,12 +4,14 @@
 import pytest
 
 from crocuswell_core.dispatching.dispatch_state import FailureHistory
-from crocuswell_core.jobs.job_commands import CancelJob, PutCatalog
+from crocuswell_core.jobs.catalog import CatalogWorkspace
+from crocuswell_core.jobs.job_commands import CancelJob, PutCatalog, SubmitJob
 from crocuswell_core.jobs.job_records import (
     ResourceVector,
     RunEndKind,
     RunId,
     RunProgress,
+    StepSpec,
     TaskId,
 )
 from crocuswell_core.links.link_messages import (
@@ -797,3 +799,84 @@
     leader.propose(CancelJob("j", address(LONG)))
     refuse_start(leader, 1)
     assert W1.id not in leader.state.dispatch.failure_histories
+
+
+TENANTS = (
+    CatalogWorkspace("tisk", ("key-a",), 1, 16),
+    CatalogWorkspace("lender", ("key-b",), 1, 8),
+    CatalogWorkspace("other", ("key-c",), 1, 8),
+)
+
+
+def submit_urgent(leader: Leader, job_id: str, key: str, *steps: StepSpec) -> None:
+    leader.propose(SubmitJob(job_id, address(URGENT, key), "work", steps))
+
+
+def borrowing_leader(**fields: object) -> Leader:
+    """Return a leader on whose three workers tisk has borrowed 8 of 24."""
+    leader = Leader()
+    leader.propose(PutCatalog(catalog(workspaces=TENANTS)))
+    for stream_id, description in ((1, W1), (2, W2), (3, W3)):
+        leader.report(stream_id, description)
+    submit_urgent(leader, "big", "key-a", step(3, 8, **fields))
+    for stream_id, description in ((1, W1), (2, W2), (3, W3)):
+        running = running_progress(leader, description)
+        leader.report(stream_id, description, running=running)
+    assert len(running_progress(leader, W3)) == 1
+    return leader
+
+
+def stopped_jobs(leader: Leader) -> list[str]:
+    return [run.task.job_id for run in leader.state.dispatch.stopping]
+
+
+@pytest.mark.parametrize("long_running", [False, True])
+def test_guaranteed_work_reclaims_what_urgent_work_borrows(long_running) -> None:
+    """Guards against a guarantee that other urgent work keeps."""
+    leader = borrowing_leader(long_running=long_running)
+    submit_urgent(leader, "j", "key-b", step(1, 8))
+    assert stopped_jobs(leader) == ["big"]
+    (stopped,) = leader.state.dispatch.stopping
+    placed = {1: W1, 2: W2, 3: W3}
+    (stream_id,) = [
+        number for number, w in placed.items() if stopped.task in leader.placed(w)
+    ]
+    ended = end_of(stopped, RunEndKind.STOPPED)
+    leader.report(stream_id, placed[stream_id], ended=[ended])
+    assert list(leader.placed(placed[stream_id])) == [TaskId("j", 0, 0)]
+
+
+def test_urgent_work_within_guarantees_is_never_reclaimed() -> None:
+    """Guards against guaranteed work that is stopped for other work."""
+    leader = Leader()
+    leader.propose(PutCatalog(catalog(workspaces=TENANTS)))
+    leader.report(1, W1)
+    submit_urgent(leader, "mine", "key-c", step(1, 8))
+    leader.report(1, W1, running=running_progress(leader, W1))
+    submit_urgent(leader, "j", "key-b", step(1, 8))
+    assert not leader.state.dispatch.stopping
+
+
+def test_urgent_work_beyond_its_guarantee_reclaims_nothing() -> None:
+    """Guards against borrowers that stop each other in turn."""
+    leader = borrowing_leader()
+    submit_urgent(leader, "j", "key-b", step(2, 8))
+    assert not leader.state.dispatch.stopping
+
+
+def test_less_urgent_work_gives_way_before_urgent_work_does() -> None:
+    """Guards against urgent work that is stopped without need."""
+    leader = borrowing_leader()
+    w4 = worker("w4", rack="r1-2")
+    leader.report(4, w4)
+    leader.propose(SubmitJob("tight", address(TIGHT), "work", (step(1, 8),)))
+    leader.report(4, w4, running=running_progress(leader, w4, percent=50))
+    submit_urgent(leader, "j", "key-b", step(1, 8))
+    assert stopped_jobs(leader) == ["tight"]
+
+
+def test_work_that_must_stay_available_is_not_reclaimed() -> None:
+    """Guards against lasting work that is stopped beyond its limit."""
+    leader = borrowing_leader(long_running=True, max_unavailable=1)
+    submit_urgent(leader, "j", "key-b", step(1, 8))
+    assert not leader.state.dispatch.stopping
