--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 STEPS ?= 200000
 
-.PHONY: platform-day setup format lint test soak soak-platform soak-jobs model demo demo-kill failures rolling tour bench bench-ablations bench-dispatch bench-agent capacity clean
+.PHONY: platform-day setup format lint test soak soak-platform soak-jobs soak-refusals model demo demo-kill failures rolling tour bench bench-ablations bench-dispatch bench-agent capacity clean
 
 setup: $(VENV)/.ready
 
@@ -39,6 +39,10 @@
 soak-jobs: setup
 	$(BIN)/python -m scripts.soak --jobs --seed $(SEED) --steps $(STEPS)
 
+# The same with workers that refuse orders for some seconds at a time.
+soak-refusals: setup
+	$(BIN)/python -m scripts.soak --refusals --seed $(SEED) --steps $(STEPS)
+
 bench: setup
 	$(BIN)/python bench/agent_memory.py
 	$(BIN)/python -m bench
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,7 +1,8 @@
 """Run the consensus protocol under random faults and check its invariants.
 
 With `--platform`, the simulation includes agents, backend servers and
-callers; with `--jobs`, control hosts, runners, workers and callers of jobs.
+callers; with `--jobs`, control hosts, runners, workers and callers of jobs;
+with `--refusals`, the same with workers that refuse orders at times.
 
 Runs consecutive seeds, each for at most `STEPS_PER_SEED` steps, until
 `--steps` are done. A seed replays exactly with the same number of steps.
@@ -15,7 +16,7 @@
 from typing import Any
 
 from tests.consensus_checks import run_seed
-from tests.job_fleet import run_jobs_seed
+from tests.job_fleet import run_jobs_seed, run_refusals_seed
 from tests.platform_simulator import run_platform_seed
 
 STEPS_PER_SEED = 20_000
@@ -27,6 +28,7 @@
     parser.add_argument("--steps", type=int, default=200_000)
     parser.add_argument("--platform", action="store_true")
     parser.add_argument("--jobs", action="store_true")
+    parser.add_argument("--refusals", action="store_true")
     args = parser.parse_args()
     run: Callable[[int, int], Any] = run_seed
     target = "soak"
@@ -34,6 +36,8 @@
         run, target = run_platform_seed, "soak-platform"
     elif args.jobs:
         run, target = run_jobs_seed, "soak-jobs"
+    elif args.refusals:
+        run, target = run_refusals_seed, "soak-refusals"
     faults: Counter[str] = Counter()
     steps = seeds = violations = 0
     while steps < args.steps:
--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -127,14 +127,19 @@
         return f"{self.name}-{self.born_ms}"
 
 
-def run_jobs_seed(seed: int, steps: int) -> "JobFleet":
+def run_jobs_seed(seed: int, steps: int, refuses: bool = False) -> "JobFleet":
     """Play one seed; `steps` is the number of events it counts as."""
-    fleet = JobFleet(seed)
+    fleet = JobFleet(seed, refuses=refuses)
     fleet.play(PLAY_MS)
     fleet.steps = steps
     return fleet
 
 
+def run_refusals_seed(seed: int, steps: int) -> "JobFleet":
+    """Play one seed with workers that refuse orders at times."""
+    return run_jobs_seed(seed, steps, refuses=True)
+
+
 class JobFleet(Group):
     """Processes, workers and callers under random faults.
 
