Fail no job for an attempt limit that an operator changes

Since a catalog that lowers a limit failed jobs whose waiting task had used that many attempts. Nobody had asked for it, and their callers were told of a failure though nothing had failed again.

Change: only jobs whose limit was not known are held against one that becomes known, for which this was written.

--- a/packages/core/crocuswell_core/jobs/job_command_handlers.py
+++ b/packages/core/crocuswell_core/jobs/job_command_handlers.py
@@ -1,5 +1,6 @@
 """Handlers of the commands on jobs and the catalog."""
 
+from collections.abc import Iterator
 from itertools import takewhile
 
 from crocuswell_core.cluster.cluster_state import ClusterState
@@ -63,12 +64,12 @@
         return ApplyResult(CatalogInForce(current.version))
     if current is not None and new.version < current.version:
         return ApplyResult(CatalogInForce(current.version))
-    limits = _attempt_limits(table)
+    unlimited = [job for job in _open_jobs(table) if table.queue_of(job) is None]
     _keep_removed_queues(table, new)
     table.catalog = new
     table.catalog_ms = cluster.now_ms
     table.revision += 1
-    ended = _fail_exhausted_jobs(cluster, limits)
+    ended = [effect for job in unlimited for effect in _apply_limit(cluster, job)]
     log = EmitLogEvent(
         "catalog_replaced",
         (
@@ -86,7 +87,7 @@
     known = dict(table.removed_queues)
     if table.catalog is not None:
         known |= table.catalog.queues_by_name
-    needed = {job.queue for job in table.jobs.values() if job.is_open}
+    needed = {job.queue for job in _open_jobs(table)}
     table.removed_queues = {
         name: queue
         for name, queue in known.items()
@@ -94,28 +95,14 @@
     }
 
 
-def _attempt_limits(table: JobTable) -> dict[str, int]:
-    """Return the known attempt limits of the open jobs' queues by name."""
-    queues = (table.queue_of(job) for job in table.jobs.values() if job.is_open)
-    return {queue.name: queue.attempt_limit for queue in queues if queue is not None}
+def _open_jobs(table: JobTable) -> Iterator[Job]:
+    return (job for job in table.jobs.values() if job.is_open)
 
 
-def _fail_exhausted_jobs(
-    cluster: ClusterState, earlier_limits: dict[str, int]
-) -> list[ClusterEffect]:
-    """Fail the jobs that a changed attempt limit leaves without an attempt.
-
-    A task that is at work keeps its attempt.
-    """
-    table = cluster.jobs
-    limits = _attempt_limits(table)
-    changed = {name for name, n in limits.items() if earlier_limits.get(name) != n}
-    effects: list[ClusterEffect] = []
-    for job in table.jobs.values():
-        if job.is_open and job.queue in changed:
-            waiting = table.tasks_in_phase(job, TaskPhase.WAITING)
-            effects += fail_exhausted_job(cluster, job, [id_ for id_, _ in waiting])
-    return effects
+def _apply_limit(cluster: ClusterState, job: Job) -> tuple[ClusterEffect, ...]:
+    """Fail a job whose limit was not known if it has no attempt left."""
+    waiting = cluster.jobs.tasks_in_phase(job, TaskPhase.WAITING)
+    return fail_exhausted_job(cluster, job, [id_ for id_, _ in waiting])
 
 
 def resolve_queue(cluster: ClusterState, address: QueueAddress) -> Refused | str:
