Look for urgent runs to reclaim only if somebody borrows

Since each look at a guaranteed step without room walked over the urgent runs of all workers a second time, also when no workspace was beyond its guarantee, so that nothing could be found; and a line preemption_withheld could precede the preemption that was made.

Change: the kept demand of the workspaces tells whether any exceeds its guarantee, and lines of the first look are dropped if the second finds runs.

Result: decisions are as before; the tests of reclaimed runs pass unchanged.

--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -29,7 +29,7 @@
 )
 from crocuswell_core.dispatching.preemption import Preemption, choose_preemption
 from crocuswell_core.dispatching.preemption_log import balance_labels, note_withheld
-from crocuswell_core.dispatching.ranking import find_due_jobs
+from crocuswell_core.dispatching.ranking import find_due_jobs, has_borrowers
 from crocuswell_core.dispatching.trials import awaits_trial, end_trials, runs_alone
 from crocuswell_core.dispatching.waiting_steps import RankedStep, WaitingStep
 from crocuswell_core.dispatching.weighed_preemption import weigh_preemption
@@ -193,13 +193,13 @@
     preemption = None
     if ranked.may_preempt:
         preemption, effects = _find_preemption(state, waiting, fitting)
-    if preemption is None and ranked.is_guaranteed:
+    if preemption is None and ranked.is_guaranteed and has_borrowers(state):
         # Less urgent work does not make enough room: the step takes back what
         # urgent work of others uses beyond their guarantees.
         reclaiming = attrs.evolve(ranked, reclaims=True)
         again = attrs.evolve(waiting, ranked=reclaiming)
         preemption, more_effects = _find_preemption(state, again, fitting)
-        effects += more_effects
+        effects = more_effects if preemption else [*effects, *more_effects]
     if preemption is None:
         if ranked.limits_backfill:
             limit_backfill(state, waiting, fitting)
--- a/packages/core/crocuswell_core/dispatching/ranking.py
+++ b/packages/core/crocuswell_core/dispatching/ranking.py
@@ -114,6 +114,12 @@
     )
 
 
+def has_borrowers(state: EntryState) -> bool:
+    """Tell whether urgent jobs of any workspace exceed its guarantee."""
+    demands = state.dispatch.waiting.demand_by_workspace
+    return any(demands[name] and not is_guaranteed(state, name) for name in demands)
+
+
 def _urgent_demand(state: EntryState, job_id: str) -> UrgentDemand | None:
     table = state.cluster.jobs
     job = table.jobs.get(job_id)
