Bar a worker after a refused start only on the runner's word

Since every run that was absent though wanted counted as refused. A member of a gang whose mate was lost, an order that was held up past its grant and one that was outdated leave the same trace, so sound workers were left out of placements for 1 s to 8 s.

Change: the adapter says whether the worker was unable (503, 429, no room), the runner reports which absent runs it refused for that (WorkerReport.refused, a new last field), and only these bar the worker. A refused stop is repeated after 250 ms to 1 s, so that a worker that sheds load is not pressed by all of its runs.

--- a/packages/core/crocuswell_core/dispatching/health.py
+++ b/packages/core/crocuswell_core/dispatching/health.py
@@ -19,7 +19,8 @@
 FAILED_JOBS_LIMIT = 2
 # Doubles with each further bar, up to three times.
 BAR_BASE_MS = 6_000
-# Doubles with each further start that the worker refuses, up to three times.
+# Doubles with each further start that the worker cannot carry out, up to three
+# times.
 REFUSAL_BAR_MS = 1_000
 # Even the longest tasks on slow workers advance by one percent within this
 # time.
@@ -44,11 +45,7 @@
 def record_run_end(state: EntryState, view: WorkerView, end: RunEnd) -> None:
     """Update a worker's failure history with the end of a run."""
     histories = state.dispatch.failure_histories
-    if end.kind is RunEndKind.ABSENT:
-        if _was_refused(state, view, end.run):
-            _bar_after_refusal(state, view)
-        return
-    if view.worker.id in histories:
+    if end.kind is not RunEndKind.ABSENT and view.worker.id in histories:
         histories[view.worker.id].refused_starts = 0
     if end.kind is RunEndKind.DONE:
         history = histories.get(view.worker.id)
@@ -65,15 +62,8 @@
             bar_worker(state, view)
 
 
-def _was_refused(state: EntryState, view: WorkerView, run: RunId) -> bool:
-    """Tell whether a run that never started was meant to start."""
-    job = state.cluster.jobs.jobs.get(run.task.job_id)
-    is_wanted = job is not None and job.is_open and run not in state.dispatch.stopping
-    return is_wanted and not view.worker.draining
-
-
-def _bar_after_refusal(state: EntryState, view: WorkerView) -> None:
-    """Exclude a worker that refused a start, so that another one is chosen."""
+def bar_after_refusal(state: EntryState, view: WorkerView) -> None:
+    """Exclude a worker that was unable to start a run for a while."""
     history = state.dispatch.failure_histories.setdefault(
         view.worker.id, FailureHistory()
     )
--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -272,6 +272,8 @@
             continue
         view.absent.add(run)
         ends.append(RunEnd(0, run, RunEndKind.ABSENT))
+        if run in message.refused:
+            health.bar_after_refusal(state, view)
     if not ends:
         return []
     for end in ends:
--- a/packages/core/crocuswell_core/links/link_messages.py
+++ b/packages/core/crocuswell_core/links/link_messages.py
@@ -130,6 +130,8 @@
     crashes : tuple of WorkerCrash
         Crashes of earlier boots that are not known to be recorded, oldest
         first.
+    refused : tuple of RunId
+        Those of `absent` that the worker was unable to start.
     """
 
     sequence: int
@@ -143,6 +145,7 @@
     list_number: int = 0
     events: tuple[CounterValue, ...] = ()
     crashes: tuple[WorkerCrash, ...] = ()
+    refused: tuple[RunId, ...] = ()
 
 
 ClientMessage = Attach | LinkKeepalive | ForwardCall | JoinGroup | WorkerReport
--- a/packages/core/crocuswell_core/runner/run_lists.py
+++ b/packages/core/crocuswell_core/runner/run_lists.py
@@ -104,9 +104,12 @@
         del state.stops[run]
         if run not in ended:
             state.absent[run] = state.now_ms
+            if stop.is_after_refusal:
+                state.refused.add(run)
     for run, since_ms in list(state.absent.items()):
         if state.now_ms - since_ms > ABSENT_RETENTION_MS:
             del state.absent[run]
+            state.refused.discard(run)
 
 
 def list_runs_if_due(state: RunnerState) -> list[Effect]:
@@ -182,5 +185,6 @@
         list_number=state.list_number,
         events=_changed_events(state),
         crashes=state.crashes,
+        refused=tuple(run for run in state.absent if run in state.refused),
     )
     return uplink_stream.send(state.uplink, state.now_ms, message)
--- a/packages/core/crocuswell_core/runner/run_orders.py
+++ b/packages/core/crocuswell_core/runner/run_orders.py
@@ -74,7 +74,7 @@
     return state.cfg.may_be_evacuated and age_ms > MAX_CONTACT_AGE_MS
 
 
-def _may_be_reborn(state: RunnerState) -> bool:
+def _may_have_restarted(state: RunnerState) -> bool:
     """Tell whether another boot of the same id may take the starts.
 
     Orders name the worker's id only.
@@ -92,7 +92,7 @@
     if (
         state.granted_until_ms - state.now_ms < MIN_REMAINING_GRANT_MS
         or _may_be_withdrawn(state)
-        or _may_be_reborn(state)
+        or _may_have_restarted(state)
         or not state.clock.read_ms
     ):
         return []
--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -94,6 +94,7 @@
 
 RUNNER_TICK_MS = 100
 LIST_RETRY_MS = 200
+MAX_STOP_RETRY_MS = 1_000
 
 
 @handle.register
@@ -291,7 +292,8 @@
         # A repeated call for the same run may still reach the worker; the stop
         # makes the worker refuse it.
         del state.starts[call.run]
-        state.stops.setdefault(call.run, StopOrder())
+        stop = StopOrder(is_after_refusal=reply.is_unable)
+        state.stops.setdefault(call.run, stop)
         return [*effects, *send_due_stops(state)]
     start.phase = OrderPhase.WAITING
     start.was_sent = start.was_sent or _may_have_been_carried_out(reply)
@@ -313,14 +315,27 @@
     # A worker that refused the stop may still carry out a start that had no
     # answer, so that the run counts as absent only once a stop was taken.
     stop.phase = OrderPhase.WAITING
-    stop.retry_at_ms = state.now_ms + state.cfg.call_retry_ms
-    if stop.was_logged:
+    stop.retry_at_ms = state.now_ms + _retry_delay_ms(reply, state, stop)
+    stop.failed_calls += 1
+    if stop.failed_calls > 1:
         return []
-    stop.was_logged = True
     labels = (*run_labels(call.run), Label("reply", _reply_reason(reply)))
     return [EmitLogEvent("stop_not_taken", labels)]
 
 
+@singledispatch
+def _retry_delay_ms(reply: WorkerReply, state: RunnerState, stop: StopOrder) -> int:
+    """Return the time in ms after which a stop is repeated."""
+    return state.cfg.call_retry_ms
+
+
+@_retry_delay_ms.register
+def _(reply: OrderRefused, state: RunnerState, stop: StopOrder) -> int:
+    # A worker that sheds load is not pressed with the stops of all its runs.
+    delay_ms = state.cfg.call_retry_ms << min(stop.failed_calls, 2)
+    return min(delay_ms, MAX_STOP_RETRY_MS)
+
+
 @_handle_worker_reply.register
 def _(call: ListRuns, state: RunnerState, reply: WorkerReply) -> list[Effect]:
     state.list_in_flight = False
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -85,14 +85,17 @@
     list_predates_reply : bool
         Whether the run list in flight was requested before the worker
         answered the stop, so that it may not show the stop's effect.
-    was_logged : bool
-        Whether a log line says that the worker did not take the stop.
+    failed_calls : int
+        Calls that the worker refused or did not answer.
+    is_after_refusal : bool
+        Whether it settles a start that the worker was unable to carry out.
     """
 
     phase: OrderPhase = OrderPhase.WAITING
     retry_at_ms: int = 0
     list_predates_reply: bool = False
-    was_logged: bool = False
+    failed_calls: int = 0
+    is_after_refusal: bool = False
 
 
 @attrs.define
@@ -139,6 +142,8 @@
     confirmed_ms : dict
         Time in ms at which the worker confirmed a run, for all runs that may
         be on it.
+    refused : set of RunId
+        Absent runs whose start the worker was unable to carry out.
     crashes : tuple of WorkerCrash
         Crashes of earlier boots that are not known to be recorded.
     events, events_sent : dict
@@ -176,6 +181,7 @@
     starts: dict[RunId, StartOrder] = attrs.Factory(dict)
     stops: dict[RunId, StopOrder] = attrs.Factory(dict)
     absent: dict[RunId, int] = attrs.Factory(dict)
+    refused: set[RunId] = attrs.Factory(set)
     events: dict[str, int] = attrs.Factory(dict)
     events_sent: dict[str, int] = attrs.Factory(dict)
     stopping_since_ms: int | None = None
--- a/packages/core/crocuswell_core/runner/worker_boots.py
+++ b/packages/core/crocuswell_core/runner/worker_boots.py
@@ -1,6 +1,6 @@
 """Which boot of the local worker a runner serves.
 
-Heartbeats may come from another writer. A runner serves a boot only once the
+Heartbeats may come from other processes. A runner serves a boot only once the
 process at the worker's address has answered as that boot.
 """
 
@@ -149,3 +149,4 @@
     state.starts.clear()
     state.stops.clear()
     state.absent.clear()
+    state.refused.clear()
--- a/packages/core/crocuswell_core/runner/worker_calls.py
+++ b/packages/core/crocuswell_core/runner/worker_calls.py
@@ -138,10 +138,18 @@
 
 @attrs.frozen
 class OrderRefused:
-    """The worker refused the order and did nothing."""
+    """The worker refused the order and did nothing.
+
+    Attributes
+    ----------
+    is_unable : bool
+        Whether the worker cannot carry it out now, being unwell or full;
+        otherwise the order itself is outdated or invalid.
+    """
 
     clock_ms: int
     reason: str
+    is_unable: bool = False
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/test_worker_client.py
@@ -0,0 +1,69 @@
+"""Answers of a worker, as the client for it reads them."""
+
+import json
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from queue import Queue
+from typing import Any
+
+import pytest
+
+from crocuswell_core.runner.worker_calls import OrderRefused, StartOnWorker
+from crocuswell_platform.worker_client import WorkerClient
+from tests.job_harness import run_of
+
+ANSWER_S = 5.0
+
+
+@contextmanager
+def worker_answering(status: int, body: dict[str, Any]) -> Iterator[str]:
+    """Serve one answer to every call; yield the worker's address."""
+    data = json.dumps(body).encode()
+
+    class Handler(BaseHTTPRequestHandler):
+        def do_POST(self) -> None:
+            self.rfile.read(int(self.headers["Content-Length"]))
+            self.send_response(status)
+            self.send_header("Content-Length", str(len(data)))
+            self.end_headers()
+            self.wfile.write(data)
+
+        def log_message(self, format: str, *args: Any) -> None:
+            pass
+
+    with ThreadingHTTPServer(("127.0.0.1", 0), Handler) as server:
+        thread = threading.Thread(target=server.serve_forever)
+        thread.start()
+        try:
+            yield f"127.0.0.1:{server.server_address[1]}"
+        finally:
+            server.shutdown()
+            thread.join()
+
+
+@pytest.mark.parametrize(
+    ("status", "reason", "is_unable"),
+    [
+        (503, "unwell", True),
+        (429, "unwell", True),
+        (409, "room", True),
+        (409, "old", False),
+        (409, "late", False),
+        (409, "fence", False),
+        (400, "invalid", False),
+    ],
+)
+def test_only_an_unwell_or_full_worker_is_unable(status, reason, is_unable) -> None:
+    """Guards against a worker that is blamed for an outdated order."""
+    replies: Queue[Any] = Queue()
+    body = {"clock_ms": 5, "reason": reason}
+    with (
+        worker_answering(status, body) as address,
+        WorkerClient(address, replies.put) as client,
+    ):
+        client.call(StartOnWorker("w1", run_of("j"), "work", 1_000, 1))
+        reply = replies.get(timeout=ANSWER_S).reply
+    assert isinstance(reply, OrderRefused)
+    assert (reply.reason, reply.is_unable) == (reason, is_unable)
