Order no start for a run whose end is reported

A report on a new stream names the end of a run that is not recorded yet; the leader ordered the run, the worker refused it as outdated, and the runner settled that with a stop.

Change: a run whose end the report names is known to the worker, like one that is listed.

Result: test_run_whose_end_is_reported_is_not_started_again failed before.

--- a/packages/core/crocuswell_core/dispatching/orders.py
+++ b/packages/core/crocuswell_core/dispatching/orders.py
@@ -60,7 +60,7 @@
         run = RunId(task_id, number)
         if not is_wanted(state, run):
             stops += _stop_once(view, run)
-        elif run not in view.running and run not in view.ordered_starts:
+        elif not _is_known_to(view, run):
             view.ordered_starts[run] = state.now_ms
             task = table.task(task_id)
             job = table.jobs[task_id.job_id]
@@ -75,6 +75,11 @@
     return [*effects, SendAgent(view.stream_id, orders)]
 
 
+def _is_known_to(view: WorkerView, run: RunId) -> bool:
+    """Tell whether a worker has or had a run, or was ordered to start it."""
+    return run in view.running or run in view.ended or run in view.ordered_starts
+
+
 def _withdraw_excess_starts(state: EntryState, view: WorkerView) -> list[Effect]:
     """Stop runs that the worker does not list and that no longer fit there.
 
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -808,6 +808,16 @@
     assert W1.id not in leader.state.dispatch.failure_histories
 
 
+def test_run_whose_end_is_reported_is_not_started_again() -> None:
+    """Guards against starts that a worker must refuse as outdated."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("j", step())
+    leader.state.consensus.transfer_target = "nobody"  # no entry is accepted
+    ended = end_of(run_of("j"), RunEndKind.DONE)
+    assert not orders(leader.report(2, W1, ended=[ended]))
+
+
 TENANTS = (
     CatalogWorkspace("tisk", ("key-a",), 1, 16),
     CatalogWorkspace("lender", ("key-b",), 1, 8),
