Log which boot answered a list or carried a start out

Hypotheses 1 and 2 of docs/incidents/worker-restarts.md could not be told apart by the logs: a runner set lists of another boot aside without a line, and an accepted start did not say which boot had accepted it. No decision changes.

--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -40,7 +40,9 @@
 )
 from crocuswell_core.runner.worker_boots import (
     confirm_candidate,
+    note_other_boot,
     receive_heartbeat,
+    report_foreign_clock,
     settle_candidate,
 )
 from crocuswell_core.runner.worker_calls import (
@@ -285,7 +287,7 @@
     if isinstance(reply, OrderAccepted):
         del state.starts[call.run]
         state.confirmed_ms.setdefault(call.run, state.now_ms)
-        return []
+        return report_foreign_clock(state, call.run, reply.clock_ms)
     labels = (*run_labels(call.run), Label("reply", _reply_reason(reply)))
     effects: list[Effect] = [EmitLogEvent("start_not_taken", labels)]
     if isinstance(reply, OrderRefused):
@@ -351,7 +353,7 @@
     if state.heartbeat is None or reply.born_ms not in (0, state.heartbeat.born_ms):
         # Another boot answered; its heartbeat will reset the state.
         state.next_list_ms = state.now_ms + LIST_RETRY_MS
-        return []
+        return note_other_boot(state, reply, call.acknowledged_end)
     return apply_run_list(state, reply)
 
 
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -120,6 +120,9 @@
         Time in ms at which that heartbeat was received.
     confirm_at_ms : int
         Time in ms at which the worker is asked about it again.
+    other_born_ms : int
+        Start in ms since the epoch of another boot that answered a call for a
+        run list; 0 if none did.
     is_leaving : bool
         Whether this boot announced that it is terminating.
     reports : dict
@@ -158,6 +161,7 @@
     candidate: WorkerHeartbeat | None = None
     candidate_ms: int = 0
     confirm_at_ms: int = 0
+    other_born_ms: int = 0
     is_leaving: bool = False
     reachable: bool = False
     clock: WorkerClock = attrs.Factory(WorkerClock)
--- a/packages/core/crocuswell_core/runner/worker_boots.py
+++ b/packages/core/crocuswell_core/runner/worker_boots.py
@@ -6,6 +6,8 @@
 
 from functools import singledispatch
 
+from crocuswell_core.jobs.job_records import RunId
+from crocuswell_core.jobs.run_labels import run_labels
 from crocuswell_core.runner.crash_witness import witness_crash
 from crocuswell_core.runner.run_lists import (
     apply_run_list,
@@ -118,6 +120,53 @@
     return _refuse_candidate(state, heartbeat)
 
 
+def note_other_boot(
+    state: RunnerState, reply: RunsListed, acknowledged_end: int
+) -> list[Effect]:
+    """Note that another boot answered a call for a run list.
+
+    Parameters
+    ----------
+    acknowledged_end : int
+        Number of the end up to which the call acknowledged ends, which were
+        those of the served boot.
+    """
+    served = state.heartbeat
+    if served is None or state.other_born_ms == reply.born_ms:
+        return []
+    state.other_born_ms = reply.born_ms
+    count_event(state, "other boot listed")
+    labels = (
+        Label("worker", served.id),
+        Label("served_ms", str(served.born_ms)),
+        Label("born_ms", str(reply.born_ms)),
+        Label("runs", str(len(reply.running))),
+        Label("ends", str(len(reply.ended))),
+        Label("acknowledged", str(acknowledged_end)),
+    )
+    return [EmitLogEvent("other_boot_listed", labels)]
+
+
+def report_foreign_clock(state: RunnerState, run: RunId, clock_ms: int) -> list[Effect]:
+    """Report a start that a boot with another clock has carried out."""
+    if not is_foreign_clock(state, clock_ms):
+        return []
+    count_event(state, "start on other boot")
+    labels = (
+        *run_labels(run),
+        Label("worker", state.heartbeat.id if state.heartbeat else ""),
+        Label("clock_ms", str(clock_ms)),
+        Label("expected_ms", str(state.clock.clock_ms)),
+    )
+    return [EmitLogEvent("start_on_other_boot", labels)]
+
+
+def is_foreign_clock(state: RunnerState, clock_ms: int) -> bool:
+    """Tell whether a reading is too early to be of the served boot's clock."""
+    latest_ms = state.clock.clock_ms - MAX_CLOCK_DEVIATION_MS
+    return state.clock.read_ms > 0 and 0 < clock_ms < latest_ms
+
+
 def _refuse_candidate(state: RunnerState, heartbeat: WorkerHeartbeat) -> list[Effect]:
     """Drop a heartbeat that does not come from the worker."""
     if state.candidate is not None and state.candidate.is_of_same_boot(heartbeat):
@@ -134,6 +183,7 @@
 def _reset_boot_state(state: RunnerState) -> None:
     """Reset what belongs to a boot; a new one has no runs, ends or lease."""
     state.candidate = None
+    state.other_born_ms = 0
     state.reachable = False
     state.unreachable_since_ms = None
     state.is_leaving = False
--- a/tests/test_worker_boots.py
+++ b/tests/test_worker_boots.py
@@ -5,6 +5,7 @@
 
 from crocuswell_core.runner.worker_calls import (
     ConfirmBoot,
+    ListRuns,
     NoAnswer,
     OrderAccepted,
     OtherWorker,
@@ -12,7 +13,7 @@
     StartOnWorker,
     WorkerReply,
 )
-from crocuswell_core.runtime.effects import EmitLogEvent
+from crocuswell_core.runtime.effects import Effect, EmitLogEvent
 from tests.job_harness import run_of
 from tests.test_runner import HEARTBEAT, KEY, WORKER_CLOCK_MS, Runner
 
@@ -166,3 +167,35 @@
     runner.send_heartbeat(sequence=sequence, clock_ms=clock_ms - 1)
     assert runner.state.heartbeat is not None
     assert runner.state.heartbeat.draining
+
+
+def log_events(effects: list[Effect]) -> dict[str, dict[str, str]]:
+    return {
+        effect.event: {label.name: label.value for label in effect.ids}
+        for effect in effects
+        if isinstance(effect, EmitLogEvent)
+    }
+
+
+def test_list_of_another_boot_is_logged_once() -> None:
+    """Guards against a restart of a worker that leaves no trace."""
+    runner = Runner()
+    runner.attach()
+    send_real_heartbeat(runner, 1)
+    runner.grant(acknowledged_end=57)
+    runner.reply(ListRuns, listed(runner, 5))
+    logged = log_events(runner.reply(ListRuns, listed(runner, 9)))
+    assert logged["other_boot_listed"]["born_ms"] == "9"
+    runner.tick(300)
+    assert not log_events(runner.reply(ListRuns, listed(runner, 9)))
+
+
+def test_start_carried_out_by_another_boot_is_logged() -> None:
+    """Guards against an accepted start that does not say who accepted it."""
+    runner = Runner()
+    runner.attach()
+    send_real_heartbeat(runner, 1)
+    runner.grant()
+    runner.order(run_of("j"))
+    logged = log_events(runner.reply(StartOnWorker, OrderAccepted(12)))
+    assert logged["start_on_other_boot"]["clock_ms"] == "12"
