Answer no call of a front with another front's answer

Callers could get the answer to another caller's request: a job's state, or the refusal of a submission, of a job that they did not ask for.

A front that relays the stream of another front took an answer that arrived on that stream just after the other front had closed it for one to a call of its own. Both number their calls from 1. Messages on streams that the front no longer has are dropped; its own calls are sent again on the next stream, as before.

The test failed before: the late answer on the relayed stream was passed on to the front's own caller.

--- a/packages/core/crocuswell_core/front/front.py
+++ b/packages/core/crocuswell_core/front/front.py
@@ -109,6 +109,9 @@
     relayed = find_relayed(state, event.stream_id)
     if relayed is not None:
         return forward_message(relayed, event.message)  # type: ignore[arg-type]
+    if event.stream_id != state.uplink.stream_id:
+        # Answers on a relayed stream that was closed are for another front.
+        return []
     was_attached = state.uplink.is_attached
     effects = uplink_stream.handle_message(
         state.uplink,
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -29,6 +29,7 @@
 from crocuswell_core.runtime.errors import ERROR_CONTRACTS, ErrorKind
 from crocuswell_core.runtime.events import (
     AgentMessageReceived,
+    AgentStreamClosed,
     CallReceived,
     ClockAdvanced,
     EntryMessageReceived,
@@ -234,6 +235,20 @@
     assert not front.state.relayed
 
 
+def test_late_answer_on_a_relayed_stream_is_not_for_an_own_call() -> None:
+    """Guards against an answer to another front's call with the same id."""
+    front = Front()
+    front.attach()
+    front.post(CallReceived(1, CALL))
+    opened = front.post(AgentMessageReceived(9, Attach("f2")))
+    (stream,) = [each for each in opened if isinstance(each, OpenEntryStream)]
+    front.post(EntryStreamOpened(stream.stream_id))
+    front.post(AgentStreamClosed(9))
+    late = EntryMessageReceived(stream.stream_id, CallAnswered(1, VIEW))
+    assert not answers(front.post(late))
+    assert answers(front.receive(CallAnswered(1, VIEW))) == [AnswerCall(1, VIEW)]
+
+
 def test_front_without_a_leader_relays_nothing() -> None:
     """Guards against an open stream that has no connection to a leader."""
     effects = Front().post(AgentMessageReceived(5, Attach("runner")))
