Count the crash of a boot whose start is earlier than the last one's

A task that crashes its workers could go on doing so, and a caller wait for it, without that its crashes were counted.

The log kept the latest start per machine of a boot whose crash was recorded, and took every crash of a boot with an earlier start for a repeated report. A wall clock that steps back gives a later boot an earlier start. The starts of the last 16 boots that crashed are kept instead, as many as a runner reports at a time; the latest start stays for the grants.

The test failed before: of two crashes in a row, the second with the earlier start, one was counted. Each is now counted once, though reported repeatedly.

--- a/packages/core/crocuswell_core/jobs/crash_records.py
+++ b/packages/core/crocuswell_core/jobs/crash_records.py
@@ -46,7 +46,7 @@
     table = cluster.jobs
     if table.has_recorded(crash):
         return []
-    table.recorded_crashes[crash.machine] = crash.born_ms
+    table.note_recorded(crash)
     effects: list[ClusterEffect] = [
         _report_crash(crash, coincident),
         Count(
--- a/packages/core/crocuswell_core/jobs/job_table.py
+++ b/packages/core/crocuswell_core/jobs/job_table.py
@@ -16,6 +16,10 @@
     WorkerCrash,
 )
 
+# Runners report a crash until they learn that it is recorded, and up to this
+# many at a time.
+MAX_CRASHED_BOOTS = 16
+
 
 @attrs.define
 class JobTable:
@@ -37,13 +41,16 @@
         Numbers of the runs that may be on a worker's boot, by the key of
         the boot and the task.
     recorded_crashes : dict
-        Start in ms of the newest boot whose crash is recorded, by machine.
+        Latest start in ms of a boot whose crash is recorded, by machine.
     declined : dict
         Jobs that were recently refused for want of room by id, the newest
         refusal last.
     removed_queues : dict
         Last definitions of queues that left the catalog before all of their
         jobs had ended, by name.
+    crashed_boots : dict
+        Starts in ms of the boots whose crashes were recorded last, by machine;
+        the newest record is the last.
     """
 
     revision: int = 0
@@ -56,6 +63,7 @@
     recorded_crashes: dict[str, int] = attrs.Factory(dict)
     declined: dict[str, DeclinedJob] = attrs.Factory(dict)
     removed_queues: dict[str, Queue] = attrs.Factory(dict)
+    crashed_boots: dict[str, tuple[int, ...]] = attrs.Factory(dict)
 
     def queue_of(self, job: Job) -> Queue | None:
         """Return the newest known definition of an accepted job's queue.
@@ -67,8 +75,22 @@
         return queue or self.removed_queues.get(job.queue)
 
     def has_recorded(self, crash: WorkerCrash) -> bool:
-        """Tell whether a crash is recorded."""
-        return crash.born_ms <= self.recorded_crashes.get(crash.machine, -1)
+        """Tell whether a crash is recorded.
+
+        A later boot may have an earlier start, since wall clocks step back.
+        """
+        machine, born_ms = crash.machine, crash.born_ms
+        if born_ms == self.recorded_crashes.get(machine):
+            return True
+        return born_ms in self.crashed_boots.get(machine, ())
+
+    def note_recorded(self, crash: WorkerCrash) -> None:
+        """Note that a crash is recorded."""
+        machine, born_ms = crash.machine, crash.born_ms
+        latest_ms = self.recorded_crashes.get(machine, born_ms)
+        self.recorded_crashes[machine] = max(latest_ms, born_ms)
+        boots = (*self.crashed_boots.get(machine, ()), born_ms)
+        self.crashed_boots[machine] = boots[-MAX_CRASHED_BOOTS:]
 
     def step_of(self, task_id: TaskId) -> StepSpec | None:
         """Return the step of a task, None if it does not exist."""
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -162,6 +162,23 @@
     assert table.tasks("j")[0].run == 2
 
 
+def test_crash_of_a_boot_with_an_earlier_start_is_counted_once() -> None:
+    """Guards against crashes that are ignored after a clock stepped back."""
+    table = ReplicatedTable()
+    table.submit("j", step(checkpointing=True))
+    crashes = []
+    for number, born_ms in enumerate((9, 5), 1):
+        run = run_of("j", number=number)
+        table.start(run, worker=f"m1/w1@{born_ms}")
+        crashed = CrashedRun(run, 9_000, 9_000)
+        crashes.append(WorkerCrash("m1", "w1", born_ms, (crashed,)))
+        for crash in crashes * 2:
+            table.apply(MarkWorkerLost(crash.worker, crash=crash))
+    (task,) = table.tasks("j")
+    assert task.crashes is not None
+    assert task.crashes.count == len(crashes)
+
+
 def test_crashes_with_a_common_cause_are_not_counted() -> None:
     """Guards against blaming tasks for a rack that lost power."""
     table = ReplicatedTable()
