Check that the HTTP library repeats no call to a worker

A start that a library sent once more, on a new connection after a reset one, could reach a later boot of the worker without that the runner knows. The test plays a worker that takes a start on a kept connection and hangs up; it passed at once: one call arrived, and the reply says that it may have been carried out.

--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -10,7 +10,12 @@
 
 import pytest
 
-from crocuswell_core.runner.worker_calls import OrderRefused, StartOnWorker
+from crocuswell_core.runner.worker_calls import (
+    NoAnswer,
+    OrderAccepted,
+    OrderRefused,
+    StartOnWorker,
+)
 from crocuswell_platform.worker_client import WorkerClient
 from tests.job_harness import run_of
 
@@ -33,7 +38,14 @@
         def log_message(self, format: str, *args: Any) -> None:
             pass
 
-    with ThreadingHTTPServer(("127.0.0.1", 0), Handler) as server:
+    with serving(Handler) as address:
+        yield address
+
+
+@contextmanager
+def serving(handler: type[BaseHTTPRequestHandler]) -> Iterator[str]:
+    """Serve calls with a handler; yield the address."""
+    with ThreadingHTTPServer(("127.0.0.1", 0), handler) as server:
         thread = threading.Thread(target=server.serve_forever)
         thread.start()
         try:
@@ -67,3 +79,46 @@
         reply = replies.get(timeout=ANSWER_S).reply
     assert isinstance(reply, OrderRefused)
     assert (reply.reason, reply.is_unable) == (reason, is_unable)
+
+
+@contextmanager
+def worker_that_hangs_up(calls: list[str]) -> Iterator[str]:
+    """Answer the first call and close its connection at the next one."""
+
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def do_POST(self) -> None:
+            self.rfile.read(int(self.headers["Content-Length"]))
+            calls.append(self.path)
+            if len(calls) > 1:
+                self.close_connection = True
+                return
+            self.send_response(200)
+            self.send_header("Content-Length", "2")
+            self.end_headers()
+            self.wfile.write(b"{}")
+
+        def log_message(self, format: str, *args: Any) -> None:
+            pass
+
+    with serving(Handler) as address:
+        yield address
+
+
+def test_start_on_a_connection_that_is_reset_is_not_sent_again() -> None:
+    """Guards against a start that the HTTP library repeats by itself."""
+    replies: Queue[Any] = Queue()
+    calls: list[str] = []
+    found = []
+    with (
+        worker_that_hangs_up(calls) as address,
+        WorkerClient(address, replies.put) as client,
+    ):
+        for number in (1, 2):
+            run = run_of("j", number=number)
+            client.call(StartOnWorker("w1", run, "work", 1_000, 1))
+            found.append(replies.get(timeout=ANSWER_S).reply)
+    assert found[0] == OrderAccepted(0)
+    assert isinstance(found[1], NoAnswer) and found[1].sent
+    assert len(calls) == len(found)
