Call a run over only once the worker's next boot has refused it

Cause: calls to a worker name its id, and a worker may start again under that id. A start that was on its way is then carried out by the next boot; the leader took the runs of the earlier boot for over when it heard of the next one, and placed them elsewhere 4 to 11 ms later. Until the next boot's first heartbeat, up to 2 s, the runner also sent it further starts, and acknowledged its ends by the numbers of the earlier boot.

Change: a boot's runs are over once the next boot of the id has accepted a stop of each and then lists none, or lists their ends. The leader keeps them placed, which is in the log, orders the stops, also after a change of the leader or a restart of the runner, and gives the new boot nothing before. The runner stops by itself what may have reached the boot before, keeps unanswered starts for later boots, sends nothing but stops once a list shows another boot, and acknowledges each end once. Replies count only for the boot that was served when the call was made.

--- a/packages/core/crocuswell_core/dispatching/control.py
+++ b/packages/core/crocuswell_core/dispatching/control.py
@@ -74,9 +74,7 @@
     dispatch = current_dispatch(state)
     if dispatch.pending_plan == state.cluster.jobs.applied_plan:
         dispatch.pending_plan = ""
-    for key in list(dispatch.pending_losses):
-        if key not in state.cluster.jobs.placed:
-            del dispatch.pending_losses[key]
+    dispatch.pending_losses &= state.cluster.jobs.placed.keys()
     dispatch.stopping = {
         run
         for run in dispatch.stopping
--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -69,6 +69,25 @@
     explained: bool
 
 
+@attrs.frozen
+class ReplacedBoot:
+    """A boot whose machine reports another boot of the same worker id.
+
+    The other boot may carry out starts that were ordered for this one, until
+    it has refused them.
+
+    Attributes
+    ----------
+    successor : str
+        Key of the other boot.
+    view : WorkerView or None
+        What was last known of the replaced boot.
+    """
+
+    successor: str
+    view: WorkerView | None
+
+
 @attrs.define
 class DispatchChanges:
     """What changed since the last plan, and is looked at again by the next.
@@ -131,9 +150,12 @@
         Number of plans in this term.
     planned_workers : set of str
         Boots that get runs by the pending plan.
-    pending_losses : dict
-        Time in ms at which the loss of a worker's boot was proposed, by its
-        key.
+    pending_losses : set of str
+        Boots whose loss was proposed in this term and is not yet applied.
+    runner_streams : dict
+        Newest stream on which a runner has reported, by its machine.
+    replaced : dict
+        Boots that were replaced and whose runs are not settled, by their key.
     outages : dict
         Newest outage of workers' boots, by their key.
     trials : dict
@@ -198,7 +220,9 @@
     plan_proposed_ms: int = 0
     plan_count: int = 0
     planned_workers: set[str] = attrs.Factory(set)
-    pending_losses: dict[str, int] = attrs.Factory(dict)
+    pending_losses: set[str] = attrs.Factory(set)
+    runner_streams: dict[str, int] = attrs.Factory(dict)
+    replaced: dict[str, ReplacedBoot] = attrs.Factory(dict)
     outages: dict[str, Outage] = attrs.Factory(dict)
     trials: dict[RunId, int] = attrs.Factory(dict)
     trials_checked_ms: int = 0
--- a/packages/core/crocuswell_core/dispatching/indexing.py
+++ b/packages/core/crocuswell_core/dispatching/indexing.py
@@ -7,6 +7,7 @@
 from crocuswell_core.dispatching.evacuation import is_evacuated
 from crocuswell_core.dispatching.fleet import Fleet, PreemptibleWork
 from crocuswell_core.dispatching.ranking import find_outdated_jobs, rank_jobs
+from crocuswell_core.dispatching.replaced_boots import has_unsettled_runs
 from crocuswell_core.dispatching.trials import note_trials
 from crocuswell_core.dispatching.waiting_steps import (
     NEVER_CONSIDERED_MS,
@@ -34,10 +35,17 @@
     if state.consensus.role is not Role.LEADER or dispatch.term != state.consensus.term:
         # The first plan of a term builds all indexes anew.
         return []
+    dispatch.pending_losses -= set(effect.workers) - state.cluster.jobs.placed.keys()
     changes = dispatch.changes
     changes.everything = changes.everything or effect.everything
     changes.workers.update(effect.workers)
     changes.orders.update(effect.workers)
+    # A boot gets tasks once the runs of the one that it replaced are settled.
+    changes.workers.update(
+        dispatch.replaced[key].successor
+        for key in effect.workers
+        if key in dispatch.replaced
+    )
     table = state.cluster.jobs
     for job_id in effect.jobs:
         changes.jobs.add(job_id)
@@ -150,6 +158,7 @@
         and state.now_ms - view.last_report_ms <= REPORT_TIMEOUT_MS
         and not view.worker.draining
         and not is_evacuated(state, view)
+        and not has_unsettled_runs(state, view)
     )
 
 
--- a/packages/core/crocuswell_core/dispatching/orders.py
+++ b/packages/core/crocuswell_core/dispatching/orders.py
@@ -3,6 +3,7 @@
 from crocuswell_core.dispatching.dispatch_state import DispatchState
 from crocuswell_core.dispatching.evacuation import is_evacuated, withdraw_starts
 from crocuswell_core.dispatching.health import stop_run
+from crocuswell_core.dispatching.replaced_boots import unsettled_runs
 from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_records import ResourceVector, RunId, TaskPhase
@@ -66,6 +67,8 @@
             job = table.jobs[task_id.job_id]
             checkpoint = task.checkpoint if task else ""
             starts.append(StartRun(run, job.payload, checkpoint))
+    for run in unsettled_runs(state, view):
+        stops += _stop_once(view, run)
     for run in view.running:
         if placed.get(run.task) != run.number:
             stops += _stop_once(view, run)
--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -11,7 +11,6 @@
     speed_evidence,
 )
 from crocuswell_core.dispatching.orders import (
-    PROPOSAL_TIMEOUT_MS,
     current_dispatch,
     send_orders,
 )
@@ -20,6 +19,13 @@
     note_outage,
     unwitnessed_crash,
 )
+from crocuswell_core.dispatching.replaced_boots import (
+    find_replaced_boots,
+    is_settled,
+    may_take_orders_of,
+    note_replaced_boot,
+    replaced_keys,
+)
 from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_commands import (
@@ -84,10 +90,13 @@
         # A grant would outlast what is noted of the worker on this machine.
         return [SendAgent(stream_id, LeaseGrant(message.sequence, term, 0))]
     key = message.worker.key
+    if not _is_newest_stream(state, message.worker.machine, stream_id):
+        return []
     if key in state.dispatch.pending_losses and key in table.placed:
         # Its runs are about to restart elsewhere: do not extend their lease.
         return []
     view, effects = _update_view(state, message, stream_id)
+    effects += _replace_earlier_boots(state, message)
     effects += _propose_crashes(state, message)
     if not view.reachable:
         # Its runs are given up once all earlier grants have ended. Another one
@@ -115,6 +124,7 @@
     ]
     _note_checkpoints(state, view)
     effects += _propose_ends(state, view, message)
+    effects += _settle_replaced_boots(state, message)
     if message.has_exited and key in table.placed:
         # The worker has exited, and its runs with it.
         effects += _propose_loss(state, key, view, "worker left")
@@ -129,6 +139,16 @@
     return effects
 
 
+def _is_newest_stream(state: EntryState, machine: str, stream_id: int) -> bool:
+    """Tell whether a runner has not reported on a later stream before.
+
+    A report that arrives late describes what was, perhaps an earlier boot.
+    """
+    streams = current_dispatch(state).runner_streams
+    streams[machine] = max(stream_id, streams.get(machine, stream_id))
+    return streams[machine] == stream_id
+
+
 def _update_view(
     state: EntryState, message: WorkerReport, stream_id: int
 ) -> tuple[WorkerView, list[Effect]]:
@@ -145,7 +165,6 @@
             effects.append(_worker_log_line("worker_in_reach", key))
         granted_until_ms = view.granted_until_ms if view else 0
         view = WorkerView(worker, stream_id, granted_until_ms=granted_until_ms)
-        effects += _propose_loss_of_earlier_boots(state, message, worker)
         dispatch.add_boot(key)
     dispatch.views[key] = view
     if view.worker.draining != worker.draining:
@@ -197,29 +216,62 @@
     )
 
 
-def _propose_loss_of_earlier_boots(
-    state: EntryState, message: WorkerReport, worker: WorkerDescription
-) -> list[Effect]:
-    """Propose the loss of all earlier boots on the worker's machine.
+def _replace_earlier_boots(state: EntryState, message: WorkerReport) -> list[Effect]:
+    """Give up the other boots on the machine, or have their runs settled.
 
-    No run outlives the boot of its worker.
+    No run outlives the boot of its worker, but a later boot of the same id may
+    begin runs that were ordered for an earlier one.
     """
-    crashes = {crash.worker: crash for crash in message.crashes}
-    effects: list[Effect] = []
+    worker = message.worker
+    if worker is None:
+        return []
     dispatch = current_dispatch(state)
-    for key in sorted(dispatch.boots_by_machine.get(worker.machine, ())):
-        if not _is_earlier_boot(key, worker):
-            continue
+    effects: list[Effect] = []
+    for key in find_replaced_boots(state, worker):
         view = dispatch.views.pop(key, None)
         dispatch.changes.workers.add(key)
-        dispatch.boots_by_machine[worker.machine].discard(key)
+        if key not in state.cluster.jobs.placed:
+            _forget_boot(state, key)
+        elif may_take_orders_of(worker, key):
+            note_replaced_boot(state, key, worker, view)
+        else:
+            effects += _propose_loss_by_successor(state, key, view, message)
+    return effects
+
+
+def _settle_replaced_boots(state: EntryState, message: WorkerReport) -> list[Effect]:
+    """Give up the replaced boots of which no run can begin any more."""
+    worker = message.worker
+    if worker is None:
+        return []
+    effects: list[Effect] = []
+    for key in list(replaced_keys(state, worker)):
+        if not is_settled(state, key, message):
+            continue
+        view = state.dispatch.replaced[key].view
         if key in state.cluster.jobs.placed:
-            effects += _propose_loss(
-                state, key, view, "new boot", worker.key, crashes.get(key)
-            )
+            effects += _propose_loss_by_successor(state, key, view, message)
+        else:
+            _forget_boot(state, key)
+            state.dispatch.changes.workers.add(worker.key)
     return effects
 
 
+def _propose_loss_by_successor(
+    state: EntryState, key: str, view: WorkerView | None, message: WorkerReport
+) -> list[Effect]:
+    successor = message.worker.key if message.worker else ""
+    crashes = {crash.worker: crash for crash in message.crashes}
+    return _propose_loss(state, key, view, "new boot", successor, crashes.get(key))
+
+
+def _forget_boot(state: EntryState, key: str) -> None:
+    dispatch = state.dispatch
+    machine, _ = parse_boot_key(key)
+    dispatch.replaced.pop(key, None)
+    dispatch.boots_by_machine.get(machine, set()).discard(key)
+
+
 def _propose_crashes(state: EntryState, message: WorkerReport) -> list[Effect]:
     """Propose to record the crashes of boots that were given up before."""
     dispatch = current_dispatch(state)
@@ -230,8 +282,13 @@
             continue
         if message.worker is None or crash.machine != message.worker.machine:
             continue
-        dispatch.pending_losses[key] = state.now_ms
-        effects += _propose(state, _worker_loss(state, key, (), crash))
+        if key in dispatch.replaced and key in state.cluster.jobs.placed:
+            # The crash is recorded with the loss, once its runs are settled.
+            continue
+        proposed = _propose(state, _worker_loss(state, key, (), crash))
+        if proposed:
+            dispatch.pending_losses.add(key)
+        effects += proposed
     return effects
 
 
@@ -245,11 +302,6 @@
     return MarkWorkerLost(key, checkpoints, crash, coincident)
 
 
-def _is_earlier_boot(key: str, worker: WorkerDescription) -> bool:
-    machine, born_ms = parse_boot_key(key)
-    return machine == worker.machine and born_ms < worker.born_ms
-
-
 def _worker_log_line(event: str, key: str) -> EmitLogEvent:
     return EmitLogEvent(event, (Label("worker", key),))
 
@@ -261,6 +313,9 @@
     state: EntryState, view: WorkerView, message: WorkerReport
 ) -> list[Effect]:
     """Propose to record the ends of runs that are not yet recorded."""
+    if state.consensus.transfer_target is not None:
+        # The proposal would be dropped, and the ends taken for proposed.
+        return []
     table = state.cluster.jobs
     key = view.worker.key
     known = max(view.last_proposed_end, table.acknowledged_ends.get(key, 0))
@@ -280,7 +335,7 @@
         health.record_run_end(state, view, end)
     effects = speed_evidence.note_ends(state, view, ends)
     view.last_proposed_end = max(known, *(end.number for end in ends))
-    command = RecordRunEnds(key, tuple(ends), view.last_proposed_end)
+    command = RecordRunEnds(key, tuple(ends), view.last_proposed_end, True)
     return [*effects, *_propose(state, command)]
 
 
@@ -332,21 +387,19 @@
     effects: list[Effect] = []
     silent = dict(_silent_views(state))
     for key in sorted(dispatch.lost_contact | silent.keys()):
-        view = dispatch.views.get(key)
-        if key in placed and state.now_ms >= _lease_end_ms(state, view):
+        view = _last_view(state, key)
+        if key in placed and state.now_ms >= _runs_end_ms(state, key, view):
             crash = unwitnessed_crash(state, view) if view else None
             effects += _propose_loss(state, key, view, "lease over", crash=crash)
-        elif key not in placed and view is None:
+        elif key not in placed and key not in dispatch.views:
             dispatch.lost_contact.discard(key)
+            dispatch.replaced.pop(key, None)
     for key, view in silent.items():
         if state.now_ms - view.last_report_ms > 2 * state.cfg.task_lease_ms:
             del dispatch.views[key]
             dispatch.lost_contact.add(key)
             dispatch.changes.workers.add(key)
             effects.append(_worker_log_line("worker_out_of_reach", key))
-    for key, since_ms in list(dispatch.pending_losses.items()):
-        if state.now_ms - since_ms > PROPOSAL_TIMEOUT_MS:
-            del dispatch.pending_losses[key]
     return effects
 
 
@@ -358,6 +411,24 @@
         yield key, view
 
 
+def _last_view(state: EntryState, key: str) -> WorkerView | None:
+    replaced = state.dispatch.replaced.get(key)
+    return replaced.view if replaced else state.dispatch.views.get(key)
+
+
+def _runs_end_ms(state: EntryState, key: str, view: WorkerView | None) -> int:
+    """Return the time in ms after which the runs of a boot are over.
+
+    A boot that has replaced it may have begun them under its own lease.
+    """
+    end_ms = _lease_end_ms(state, view)
+    replaced = state.dispatch.replaced.get(key)
+    if replaced is None:
+        return end_ms
+    successor = state.dispatch.views.get(replaced.successor)
+    return max(end_ms, _lease_end_ms(state, successor))
+
+
 def _lease_end_ms(state: EntryState, view: WorkerView | None) -> int:
     """Return the time in ms after which a boot's runs have certainly ended.
 
@@ -384,12 +455,16 @@
     dispatch = current_dispatch(state)
     if key in dispatch.pending_losses:
         return []
-    dispatch.pending_losses[key] = state.now_ms
     saved = tuple(
         SavedCheckpoint(progress.run, progress.checkpoint)
         for progress in (view.running.values() if view else ())
         if progress.checkpoint
     )
+    proposed = _propose(state, _worker_loss(state, key, saved, crash))
+    if not proposed:
+        return []
+    # The entry stays in the log of this term, however long its commit takes.
+    dispatch.pending_losses.add(key)
     labels = (
         Label("worker", key),
         Label("reason", reason),
@@ -399,5 +474,5 @@
     return [
         EmitLogEvent("worker_losing", labels),
         Count("workers_lost_total", labels=(Label("reason", reason),)),
-        *_propose(state, _worker_loss(state, key, saved, crash)),
+        *proposed,
     ]
--- a/packages/core/crocuswell_core/jobs/job_commands.py
+++ b/packages/core/crocuswell_core/jobs/job_commands.py
@@ -107,11 +107,15 @@
     acknowledged_end : int
         Highest reported number that is covered. It is acknowledged to the
         worker once this command is applied.
+    counts_lost_runs : bool
+        Whether a run that was given up, and whose task waits, may still have
+        done it. Earlier versions of the program propose it as False.
     """
 
     worker: str
     ends: tuple[RunEnd, ...]
     acknowledged_end: int
+    counts_lost_runs: bool = False
 
 
 @attrs.frozen
--- a/packages/core/crocuswell_core/jobs/run_command_handlers.py
+++ b/packages/core/crocuswell_core/jobs/run_command_handlers.py
@@ -113,7 +113,7 @@
     for end in command.ends:
         if 0 < end.number <= acknowledged:
             continue
-        effects += _record_run_end(cluster, command.worker, end)
+        effects += _record_run_end(cluster, command, end)
     table.acknowledged_ends[command.worker] = max(
         acknowledged, command.acknowledged_end
     )
@@ -124,11 +124,14 @@
 
 
 def _record_run_end(
-    cluster: ClusterState, worker: str, end: RunEnd
+    cluster: ClusterState, command: RecordRunEnds, end: RunEnd
 ) -> list[ClusterEffect]:
     table = cluster.jobs
+    worker = command.worker
     _remove_placement(table, worker, end.run)
     task = table.task_if_current(end.run)
+    if task is None and command.counts_lost_runs and end.kind is RunEndKind.DONE:
+        task = _task_done_by_lost_run(table, end.run)
     if task is not None and end.checkpoint:
         _store_checkpoint(table, end.run, end.checkpoint)
     effects = _report_run_end(cluster, worker, end.run, end.kind.value, task)
@@ -147,6 +150,22 @@
     return [*effects, *_apply_run_end(kind, cluster, job, end, worker)]
 
 
+def _task_done_by_lost_run(table: JobTable, run: RunId) -> Task | None:
+    """Return the task that a run has done after it was given up.
+
+    None if the task has another run since; all members of a gang have to wait.
+    """
+    step = table.step_of(run.task)
+    task = table.task(run.task)
+    if step is None or task is None:
+        return None
+    members = table.step_tasks(run.task) if step.gang else [task]
+    waits = all(
+        each.phase is TaskPhase.WAITING and each.run == run.number for each in members
+    )
+    return task if waits else None
+
+
 def _report_run_end(
     cluster: ClusterState, worker: str, run: RunId, kind: str, task: Task | None
 ) -> list[ClusterEffect]:
--- a/packages/core/crocuswell_core/runner/run_lists.py
+++ b/packages/core/crocuswell_core/runner/run_lists.py
@@ -67,13 +67,16 @@
         labels = (Label("worker", worker_id(state)),)
         effects.append(EmitLogEvent("worker_reached", labels))
     state.reachable = True
+    state.has_exited = False
     state.unreachable_since_ms = None
     state.list_number += 1
     state.clock = WorkerClock(reply.clock_ms, state.now_ms)
     before = set(state.running)
     state.running = {progress.run: progress for progress in reply.running}
+    # An acknowledgement for an earlier boot may make the worker forget ends.
+    ended = {end.number: end for end in (*state.ended, *reply.ended)}
     state.ended = tuple(
-        end for end in reply.ended if end.number > state.acknowledged_end
+        end for number, end in sorted(ended.items()) if number > state.acknowledged_end
     )
     note_listed_runs(state)
     _update_absent_runs(state)
@@ -129,16 +132,26 @@
         return []
     state.list_in_flight = True
     state.list_sent_ms = state.now_ms
-    granted = state.granted_until_ms > state.now_ms and state.clock.read_ms > 0
+    # The call names the worker's id only. What concerns the served boot is
+    # left out if another one may answer.
+    granted = (
+        state.granted_until_ms > state.now_ms
+        and state.clock.read_ms > 0
+        and not state.other_born_ms
+    )
+    acknowledges = (
+        state.reachable and state.acknowledged_end > state.acknowledged_to_worker
+    )
     # The first list and the effect of a stop are needed at once, so the worker
     # must not hold the list back until a run ends.
     immediate = not state.clock.read_ms or bool(state.stops)
     call = ListRuns(
         worker=state.heartbeat.id,
         fence=state.fence,
-        acknowledged_end=state.acknowledged_end,
+        acknowledged_end=state.acknowledged_end if acknowledges else 0,
         lease_end_ms=extend_worker_lease(state) if granted else 0,
         wait_ms=0 if immediate else state.cfg.list_wait_ms,
+        served_ms=state.served_ms,
     )
     if immediate and state.clock.read_ms:
         state.next_list_ms = state.now_ms + state.cfg.end_ack_wait_ms
@@ -181,7 +194,7 @@
         running=tuple(state.running.values()),
         ended=state.ended,
         absent=tuple(state.absent),
-        has_exited=state.is_leaving and not state.reachable,
+        has_exited=state.has_exited,
         list_number=state.list_number,
         events=_changed_events(state),
         crashes=state.crashes,
--- a/packages/core/crocuswell_core/runner/run_orders.py
+++ b/packages/core/crocuswell_core/runner/run_orders.py
@@ -18,6 +18,9 @@
 
 # No start is sent to the worker with less than this left of the grant.
 MIN_REMAINING_GRANT_MS = 500
+# Longest time in ms after which a worker is expected to carry out a call that
+# it left unanswered.
+LATE_CALL_MS = 30_000
 # Where failure domains may be evacuated, no start is sent to the worker
 # without an answer from the leader to a report of this last time: the leader
 # may have withdrawn it.
@@ -63,6 +66,34 @@
             withdraw_start(state, run)
 
 
+def stop_all_runs(state: RunnerState) -> None:
+    """Order a stop of each run that the worker or its next boot may have.
+
+    A call for the start of a run names the worker's id only, so that a later
+    boot may carry it out. Its list proves nothing about calls on their way;
+    once it has accepted a stop it refuses the run.
+    """
+    for run, start in list(state.starts.items()):
+        if may_have_reached_worker(start):
+            state.unanswered_ms[run] = state.now_ms
+        drop_start(state, run)
+    runs = {
+        **state.running,
+        **state.confirmed_ms,
+        **state.unanswered_ms,
+        **state.stops,
+    }
+    state.stops = {run: StopOrder() for run in runs}
+
+
+def forget_late_starts(state: RunnerState) -> None:
+    """Forget unanswered calls that no worker will carry out any more."""
+    cutoff_ms = state.now_ms - LATE_CALL_MS
+    for run, sent_ms in list(state.unanswered_ms.items()):
+        if sent_ms < cutoff_ms:
+            del state.unanswered_ms[run]
+
+
 def may_have_reached_worker(start: StartOrder) -> bool:
     """Tell whether the worker may have the run of a start."""
     return start.was_sent or start.phase is OrderPhase.CALLING
@@ -79,6 +110,8 @@
 
     Orders name the worker's id only.
     """
+    if state.other_born_ms:
+        return True
     candidate, served = state.candidate, state.heartbeat
     return candidate is not None and served is not None and candidate.id == served.id
 
@@ -113,6 +146,8 @@
             lease_end_ms=extend_worker_lease(state),
             fence=state.fence,
             checkpoint=start.order.checkpoint,
+            served_ms=state.served_ms,
+            send_by_ms=state.granted_until_ms,
         )
         effects.append(CallWorker(call))
     return effects
@@ -126,9 +161,8 @@
     for run, stop in state.stops.items():
         if stop.phase is OrderPhase.WAITING and state.now_ms >= stop.retry_at_ms:
             stop.phase = OrderPhase.CALLING
-            effects.append(
-                CallWorker(StopOnWorker(state.heartbeat.id, run, state.fence))
-            )
+            call = StopOnWorker(state.heartbeat.id, run, state.fence, state.served_ms)
+            effects.append(CallWorker(call))
     return effects
 
 
--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from crocuswell_core.jobs.job_records import RunId
 from crocuswell_core.jobs.run_labels import run_labels
 from crocuswell_core.links import uplink as uplink_stream
 from crocuswell_core.links.link_messages import (
@@ -27,6 +28,7 @@
 from crocuswell_core.runner.run_orders import (
     drop_start,
     drop_unsent_starts,
+    forget_late_starts,
     has_grant,
     send_due_starts,
     send_due_stops,
@@ -40,9 +42,9 @@
 )
 from crocuswell_core.runner.worker_boots import (
     confirm_candidate,
+    is_foreign_clock,
     note_other_boot,
     receive_heartbeat,
-    report_foreign_clock,
     settle_candidate,
 )
 from crocuswell_core.runner.worker_calls import (
@@ -240,8 +242,9 @@
         elif start.run not in state.running and start.run not in state.stops:
             state.starts.setdefault(start.run, StartOrder(start))
     for stop in message.stops:
-        state.stops.setdefault(stop.run, StopOrder())
         drop_start(state, stop.run)
+        if stop.run not in state.absent:
+            state.stops.setdefault(stop.run, StopOrder())
     return [*send_due_starts(state), *send_due_stops(state)]
 
 
@@ -257,13 +260,13 @@
 
 @singledispatch
 def _concerns_served_boot(call: WorkerCall, state: RunnerState) -> bool:
-    """Tell whether a call was made to the boot that is served now."""
-    return call.worker == worker_id(state)
+    """Tell whether a call was meant for the boot that is served now."""
+    return (call.worker, call.served_ms) == (worker_id(state), state.served_ms)
 
 
 @_concerns_served_boot.register
 def _(call: ConfirmBoot, state: RunnerState) -> bool:
-    return True
+    return call.served_ms == state.served_ms
 
 
 @singledispatch
@@ -280,14 +283,18 @@
 
 @_handle_worker_reply.register
 def _(call: StartOnWorker, state: RunnerState, reply: WorkerReply) -> list[Effect]:
+    if _may_have_been_carried_out(reply):
+        state.unanswered_ms[call.run] = state.now_ms
     start = state.starts.get(call.run)
     if start is None:
         return []
     count_event(state, f"start {_reply_kind(reply)}")
     if isinstance(reply, OrderAccepted):
         del state.starts[call.run]
+        if is_foreign_clock(state, reply.clock_ms):
+            return _handle_start_on_other_boot(state, call.run, reply)
         state.confirmed_ms.setdefault(call.run, state.now_ms)
-        return report_foreign_clock(state, call.run, reply.clock_ms)
+        return []
     labels = (*run_labels(call.run), Label("reply", _reply_reason(reply)))
     effects: list[Effect] = [EmitLogEvent("start_not_taken", labels)]
     if isinstance(reply, OrderRefused):
@@ -298,11 +305,29 @@
         state.stops.setdefault(call.run, stop)
         return [*effects, *send_due_stops(state)]
     start.phase = OrderPhase.WAITING
-    start.was_sent = start.was_sent or _may_have_been_carried_out(reply)
+    if _may_have_been_carried_out(reply):
+        start.was_sent = True
     start.retry_at_ms = state.now_ms + state.cfg.call_retry_ms
     return effects
 
 
+def _handle_start_on_other_boot(
+    state: RunnerState, run: RunId, reply: OrderAccepted
+) -> list[Effect]:
+    """Look which boot answers, after one has carried out another's start."""
+    state.unanswered_ms[run] = state.now_ms
+    state.next_list_ms = state.now_ms
+    count_event(state, "start on other boot")
+    labels = (
+        *run_labels(run),
+        Label("worker", worker_id(state)),
+        Label("clock_ms", str(reply.clock_ms)),
+        Label("expected_ms", str(state.clock.clock_ms)),
+    )
+    event = EmitLogEvent("start_on_other_boot", labels)
+    return [event, *list_runs_if_due(state)]
+
+
 @_handle_worker_reply.register
 def _(call: StopOnWorker, state: RunnerState, reply: WorkerReply) -> list[Effect]:
     stop = state.stops.get(call.run)
@@ -342,21 +367,43 @@
 def _(call: ListRuns, state: RunnerState, reply: WorkerReply) -> list[Effect]:
     state.list_in_flight = False
     if not isinstance(reply, RunsListed):
-        state.next_list_ms = state.now_ms + LIST_RETRY_MS
-        if not state.reachable:
-            return []
-        state.reachable = False
-        state.unreachable_since_ms = state.now_ms
-        count_event(state, "worker unreachable")
-        labels = (Label("worker", call.worker), Label("reply", _reply_reason(reply)))
-        return [EmitLogEvent("worker_unreachable", labels), *send_report(state)]
+        return _handle_missing_list(call, reply, state)
     if state.heartbeat is None or reply.born_ms not in (0, state.heartbeat.born_ms):
         # Another boot answered; its heartbeat will reset the state.
         state.next_list_ms = state.now_ms + LIST_RETRY_MS
         return note_other_boot(state, reply, call.acknowledged_end)
+    state.acknowledged_to_worker = max(
+        state.acknowledged_to_worker, call.acknowledged_end
+    )
     return apply_run_list(state, reply)
 
 
+def _handle_missing_list(
+    call: ListRuns, reply: WorkerReply, state: RunnerState
+) -> list[Effect]:
+    state.next_list_ms = state.now_ms + LIST_RETRY_MS
+    had_exited = state.has_exited
+    state.has_exited = state.is_leaving and _is_connection_refused(reply)
+    if not state.reachable:
+        return send_report(state) if state.has_exited and not had_exited else []
+    state.reachable = False
+    state.unreachable_since_ms = state.now_ms
+    count_event(state, "worker unreachable")
+    labels = (Label("worker", call.worker), Label("reply", _reply_reason(reply)))
+    return [EmitLogEvent("worker_unreachable", labels), *send_report(state)]
+
+
+@singledispatch
+def _is_connection_refused(reply: WorkerReply) -> bool:
+    """Tell whether nothing accepts connections at the worker's address."""
+    return False
+
+
+@_is_connection_refused.register
+def _(reply: NoAnswer) -> bool:
+    return reply.is_refused
+
+
 @singledispatch
 def _reply_reason(reply: WorkerReply) -> str:
     """Return the reason in a reply, for log lines."""
@@ -406,6 +453,7 @@
     since_ms = state.stopping_since_ms
     if since_ms is not None and state.now_ms - since_ms >= state.cfg.stop_limit_ms:
         return [Halt()]
+    forget_late_starts(state)
     effects += confirm_candidate(state)
     effects += send_due_starts(state)
     effects += send_due_stops(state)
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -125,6 +125,8 @@
         run list; 0 if none did.
     is_leaving : bool
         Whether this boot announced that it is terminating.
+    has_exited : bool
+        Whether it did, and nothing accepts connections at its address.
     reports : dict
         Time of sending in ms of each report without a grant, by sequence.
     contact_ms : int
@@ -134,6 +136,9 @@
     lease_until_ms : int
         Latest end in ms, on the runner's clock, of a lease that was sent
         to the worker.
+    acknowledged_end, acknowledged_to_worker : int
+        Number up to which the leader has acknowledged ends, and up to which
+        the worker has received that.
     unreachable_since_ms : int or None
         Time in ms at which the worker ceased to answer; None while it does.
     list_in_flight : bool
@@ -145,6 +150,9 @@
     confirmed_ms : dict
         Time in ms at which the worker confirmed a run, for all runs that may
         be on it.
+    unanswered_ms : dict
+        Time in ms of the newest call without an answer for the start of a run;
+        the worker, or a later boot, may still carry it out.
     refused : set of RunId
         Absent runs whose start the worker was unable to carry out.
     crashes : tuple of WorkerCrash
@@ -164,6 +172,7 @@
     other_born_ms: int = 0
     is_leaving: bool = False
     reachable: bool = False
+    has_exited: bool = False
     clock: WorkerClock = attrs.Factory(WorkerClock)
     sequence: int = 0
     reports: dict[int, int] = attrs.Factory(dict)
@@ -173,6 +182,7 @@
     granted_until_ms: int = 0
     lease_until_ms: int = 0
     acknowledged_end: int = 0
+    acknowledged_to_worker: int = 0
     unreachable_since_ms: int | None = None
     list_in_flight: bool = False
     list_sent_ms: int = 0
@@ -185,7 +195,13 @@
     starts: dict[RunId, StartOrder] = attrs.Factory(dict)
     stops: dict[RunId, StopOrder] = attrs.Factory(dict)
     absent: dict[RunId, int] = attrs.Factory(dict)
+    unanswered_ms: dict[RunId, int] = attrs.Factory(dict)
     refused: set[RunId] = attrs.Factory(set)
     events: dict[str, int] = attrs.Factory(dict)
     events_sent: dict[str, int] = attrs.Factory(dict)
     stopping_since_ms: int | None = None
+
+    @property
+    def served_ms(self) -> int:
+        """Start in ms since the epoch of the served boot; 0 without one."""
+        return self.heartbeat.born_ms if self.heartbeat else 0
--- a/packages/core/crocuswell_core/runner/worker_boots.py
+++ b/packages/core/crocuswell_core/runner/worker_boots.py
@@ -6,14 +6,13 @@
 
 from functools import singledispatch
 
-from crocuswell_core.jobs.job_records import RunId
-from crocuswell_core.jobs.run_labels import run_labels
 from crocuswell_core.runner.crash_witness import witness_crash
 from crocuswell_core.runner.run_lists import (
     apply_run_list,
     count_event,
     send_report,
 )
+from crocuswell_core.runner.run_orders import send_due_stops, stop_all_runs
 from crocuswell_core.runner.runner_state import RunnerState, WorkerClock
 from crocuswell_core.runner.worker_calls import (
     ConfirmBoot,
@@ -39,8 +38,15 @@
         if _is_outdated(state, served, heartbeat):
             return []
         state.heartbeat = heartbeat
+        # The announcement of an end names the id only: it was another boot's.
+        state.is_leaving = state.is_leaving and heartbeat.draining
         return send_report(state) if served.draining != heartbeat.draining else []
-    if served is not None and heartbeat.born_ms < served.born_ms:
+    if (
+        served is not None
+        and heartbeat.born_ms < served.born_ms
+        and heartbeat.born_ms != state.other_born_ms
+    ):
+        # The time of day may have been set back; a list has to show it.
         return []
     state.candidate = heartbeat
     state.candidate_ms = state.now_ms
@@ -77,7 +83,7 @@
 
 def _ask_candidate(state: RunnerState, candidate: WorkerHeartbeat) -> list[Effect]:
     state.confirm_at_ms = state.now_ms + CANDIDATE_RETENTION_MS
-    return [CallWorker(ConfirmBoot(candidate, state.fence))]
+    return [CallWorker(ConfirmBoot(candidate, state.fence, state.served_ms))]
 
 
 @singledispatch
@@ -96,13 +102,14 @@
     if reply.born_ms not in (0, heartbeat.born_ms):
         return _refuse_candidate(state, heartbeat)
     served = state.heartbeat
-    if served is not None and (
-        served.is_of_same_boot(heartbeat) or heartbeat.born_ms < served.born_ms
-    ):
+    if served is not None and served.is_of_same_boot(heartbeat):
         return []
     crashed = witness_crash(state)
+    stop_all_runs(state)
+    stops = state.stops if served is not None and served.id == heartbeat.id else {}
     state.heartbeat = heartbeat
     _reset_boot_state(state)
+    state.stops = stops
     labels = (
         Label("worker", heartbeat.id),
         Label("born_ms", str(heartbeat.born_ms)),
@@ -110,7 +117,12 @@
         Label("rack", heartbeat.rack),
     )
     registered = EmitLogEvent("worker_registered", labels)
-    return [*crashed, registered, *apply_run_list(state, reply)]
+    return [
+        *crashed,
+        registered,
+        *apply_run_list(state, reply),
+        *send_due_stops(state),
+    ]
 
 
 @settle_candidate.register
@@ -125,6 +137,9 @@
 ) -> list[Effect]:
     """Note that another boot answered a call for a run list.
 
+    It is served once its heartbeat describes it. Until then nothing is
+    started, and the runs that it may have taken over are stopped.
+
     Parameters
     ----------
     acknowledged_end : int
@@ -135,6 +150,10 @@
     if served is None or state.other_born_ms == reply.born_ms:
         return []
     state.other_born_ms = reply.born_ms
+    if state.reachable:
+        state.reachable = False
+        state.unreachable_since_ms = state.now_ms
+    stop_all_runs(state)
     count_event(state, "other boot listed")
     labels = (
         Label("worker", served.id),
@@ -144,21 +163,11 @@
         Label("ends", str(len(reply.ended))),
         Label("acknowledged", str(acknowledged_end)),
     )
-    return [EmitLogEvent("other_boot_listed", labels)]
-
-
-def report_foreign_clock(state: RunnerState, run: RunId, clock_ms: int) -> list[Effect]:
-    """Report a start that a boot with another clock has carried out."""
-    if not is_foreign_clock(state, clock_ms):
-        return []
-    count_event(state, "start on other boot")
-    labels = (
-        *run_labels(run),
-        Label("worker", state.heartbeat.id if state.heartbeat else ""),
-        Label("clock_ms", str(clock_ms)),
-        Label("expected_ms", str(state.clock.clock_ms)),
-    )
-    return [EmitLogEvent("start_on_other_boot", labels)]
+    return [
+        EmitLogEvent("other_boot_listed", labels),
+        *send_due_stops(state),
+        *send_report(state),
+    ]
 
 
 def is_foreign_clock(state: RunnerState, clock_ms: int) -> bool:
@@ -187,9 +196,11 @@
     state.reachable = False
     state.unreachable_since_ms = None
     state.is_leaving = False
+    state.has_exited = False
     state.clock = WorkerClock()
     state.lease_until_ms = 0
     state.acknowledged_end = 0
+    state.acknowledged_to_worker = 0
     state.list_in_flight = False
     state.list_sent_ms = state.now_ms
     state.next_list_ms = state.now_ms
@@ -197,6 +208,5 @@
     state.confirmed_ms.clear()
     state.ended = ()
     state.starts.clear()
-    state.stops.clear()
     state.absent.clear()
     state.refused.clear()
--- a/packages/core/crocuswell_core/runner/worker_calls.py
+++ b/packages/core/crocuswell_core/runner/worker_calls.py
@@ -67,6 +67,12 @@
         End of the lease in ms on the worker's clock; never shortens it.
     fence : int
         Fencing token; the worker refuses one lower than it has seen.
+    served_ms : int
+        Start in ms since the epoch of the boot that is served at the time of
+        the call; another boot of the same id takes the call too.
+    send_by_ms : int or None
+        Time in ms on the machine's steady clock after which the call must not
+        be sent.
     """
 
     worker: str
@@ -75,15 +81,24 @@
     lease_end_ms: int
     fence: int
     checkpoint: str = ""
+    served_ms: int = 0
+    send_by_ms: int | None = None
 
 
 @attrs.frozen
 class StopOnWorker:
-    """Stop a run on the worker, or make it refuse the run from now on."""
+    """Stop a run on the worker, or make it refuse the run from now on.
+
+    Attributes
+    ----------
+    served_ms : int
+        As in `StartOnWorker`; the answer proves nothing of another boot.
+    """
 
     worker: str
     run: RunId
     fence: int
+    served_ms: int = 0
 
 
 @attrs.frozen
@@ -99,6 +114,8 @@
     wait_ms : int
         Time in ms for which the worker may hold the answer back until a run
         ends.
+    served_ms : int
+        As in `StartOnWorker`.
     """
 
     worker: str
@@ -106,6 +123,7 @@
     acknowledged_end: int
     lease_end_ms: int = 0
     wait_ms: int = 0
+    served_ms: int = 0
 
 
 @attrs.frozen
@@ -113,10 +131,16 @@
     """List the runs of a boot of which only a heartbeat is known.
 
     Any process can send a heartbeat; only the boot itself answers this call.
+
+    Attributes
+    ----------
+    served_ms : int
+        As in `StartOnWorker`; 0 if no boot was served.
     """
 
     heartbeat: WorkerHeartbeat
     fence: int
+    served_ms: int = 0
 
     @property
     def worker(self) -> str:
@@ -178,10 +202,17 @@
 
 @attrs.frozen
 class NoAnswer:
-    """No usable answer; the order may have been carried out if `sent`."""
+    """No usable answer; the order may have been carried out if `sent`.
+
+    Attributes
+    ----------
+    is_refused : bool
+        Whether nothing accepts connections at the worker's address.
+    """
 
     detail: str
     sent: bool
+    is_refused: bool = False
 
 
 WorkerReply = OrderAccepted | OrderRefused | RunsListed | OtherWorker | NoAnswer
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -7,12 +7,14 @@
 from crocuswell_core.jobs.catalog import CatalogWorkspace
 from crocuswell_core.jobs.job_commands import CancelJob, PutCatalog, SubmitJob
 from crocuswell_core.jobs.job_records import (
+    CrashedRun,
     ResourceVector,
     RunEndKind,
     RunId,
     RunProgress,
     StepSpec,
     TaskId,
+    WorkerCrash,
 )
 from crocuswell_core.links.link_messages import (
     LeaseGrant,
@@ -21,7 +23,13 @@
     WorkerDescription,
 )
 from crocuswell_core.runtime.effects import Effect, SendAgent
-from crocuswell_core.runtime.events import AgentMessageReceived, AgentStreamClosed
+from crocuswell_core.runtime.events import (
+    AgentMessageReceived,
+    AgentStreamClosed,
+    ClockAdvanced,
+    Event,
+)
+from crocuswell_core.runtime.reducer import reduce
 from tests.job_harness import (
     BATCH,
     LONG,
@@ -313,7 +321,7 @@
     leader = Leader()
     leader.report(1, W1)
     leader.submit("j", step())
-    leader.state.dispatch.pending_losses[W1.key] = leader.now_ms
+    leader.state.dispatch.pending_losses.add(W1.key)
     effects = leader.report(1, W1, running_progress(leader, W1))
     sent = [e.message for e in effects if isinstance(e, SendAgent)]
     assert not any(isinstance(message, LeaseGrant) for message in sent)
@@ -897,3 +905,66 @@
     leader = borrowing_leader(long_running=True, max_unavailable=1)
     submit_urgent(leader, "j", "key-b", step(1, 8))
     assert not leader.state.dispatch.stopping
+
+
+def test_late_report_on_an_earlier_stream_brings_no_boot_back() -> None:
+    """Guards against runs that are placed on a boot that is gone."""
+    leader = Leader()
+    old, new = worker("w1"), worker("w1", born_ms=9)
+    leader.report(1, old)
+    leader.report(2, new)
+    leader.report(1, old)
+    leader.submit("a", step(accelerators=8))
+    leader.submit("b", step(accelerators=8))
+    assert not leader.placed(old)
+
+
+def test_crash_report_alone_gives_no_run_up() -> None:
+    """Guards against a second run while the first may begin on a new boot."""
+    leader = Leader()
+    # The wall clock stepped back between the two boots.
+    old, new = worker("w1", born_ms=9), worker("w1", born_ms=5)
+    leader.report(1, old)
+    leader.submit("a", step(accelerators=8))
+    leader.report(2, worker("w2"))
+    crash = WorkerCrash("m-w1", "w1", 9, (CrashedRun(run_of("a"), 0, 0),))
+    leader.report(1, new, crashes=(crash,))
+    assert not leader.placed(worker("w2"))
+
+
+class StalledLeader(Leader):
+    """A leader that holds its lease; its log entries wait while `stalled`."""
+
+    stalled = False
+
+    def post(self, *events: Event) -> list[Effect]:
+        if not self.stalled:
+            return super().post(*events)
+        effects: list[Effect] = []
+        for event in (ClockAdvanced(self.now_ms, self.now_ms), *events):
+            self.state, more_effects = reduce(self.state, event)
+            effects += more_effects
+        self.sent += [e for e in effects if isinstance(e, SendAgent)]
+        return effects
+
+
+def test_worker_whose_loss_may_still_be_applied_gets_no_grant() -> None:
+    """Guards against a run that starts anew just before it is given up."""
+    leader, lost = StalledLeader(), worker("w1")
+    leader.report(1, lost)
+    leader.submit("a", step(accelerators=8))
+    leader.stalled = True
+    proposed = False
+    for _ in range(100):
+        leader.advance(250)
+        leader.tick()
+        proposed = proposed or bool(leader.state.dispatch.pending_losses)
+        if proposed and not leader.state.dispatch.pending_losses:
+            break
+    assert proposed
+    leader.sent.clear()
+    leader.report(3, lost)
+    messages = [each.message for each in leader.sent]
+    assert not any(isinstance(each, RunOrders) for each in messages)
+    grants = [each for each in messages if isinstance(each, LeaseGrant)]
+    assert not any(grant.lease_ms for grant in grants)
--- /dev/null
+++ b/tests/test_replaced_boots.py
@@ -0,0 +1,232 @@
+"""Workers that start again under their id, and the earlier boot's runs."""
+
+import pytest
+
+from crocuswell_core.jobs.job_records import CrashedRun, RunEndKind, WorkerCrash
+from crocuswell_core.links.link_messages import RunOrders, WorkerDescription
+from crocuswell_core.runner.worker_calls import (
+    ConfirmBoot,
+    ListRuns,
+    NoAnswer,
+    OrderAccepted,
+    RunsListed,
+    StartOnWorker,
+    StopOnWorker,
+)
+from tests.job_harness import Leader, end_of, run_of, step, worker
+from tests.test_runner import HEARTBEAT, KEY, Runner, open_calls
+
+OLD, NEW, OTHER = worker("w1"), worker("w1", born_ms=9), worker("w2")
+EARLIER_CLOCK = worker("w1", born_ms=2)
+RUN = run_of("j")
+CRASH = WorkerCrash("m-w1", "w1", 5, (CrashedRun(RUN, 0, 0),))
+
+
+def leader_with_run() -> Leader:
+    """Return a leader with a run on a boot, and another worker in reach."""
+    leader = Leader()
+    leader.report(1, OLD)
+    leader.submit("j", step(accelerators=8))
+    assert leader.placed(OLD)
+    leader.report(2, OTHER)
+    return leader
+
+
+def stops_for(leader: Leader, worker_key: str) -> list[object]:
+    return [
+        stop.run
+        for sent in leader.sent
+        if isinstance(sent.message, RunOrders) and sent.message.worker == worker_key
+        for stop in sent.message.stops
+    ]
+
+
+@pytest.mark.parametrize("new", [NEW, EARLIER_CLOCK])
+@pytest.mark.parametrize("crashes", [(), (CRASH,)])
+def test_task_waits_until_a_new_boot_of_the_id_has_refused_its_run(
+    new, crashes
+) -> None:
+    """Guards against a second run while the new boot may begin the first."""
+    leader = leader_with_run()
+    leader.report(1, new, crashes=crashes)
+    assert not leader.placed(OTHER)
+    assert stops_for(leader, new.key) == [RUN]
+    leader.report(1, new, crashes=crashes, absent=(RUN,))
+    leader.tick()
+    assert not leader.placed(OLD)
+    assert list(leader.placed(OTHER).values()) + list(leader.placed(new).values()) == [
+        2
+    ]
+
+
+def test_run_that_a_new_boot_of_the_id_has_done_is_done() -> None:
+    """Guards against a start after an end that was acknowledged."""
+    leader = leader_with_run()
+    ended = (end_of(RUN, RunEndKind.DONE),)
+    leader.report(1, NEW, crashes=(CRASH,), ended=ended)
+    assert leader.state.cluster.jobs.jobs["j"].phase.value == "completed"
+    assert not leader.placed(OLD) and not leader.placed(OTHER)
+
+
+def test_new_boot_gets_no_task_before_it_has_refused_the_runs_of_the_last() -> None:
+    """Guards against a worker with more work than it can hold."""
+    leader = leader_with_run()
+    leader.report(1, NEW)
+    leader.submit("k", step(accelerators=8), step(accelerators=8))
+    assert not leader.placed(NEW)
+
+
+def test_lease_does_not_end_a_run_that_a_silent_new_boot_may_have() -> None:
+    """Guards against a run given up by the lease of the wrong boot."""
+    leader = leader_with_run()
+    leader.advance(5_000)
+    leader.report(1, NEW)
+    # The grants of the earlier boot are over, those of the new one are not.
+    for _ in range(20):
+        leader.advance(200)
+        leader.report(2, OTHER)
+        leader.tick()
+    assert not leader.placed(OTHER)
+    for _ in range(20):
+        leader.advance(500)
+        leader.report(2, OTHER)
+        leader.tick()
+    assert leader.placed(OTHER)
+
+
+def test_worker_with_another_id_ends_the_runs_at_once() -> None:
+    """Guards against work that waits for a worker that takes no such call."""
+    leader = leader_with_run()
+    new = worker("w9", machine=OLD.machine, born_ms=9)
+    leader.report(1, new, reachable=False)
+    leader.tick()
+    assert not leader.placed(OLD) and leader.placed(OTHER)
+
+
+def test_next_leader_has_the_runs_of_an_earlier_boot_refused() -> None:
+    """Guards against proof that a change of the leader makes up."""
+    leader = leader_with_run()
+    leader.report(1, NEW)
+    leader.state.dispatch.term = -1
+    leader.sent.clear()
+    leader.report(3, NEW)
+    assert stops_for(leader, NEW.key) == [RUN]
+    assert leader.placed(OLD)
+    leader.report(3, NEW, absent=(RUN,))
+    assert not leader.placed(OLD)
+
+
+# --- the runner ------------------------------------------------------------
+
+
+def runner_with_start() -> Runner:
+    """Return a runner that has sent its worker a start."""
+    runner = Runner()
+    runner.attach()
+    runner.send_heartbeat()
+    runner.reply_with_list()
+    runner.grant()
+    runner.order(RUN)
+    assert runner.open_start_calls()
+    return runner
+
+
+def stopped_runs(runner: Runner) -> list[object]:
+    return [call.run for call in open_calls(runner, StopOnWorker)]
+
+
+def register(runner: Runner, born_ms: int = 9) -> None:
+    runner.send_heartbeat(born_ms=born_ms)
+    runner.reply(ConfirmBoot, RunsListed(20, born_ms, (), ()))
+
+
+@pytest.mark.parametrize(
+    "reply", [OrderAccepted(15), NoAnswer("lost", sent=True), None]
+)
+def test_start_on_its_way_is_refused_by_the_next_boot(reply) -> None:
+    """Guards against a start that the next boot of the id carries out."""
+    runner = runner_with_start()
+    if reply is not None:
+        runner.reply(StartOnWorker, reply)
+    runner.calls.clear()
+    register(runner)
+    assert stopped_runs(runner) == [RUN]
+    assert RUN not in runner.state.absent
+    runner.reply(StopOnWorker, OrderAccepted(30))
+    runner.reply_with_list(born_ms=9)
+    runner.tick(200)
+    runner.reply_with_list(born_ms=9)
+    assert runner.reports[-1].absent == (RUN,)
+
+
+def test_start_without_answer_is_refused_by_each_later_boot() -> None:
+    """Guards against a start that is carried out after it was settled."""
+    runner = runner_with_start()
+    runner.reply(StartOnWorker, NoAnswer("lost", sent=True))
+    for born_ms in (9, 12):
+        runner.calls.clear()
+        register(runner, born_ms)
+        assert stopped_runs(runner) == [RUN]
+
+
+def test_nothing_starts_or_is_acknowledged_once_another_boot_answers() -> None:
+    """Guards against work on a boot that has not introduced itself."""
+    runner = runner_with_start()
+    runner.grant(acknowledged_end=57)
+    runner.reply_with_list()
+    runner.tick(600)
+    runner.reply(ListRuns, RunsListed(20, 9, (), ()))
+    assert stopped_runs(runner) == [RUN]
+    assert not runner.reports[-1].reachable
+    runner.order(run_of("k"))
+    assert [call.run for call in runner.open_start_calls()] == [RUN]
+    runner.tick(300)
+    (call,) = open_calls(runner, ListRuns)
+    assert (call.acknowledged_end, call.lease_end_ms) == (0, 0)
+
+
+def test_end_is_acknowledged_once() -> None:
+    """Guards against an acknowledgement that the next boot applies too."""
+    runner = runner_with_start()
+    runner.reply(StartOnWorker, OrderAccepted(0))
+    runner.reply_with_list(ended=(end_of(RUN, RunEndKind.DONE),))
+    runner.tick(500)
+    runner.grant(acknowledged_end=1)
+    sent = []
+    for _ in range(4):
+        runner.tick(600)
+        sent += [call.acknowledged_end for call in open_calls(runner, ListRuns)]
+        runner.reply_with_list()
+    assert 1 in sent
+    assert sent[-1] == 0
+
+
+def test_end_that_the_worker_forgot_too_early_is_reported() -> None:
+    """Guards against an end that another boot's acknowledgement erases."""
+    runner = runner_with_start()
+    runner.reply(StartOnWorker, OrderAccepted(0))
+    runner.reply_with_list(ended=(end_of(RUN, RunEndKind.DONE),))
+    runner.tick(500)
+    runner.reply_with_list()
+    assert [end.run for end in runner.reports[-1].ended] == [RUN]
+
+
+def test_boot_with_an_earlier_start_is_served_once_a_list_shows_it() -> None:
+    """Guards against a worker that is lost after its clock was set back."""
+    runner = runner_with_start()
+    runner.send_heartbeat(born_ms=2)
+    assert not open_calls(runner, ConfirmBoot)
+    runner.tick(600)
+    runner.reply(ListRuns, RunsListed(20, 2, (), ()))
+    register(runner, 2)
+    described = runner.reports[-1].worker
+    assert isinstance(described, WorkerDescription)
+    assert (described.born_ms, HEARTBEAT.born_ms, KEY) == (2, 5, "m1/w1@5")
+
+
+def test_task_that_only_the_next_boot_began_is_not_blamed_for_the_crash() -> None:
+    """Guards against a task that is blamed for a crash before its start."""
+    runner = runner_with_start()
+    runner.reply(StartOnWorker, OrderAccepted(15))
+    register(runner)
+    assert not runner.reports[-1].crashes
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -394,10 +394,70 @@
     runner.post(CallReceived(2, WorkerLeaving("w1")))
     assert not runner.reports[-1].has_exited
     runner.tick(600)
-    runner.reply(ListRuns, NoAnswer("refused", sent=False))
+    runner.reply(ListRuns, NoAnswer("refused", sent=False, is_refused=True))
     assert runner.reports[-1].has_exited
 
 
+@pytest.mark.parametrize(
+    "reply",
+    [
+        OrderRefused(0, "unwell", is_unable=True),
+        NoAnswer("status 500", sent=True),
+        NoAnswer("read timeout", sent=True),
+    ],
+)
+def test_leaving_worker_that_gives_no_list_has_not_exited(
+    runner: Runner, reply
+) -> None:
+    """Guards against second runs while a leaving worker has the first."""
+    runner.post(CallReceived(2, WorkerLeaving("w1")))
+    runner.tick(600)
+    runner.reply(ListRuns, reply)
+    assert not runner.reports[-1].has_exited
+
+
+def restart(runner: Runner) -> None:
+    """Register a later boot under the same id."""
+    runner.calls.clear()
+    runner.send_heartbeat(born_ms=9, sequence=1)
+    runner.reply(ConfirmBoot, RunsListed(WORKER_CLOCK_MS, 9, (), ()))
+    assert runner.state.reachable
+
+
+def test_farewell_of_an_earlier_boot_is_not_of_the_next(runner: Runner) -> None:
+    """Guards against giving up the runs of a boot for another one's end."""
+    restart(runner)
+    runner.post(CallReceived(2, WorkerLeaving("w1")))
+    runner.send_heartbeat(born_ms=9, sequence=2)
+    runner.tick(600)
+    runner.reply(ListRuns, NoAnswer("read timeout", sent=True))
+    assert not runner.reports[-1].has_exited
+
+
+def test_stop_that_an_earlier_boot_took_is_not_settled(runner: Runner) -> None:
+    """Guards against a run that counts as absent though it may still begin."""
+    run = run_of("j")
+    runner.order(stops=(run,))
+    (stop,) = open_calls(runner, StopOnWorker)
+    restart(runner)
+    runner.order(stops=(run,), worker="m1/w1@9")
+    runner.post(WorkerReplied(stop, OrderAccepted(WORKER_CLOCK_MS)))
+    runner.tick()
+    runner.reply_with_list(born_ms=9)
+    runner.tick()
+    runner.reply_with_list(born_ms=9)
+    assert run not in runner.state.absent
+
+
+def test_lost_list_of_an_earlier_boot_says_nothing(runner: Runner) -> None:
+    """Guards against a new boot that counts as unreachable at once."""
+    runner.tick(600)
+    (call,) = open_calls(runner, ListRuns)
+    restart(runner)
+    runner.post(WorkerReplied(call, NoAnswer("reset", sent=True)))
+    assert runner.state.reachable
+
+
 def test_list_of_another_boot_is_ignored(runner: Runner) -> None:
     """Guards against a report that contains the runs of another boot."""
     runner.tick(600)
