Sync what a restarted host reads before it is acknowledged

What callers could see: an acknowledged configuration, job or end gone after a loss of power, though no more disks were lost than the site allows.

Cause: a process that was killed between a write and its sync (a disk that hangs for seconds makes this long), or between a rename and the sync of the folder, left a file that the next process read and took for durable. Its first replies to the leader counted the entries as stored, with no later write to sync them; a loss of power then dropped them. A second write behind such a frame could also survive without it, which reads as corruption and stops the host for good. The same held for the identity: the host returned as another member, without its vote.

Change: a start syncs the log, its folder and the identity before the host answers anything. The simulated disk of the tests (power_disk.py) notes what each sync covers and drops the rest.

Evidence: test_what_a_restart_has_read_outlasts_a_loss_of_power failed without the sync of the log, test_an_identity_that_was_read_outlasts_a_loss_of_power with the former rule that only a new identity is synced.

--- a/packages/daemon/crocuswell_daemon/disk_identity.py
+++ b/packages/daemon/crocuswell_daemon/disk_identity.py
@@ -1,44 +1,48 @@
 """Identity of a data folder; distinguishes a new disk at the same address."""
 
 import os
+import re
 from pathlib import Path
 
+from crocuswell_daemon.storage import Disk, SystemDisk
+
 IDENTITY_FILE = "identity"
 IDENTITY_BYTES = 6
+_IDENTITY = re.compile(rb"[0-9a-f]{%d}" % (2 * IDENTITY_BYTES))
 
 
-def load_identity(folder: Path) -> str:
+def load_identity(folder: Path, disk: Disk | None = None) -> str:
     """Return the identity of a data folder; create one if it has none.
 
-    A new identity is synced before this function returns, so that no vote is
-    cast under an identity that a power failure would erase.
+    The identity is synced before this function returns, so that no vote is
+    cast under an identity that a power failure would erase. One that is read
+    may have been written by a process that was killed before its sync.
 
     Raises
     ------
     OSError
         If the folder can't be read or written.
     """
+    disk = disk or SystemDisk()
     folder.mkdir(parents=True, exist_ok=True)
-    path = folder / IDENTITY_FILE
-    if path.exists():
-        text = path.read_text(encoding="ascii").strip()
-        if text:
-            return text
-    identity = os.urandom(IDENTITY_BYTES).hex()
-    fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+    fd = os.open(folder / IDENTITY_FILE, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
     try:
-        os.write(fd, identity.encode("ascii"))
-        os.fsync(fd)
+        identity = os.read(fd, 2 * IDENTITY_BYTES)
+        if not _IDENTITY.fullmatch(identity):
+            identity = os.urandom(IDENTITY_BYTES).hex().encode("ascii")
+            os.lseek(fd, 0, os.SEEK_SET)
+            disk.write(fd, identity)
+        disk.fsync(fd)
     finally:
         os.close(fd)
     for directory in (folder, folder.parent):
-        _sync_directory(directory)
-    return identity
+        _sync_directory(directory, disk)
+    return identity.decode("ascii")
 
 
-def _sync_directory(directory: Path) -> None:
+def _sync_directory(directory: Path, disk: Disk) -> None:
     fd = os.open(directory, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
     try:
-        os.fsync(fd)
+        disk.fsync(fd)
     finally:
         os.close(fd)
--- a/packages/daemon/crocuswell_daemon/storage.py
+++ b/packages/daemon/crocuswell_daemon/storage.py
@@ -55,6 +55,9 @@
     def fdatasync(self, fd: int) -> None:
         """Bring a file's data and length to disk."""
 
+    def fsync(self, fd: int) -> None:
+        """Bring a file, or the names in a folder, to disk."""
+
     def rename(self, source: Path, target: Path) -> None:
         """Replace a file by another one."""
 
@@ -70,6 +73,10 @@
         """Bring a file's data and length to disk."""
         os.fdatasync(fd)
 
+    def fsync(self, fd: int) -> None:
+        """Bring a file, or the names in a folder, to disk."""
+        os.fsync(fd)
+
     def rename(self, source: Path, target: Path) -> None:
         """Replace a file by another one."""
         os.rename(source, target)
@@ -382,7 +389,7 @@
     def _sync_folder(self) -> None:
         fd = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
         try:
-            os.fsync(fd)
+            self._disk.fsync(fd)
         finally:
             os.close(fd)
 
@@ -421,6 +428,10 @@
         if path.exists():
             is_outdated = self._replay_log(path, path.read_bytes())
             self._open_log()
+            # The process before may have ended between a write or a rename
+            # and its sync; what it left is about to be acknowledged.
+            self._disk.fsync(self._log_fd)
+            self._sync_folder()
         elif snapshot:
             raise corruption_error(
                 path, 0, "the log is missing, and with it term and vote"
@@ -508,6 +519,5 @@
         fd = os.open(path, os.O_WRONLY | os.O_CLOEXEC)
         try:
             os.ftruncate(fd, offset)
-            os.fsync(fd)
         finally:
             os.close(fd)
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -18,8 +18,10 @@
 from crocuswell_core.runtime.errors import ErrorKind
 from crocuswell_core.runtime.events import EntryBooted
 from crocuswell_daemon import wire
+from crocuswell_daemon.disk_identity import load_identity
 from crocuswell_daemon.frames import DiskFullError
 from crocuswell_daemon.storage import Storage, StorageError, SystemDisk
+from tests.power_disk import PowerDisk
 
 HOST = EntryHost("a", "127.0.0.1:1", "d1")
 
@@ -336,6 +338,59 @@
     assert crashes
 
 
+class KilledInSync(PowerDisk):
+    """Ends the process in the sync after `syncs_left` more."""
+
+    syncs_left = 1_000
+
+    def fsync(self, fd: int) -> None:
+        if not self.syncs_left:
+            raise OSError(errno.EINTR, "killed")
+        self.syncs_left -= 1
+        super().fsync(fd)
+        self.finish()
+
+
+def test_what_a_restart_has_read_outlasts_a_loss_of_power(tmp_path: Path) -> None:
+    """Guards against entries acknowledged after a kill within their sync.
+
+    The restarted host read and acknowledged them, then lost its power.
+    """
+    for syncs in range(8):
+        folder = tmp_path / f"{syncs}"
+        disk = KilledInSync(folder)
+        with Storage(folder, disk) as storage:
+            storage.load()
+            disk.syncs_left = syncs
+            for records in ([TermRecord(1, "a"), entries(1, 2)], [snapshot(2)]):
+                try:
+                    storage.append([*records, entries(3, 3)])
+                    storage.sync()
+                except StorageError:
+                    break
+        disk.syncs_left = 1_000
+        with Storage(folder, disk) as storage:
+            booted = storage.load()
+        disk.lose_power()
+        assert load(folder) == booted, syncs
+        disk.close()
+
+
+def test_an_identity_that_was_read_outlasts_a_loss_of_power(tmp_path: Path) -> None:
+    """Guards against a voter that returns under another id, without a vote."""
+    for syncs in range(3):
+        folder = tmp_path / f"{syncs}"
+        disk = KilledInSync(folder)
+        disk.syncs_left = syncs
+        with pytest.raises(OSError, match="killed"):
+            load_identity(folder, disk)
+        disk.syncs_left = 1_000
+        identity = load_identity(folder, disk)
+        disk.lose_power()
+        assert load_identity(folder) == identity
+        disk.close()
+
+
 def test_a_damaged_snapshot_stops_the_start(tmp_path: Path) -> None:
     """Guards against a host that starts empty and votes a second time."""
     write(tmp_path, entries(1, 5), snapshot(3))
