Let the disk of the founder tell that it founds the group

Cause: the founder was known by `bootstrap` and a missing log file. The file exists before the group does, and `bootstrap` may be false after the restart, so neither says whether the host has ever been part of a group.

Change: the first start writes with the identity that this disk founds the group, in one synced write. A host that lost its disk gets a new identity without the mark.

--- a/tests/group_harness.py
+++ b/tests/group_harness.py
@@ -61,6 +61,7 @@
     """Durable records of one disk, with its identity."""
 
     identity: str
+    founds_group: bool = False
     term: TermRecord = attrs.Factory(lambda: TermRecord(0, None))
     entries: list[LogEntry] = attrs.Factory(list)
     snapshot: SaveSnapshot | None = None
@@ -138,12 +139,12 @@
     def start(self, name: str, founds: bool = False) -> None:
         """Start a host with its previous disk, or with an empty one."""
         if name not in self.disks:
-            self.disks[name] = Disk(f"{next(self._order)}")
+            self.disks[name] = Disk(f"{next(self._order)}", founds)
         disk = self.disks[name]
         host = EntryHost(
             f"{name}~{disk.identity}", f"{name}:1", name, stream_address=f"{name}:2"
         )
-        founder = founds and not disk.entries and disk.snapshot is None
+        founder = disk.founds_group
         cfg = EntryConfig(
             host,
             (host,) if founder else (),
--- a/tests/test_group_forming.py
+++ b/tests/test_group_forming.py
@@ -34,6 +34,20 @@
     assert group.voters() == {group.member(name) for name in SEEDS}
 
 
+@pytest.mark.parametrize("after_ms", [0, 600, 1_000, 1_200, 1_400, 2_000])
+def test_founder_that_is_killed_while_the_group_forms_founds_it(after_ms) -> None:
+    """Guards against a group that never forms after a kill of its founder."""
+    group = Group(SEEDS)
+    for name in SEEDS:
+        group.start(name, founds=name == min(SEEDS))
+    group.run(after_ms)
+    group.kill("a")
+    group.run(500)
+    group.start("a")
+    group.run(6_000)
+    assert group.voters() == {group.member(name) for name in SEEDS}
+
+
 def test_surplus_hosts_with_disks_are_learners() -> None:
     """Guards against a majority that grows with every host that joins."""
     group = formed_group((*SEEDS, "d"))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings, strategies as st
 
 from crocuswell_core.cluster.commands import Refused
+from crocuswell_core.entry.entry_state import EntryConfig
 from crocuswell_core.jobs.job_commands import (
     CancelJob,
     CatalogInForce,
@@ -36,6 +37,8 @@
 from crocuswell_core.runner.worker_calls import ListRuns, StartOnWorker, StopOnWorker
 from crocuswell_core.runtime.errors import ErrorKind
 from crocuswell_daemon.http_messages import HttpRequest
+from crocuswell_daemon.storage import Storage
+from crocuswell_platform import control_node
 from crocuswell_platform.caller_json import (
     UnsupportedFieldError,
     as_operator_response,
@@ -378,6 +381,26 @@
     assert node.bounds.max_lease_ms == 6000
 
 
+def test_founder_is_told_by_its_disk_once_the_first_start_is_over(tmp_path) -> None:
+    """Guards against a group that never forms after a kill of its founder.
+
+    It was killed between the creation of its log and the first entry.
+    """
+
+    def host_config(first_start: bool, folder: str = "founder") -> EntryConfig:
+        changed = NODE_SETTINGS | {"bootstrap": first_start}
+        node = parse_node_settings(changed)
+        return control_node.host_config(node, tmp_path / folder, 1)
+
+    first = host_config(first_start=True)
+    with Storage(tmp_path / "founder") as storage:
+        storage.load()
+    again = host_config(first_start=False)
+    assert (again.founds_group, again.voters) == (True, first.voters)
+    empty = host_config(first_start=False, folder="empty disk")
+    assert (empty.founds_group, empty.voters) == (False, ())
+
+
 @pytest.mark.parametrize(
     ("change", "key"),
     [
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -383,9 +383,9 @@
         disk = KilledInSync(folder)
         disk.syncs_left = syncs
         with pytest.raises(OSError, match="killed"):
-            load_identity(folder, disk)
+            load_identity(folder, True, disk)
         disk.syncs_left = 1_000
-        identity = load_identity(folder, disk)
+        identity = load_identity(folder, False, disk)
         disk.lose_power()
         assert load_identity(folder) == identity
         disk.close()
