Lift the share of a deferrable step while no urgent job is open

What callers saw: of two whole-worker tasks that were not urgent, on four idle workers, one began and the other waited for over 14 s; with eight workers, or at priority 0, both began at once.

Cause: a deferrable step uses at most a quarter of the fleet at a time, here one task, until its job has no slack left. The rule for idle fleets, which lets a step use what is kept free once it could be held twice over for 1.5 s in a fleet that is mostly idle, left out steps of which a task was at work.

Change: that rule holds for these steps too while no urgent job is open, one task a plan, and only on workers that no other step holds. It ends as before: when half of the fleet is in use, or less than two more tasks fit.

Weighed: what is kept free serves urgent jobs beyond their guarantee. They may displace as much as they do themselves, or 300 core seconds, which a whole-worker task reaches after 2 s; a fleet filled to the last worker would make them wait for its end. Urgent jobs inside their guarantee preempt without a limit. So half of the fleet stays free, and the share stays while urgent jobs are open, when more are likely.

Evidence: test_share_of_a_step_is_limited_for_open_urgent_jobs (one task at work instead of two without an urgent job) and test_urgent_work_finds_room_beside_a_step_beyond_its_share failed before.

--- a/packages/core/crocuswell_core/dispatching/packing.py
+++ b/packages/core/crocuswell_core/dispatching/packing.py
@@ -335,21 +335,30 @@
     state: EntryState,
     waiting: WaitingStep,
     candidates: list[CandidateWorker],
+    unheld: list[CandidateWorker],
     limit: int,
 ) -> Placements:
     """Place a step on resources that an idle fleet keeps free for others.
 
     A step of which no task runs may also use the share that is left free for
-    urgent work, one task at a time.
+    urgent work, one task at a time. While no urgent job is open, so may a step
+    that has its share already, but not on workers held for other steps.
 
     Parameters
     ----------
     candidates : list of CandidateWorker
         Workers that could hold a task, held for other steps or not.
+    unheld : list of CandidateWorker
+        Those of them that are not held for other steps.
+    limit : int
+        Tasks that may start now, from `start_limit`.
     """
     ranked = waiting.ranked
-    if not limit and ranked.waiting_count < ranked.step.count - ranked.done:
-        return {}
+    exceeds_share = not limit and ranked.waiting_count < ranked.step.count - ranked.done
+    if exceeds_share:
+        if state.dispatch.waiting.has_urgent_jobs:
+            return {}
+        candidates = unheld
     since_by_step = state.dispatch.ample_since_ms
     copies = sum(max_copies_on(ranked, candidate) for candidate in candidates)
     needed = ranked.waiting_count if ranked.step.gang else 1
--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -122,7 +122,7 @@
     placements = choose_placements(state, waiting, usable, limit) if limit else {}
     has_reservation = ranked.key in dispatch.reservations
     if not placements and not has_reservation:
-        placements = place_on_idle_fleet(state, waiting, sound, limit)
+        placements = place_on_idle_fleet(state, waiting, sound, usable, limit)
     if placements:
         plan.placements += _assign_tasks(state, ranked, placements)
         indexing.release_reservation(state, ranked.key)
--- a/packages/core/crocuswell_core/dispatching/waiting_steps.py
+++ b/packages/core/crocuswell_core/dispatching/waiting_steps.py
@@ -168,6 +168,11 @@
     jobs_by_workspace: dict[str, set[str]] = attrs.Factory(dict)
     backlog: Backlog = attrs.Factory(Backlog)
 
+    @property
+    def has_urgent_jobs(self) -> bool:
+        """Whether an urgent job is open, with tasks at work or waiting."""
+        return bool(self.urgent_demands)
+
     def replace(self, job_id: str, steps: list[RankedStep]) -> None:
         """Set the waiting steps of a job."""
         for waiting in self.by_job.pop(job_id, ()):
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -631,6 +631,49 @@
     assert not waited[-1]
 
 
+def tasks_on_small_fleet(leader: Leader) -> list[str]:
+    """Play 3 s on four workers; return the job of each placed task."""
+    fleet = [worker(f"w{i}", f"r1-{i // 2}") for i in range(4)]
+    for _ in range(30):
+        for stream_id, description in enumerate(fleet, start=1):
+            percent = leader.now_ms // 100 % 90
+            runs = running_progress(leader, description, percent)
+            leader.report(stream_id, description, runs)
+        leader.advance(100)
+        leader.tick()
+    return sorted(task.job_id for w in fleet for task in leader.placed(w))
+
+
+WHOLE_WORKERS = StepSpec(8, ResourceVector(128_000, 200_000, 8), 10_000)
+
+
+@pytest.mark.parametrize(("queue", "at_work"), [(TIGHT, 2), (URGENT, 1)])
+def test_share_of_a_step_is_limited_for_open_urgent_jobs(
+    queue: str, at_work: int
+) -> None:
+    """Guards against a step that waits on a small fleet of which most is idle.
+
+    A quarter of four workers is one task; the others waited until their job
+    had no slack left.
+    """
+    leader = Leader()
+    leader.submit("other", attrs.evolve(step(1), estimated_ms=60_000), queue=queue)
+    leader.submit("patient", WHOLE_WORKERS)
+    assert tasks_on_small_fleet(leader).count("patient") == at_work
+
+
+def test_urgent_work_finds_room_beside_a_step_beyond_its_share() -> None:
+    """Guards against deferrable steps that use up what urgent work needs."""
+    leader = Leader()
+    leader.apply(PutCatalog(catalog(guaranteed=0)))
+    leader.submit("patient", WHOLE_WORKERS)
+    assert tasks_on_small_fleet(leader) == ["patient", "patient"]
+    leader.submit("urgent", step(2, accelerators=8), queue=URGENT)
+    assert not leader.state.dispatch.stopping
+    placed = leader.state.cluster.jobs.placed.values()
+    assert sum(task.job_id == "urgent" for tasks in placed for task in tasks) == 2
+
+
 # --- capacity that shrinks and grows ---------------------------------------
 
 
