Restart workers under their ids beside real processes

Workers that come back under the id that they had were only simulated. It is started by hand (make worker-restarts).

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 STEPS ?= 200000
 
-.PHONY: platform-day setup format lint test soak soak-platform soak-jobs soak-refusals model demo demo-kill failures rolling tour bench bench-ablations bench-dispatch bench-agent capacity clean
+.PHONY: platform-day setup format lint test soak soak-platform soak-jobs soak-refusals model demo demo-kill failures rolling tour worker-restarts bench bench-ablations bench-dispatch bench-agent capacity clean
 
 setup: $(VENV)/.ready
 
@@ -72,6 +72,11 @@
 rolling: setup
 	$(BIN)/python scripts/failures.py rolling-restart
 
+# Restarts workers under their ids, beside the programs of the deploy file.
+worker-restarts: setup
+	deploy/build.sh
+	$(BIN)/python -m scripts.worker_restarts --runs 2
+
 tour: setup
 	$(BIN)/python scripts/tour.py
 
