--- a/scripts/worker_restarts.py
+++ b/scripts/worker_restarts.py
@@ -262,9 +262,12 @@
     ----------
     gap_s : float
         Time in s from the restart to the first heartbeat.
+    is_between_lists : bool
+        Whether the worker crashes while no call for its lists is in flight.
     """
 
     gap_s: float = 2.0
+    is_between_lists: bool = False
     keeps_connections: bool = True
     killed: Role | None = None
 
@@ -279,11 +282,14 @@
         Time in s from the call to its execution.
     run_s : float
         Length in s of the run.
+    killed_after_s : float
+        Time in s from the call to the kill; the worker restarts after 0.1 s.
     """
 
     late_s: float
     run_s: float = 8.0
     killed: Role | None = None
+    killed_after_s: float = 0.5
 
 
 @attrs.frozen
@@ -364,6 +370,9 @@
     ),
     "gap": StartsBeforeHeartbeat(),
     "gap-cut": StartsBeforeHeartbeat(keeps_connections=False),
+    "gap-cut-between-lists": StartsBeforeHeartbeat(
+        keeps_connections=False, is_between_lists=True
+    ),
     "gap-runner-killed": StartsBeforeHeartbeat(killed=Role.RUNNER),
     "gap-leader-killed": StartsBeforeHeartbeat(killed=Role.LEADER),
     "late-start-1": LateStart(1.0),
@@ -372,6 +381,12 @@
     "late-start-done": LateStart(5.0, run_s=2.0),
     "late-start-runner-killed": LateStart(3.0, killed=Role.RUNNER),
     "late-start-leader-killed": LateStart(3.0, killed=Role.LEADER),
+    "late-start-runner-killed-before": LateStart(
+        3.0, killed=Role.RUNNER, killed_after_s=0.05
+    ),
+    "late-start-leader-killed-before": LateStart(
+        3.0, killed=Role.LEADER, killed_after_s=0.05
+    ),
     "late-stop": LateStop(),
     "late-list": LateList(at_end=False),
     "late-list-at-end": LateList(at_end=True),
@@ -419,6 +434,13 @@
     restart = Restart(
         heartbeat_after_s=COMPLETION_LIMIT_S, keeps_connections=case.keeps_connections
     )
+    if case.is_between_lists:
+        # An end is listed at once, and the next call follows after 100 ms.
+        last = submit(dep, WHOLE_WORKER, WARM_UP_RUN_S)
+        dep.wait_for_runs(last, 1)
+        while worker.running_tasks():
+            time.sleep(0.005)
+        time.sleep(0.03)
     worker.restart(restart)
     restarted_s = time.monotonic()
     jobs = [submit(dep, HALF_WORKER, 0.5), submit(dep, HALF_WORKER, RUN_S)]
@@ -437,7 +459,8 @@
     def action(worker: RestartingWorker, body: dict[str, Any]) -> int | float | None:
         threading.Timer(0.1, worker.restart, (Restart(),)).start()
         if case.killed is not None:
-            threading.Timer(0.5, kill, (dep, case.killed, worker)).start()
+            args = (dep, case.killed, worker)
+            threading.Timer(case.killed_after_s, kill, args).start()
         return case.late_s
 
     intercept_first(dep, START, action)
--- a/standins/restarting_worker.py
+++ b/standins/restarting_worker.py
@@ -1,8 +1,10 @@
 """A stand-in worker that crashes and starts again under its id."""
 
+import json
 import socket
 import threading
 import time
+from contextlib import suppress
 from http.server import BaseHTTPRequestHandler
 from typing import Any
 
@@ -177,6 +179,11 @@
             super().setup()
             connections.add(self.connection)
 
+        def handle(self) -> None:
+            """Serve calls until the connection ends, within one or not."""
+            with suppress(ConnectionError, json.JSONDecodeError):
+                super().handle()
+
         def finish(self) -> None:
             """Drop the connection."""
             connections.discard(self.connection)
