--- a/tests/group_harness.py
+++ b/tests/group_harness.py
@@ -53,7 +53,6 @@
 from crocuswell_daemon import wire
 
 DELAY_MS = 2
-VOTERS = 3
 
 
 @attrs.define
@@ -109,6 +108,10 @@
     uplinks: dict[int, "Stream"] = attrs.Factory(dict)
     accepted: dict[int, "Stream"] = attrs.Factory(dict)
 
+    @property
+    def is_leader(self) -> bool:
+        return self.state.consensus.role is Role.LEADER
+
 
 @attrs.define(eq=False)
 class Stream:
@@ -125,6 +128,7 @@
 
     snapshot_entries = 2_000
     snapshot_bytes = 16_000_000
+    voter_target = 3
 
     def __init__(self, seeds: tuple[str, ...]) -> None:
         self.seeds = seeds
@@ -139,7 +143,7 @@
     def start(self, name: str, founds: bool = False) -> None:
         """Start a host with its previous disk, or with an empty one."""
         if name not in self.disks:
-            self.disks[name] = Disk(f"{next(self._order)}", founds)
+            self.disks[name] = self.make_disk(name, founds)
         disk = self.disks[name]
         host = EntryHost(
             f"{name}~{disk.identity}", f"{name}:1", name, stream_address=f"{name}:2"
@@ -149,7 +153,7 @@
             host,
             (host,) if founder else (),
             (host.id,) if founder else (),
-            voter_target=VOTERS,
+            voter_target=self.voter_target,
             replace_voter_ms=1_500,
             forget_host_ms=60_000,
             seeds=tuple(f"{seed}:2" for seed in self.seeds),
@@ -162,6 +166,10 @@
         self.hosts[name] = running
         self.post(running, disk.booted())
 
+    def make_disk(self, name: str, founds_group: bool) -> Disk:
+        """Return an empty disk for a host."""
+        return Disk(f"{next(self._order)}", founds_group)
+
     def kill(self, name: str, wipe: bool = False) -> None:
         """Stop a host at once; its pending messages and timers are lost."""
         host = self.hosts.pop(name)
@@ -180,11 +188,7 @@
 
     def leader(self) -> Host:
         """Return the leader of the highest term."""
-        leaders = [
-            host
-            for host in self.hosts.values()
-            if host.state.consensus.role is Role.LEADER
-        ]
+        leaders = [host for host in self.hosts.values() if host.is_leader]
         return max(leaders, key=lambda host: host.state.consensus.term)
 
     def voters(self) -> set[str]:
