Restart workers under their id in random runs of jobs

The random runs missed it: a simulated worker that crashed came back under a new id, and calls on their way to the earlier boot were dropped.

`make soak-restarts` plays workers that crash, with and without runs, and come back within milliseconds or seconds, mostly under the same id. `born` is usually later and sometimes lower; clock, fence, ends and counts start anew; the first heartbeat comes at once or up to 2 s later, and some arrive late. Calls on their way reach the later boot in part, are lost, or are carried out 1 to 12 s late; lists are held back until a run ends, and answers take up to 300 ms. Restarts come in series, and beside killed runners and leaders. The checks are those of the other runs, and that a run which ends as done, noted later, is the newest one of its task. Not more than two crashes hit one task, since the third counts as proof that the task is the cause. A violation prints what reached which boot.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 STEPS ?= 200000
 
-.PHONY: platform-day setup format lint test soak soak-platform soak-jobs soak-refusals model demo demo-kill failures rolling tour worker-restarts bench bench-ablations bench-dispatch bench-agent capacity clean
+.PHONY: platform-day setup format lint test soak soak-platform soak-jobs soak-refusals soak-restarts model demo demo-kill failures rolling tour worker-restarts bench bench-ablations bench-dispatch bench-agent capacity clean
 
 setup: $(VENV)/.ready
 
@@ -43,6 +43,10 @@
 soak-refusals: setup
 	$(BIN)/python -m scripts.soak --refusals --seed $(SEED) --steps $(STEPS)
 
+# The same with workers that start again under their id.
+soak-restarts: setup
+	$(BIN)/python -m scripts.soak --restarts --seed $(SEED) --steps $(STEPS)
+
 bench: setup
 	$(BIN)/python bench/agent_memory.py
 	$(BIN)/python -m bench
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -2,7 +2,8 @@
 
 With `--platform`, the simulation includes agents, backend servers and
 callers; with `--jobs`, control hosts, runners, workers and callers of jobs;
-with `--refusals`, the same with workers that refuse orders at times.
+with `--refusals`, the same with workers that refuse orders at times; with
+`--restarts`, with workers that start again under their id.
 
 Runs consecutive seeds, each for at most `STEPS_PER_SEED` steps, until
 `--steps` are done. A seed replays exactly with the same number of steps.
@@ -18,6 +19,7 @@
 from tests.consensus_checks import run_seed
 from tests.job_fleet import run_jobs_seed, run_refusals_seed
 from tests.platform_simulator import run_platform_seed
+from tests.restarting_fleet import run_restarts_seed
 
 STEPS_PER_SEED = 20_000
 
@@ -29,6 +31,7 @@
     parser.add_argument("--platform", action="store_true")
     parser.add_argument("--jobs", action="store_true")
     parser.add_argument("--refusals", action="store_true")
+    parser.add_argument("--restarts", action="store_true")
     args = parser.parse_args()
     run: Callable[[int, int], Any] = run_seed
     target = "soak"
@@ -38,6 +41,8 @@
         run, target = run_jobs_seed, "soak-jobs"
     elif args.refusals:
         run, target = run_refusals_seed, "soak-refusals"
+    elif args.restarts:
+        run, target = run_restarts_seed, "soak-restarts"
     faults: Counter[str] = Counter()
     steps = seeds = violations = 0
     while steps < args.steps:
--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -107,6 +107,9 @@
 
     name: str
     born_ms: int
+    id: str = attrs.Factory(lambda self: f"{self.name}-{self.born_ms}", takes_self=True)
+    # Time at which its clock was at 0.
+    clock_start_ms: int = 0
     fence: int = 0
     sequence: int = 0
     lease_end_ms: int = 0
@@ -116,15 +119,15 @@
     refused: dict[TaskId, int] = attrs.Factory(dict)
     down_until_ms: int = 0
     unwell_until_ms: int = 0
+    silent_until_ms: int = 0
     lapsed_end: int = 0
 
     @property
     def failure_domain(self) -> str:
         return DOMAINS[int(self.name[1:]) // 2]
 
-    @property
-    def id(self) -> str:
-        return f"{self.name}-{self.born_ms}"
+    def clock_ms(self, now_ms: int) -> int:
+        return now_ms - self.clock_start_ms
 
 
 def run_jobs_seed(seed: int, steps: int, refuses: bool = False) -> "JobFleet":
@@ -261,26 +264,27 @@
 
     @_carry_out.register
     def _(self, effect: CallWorker, host: Host) -> bool:
+        self._call_worker(effect.call, host)
+        return True
+
+    def _call_worker(self, call: WorkerCall, host: Host) -> None:
         worker = self.workers[host.name]
         late_ms = 0
         if self.rng.random() < self._unanswered_share():
             self.faults["unanswered"] += 1
             late_ms = self.rng.choice((0, self.rng.randint(2_000, 6_000)))
             reply: WorkerReply = NoAnswer("timed out", sent=True)
-            answer = partial(self.post, host, WorkerReplied(effect.call, reply))
+            answer = partial(self.post, host, WorkerReplied(call, reply))
             self._schedule(CALL_TIMEOUT_MS, answer)
-            serve_late = partial(self._serve_unheard, effect.call, worker, late_ms)
+            serve_late = partial(self._serve_unheard, call, worker, late_ms)
             self._schedule(1 + late_ms, serve_late)
-            return True
+            return
 
         def serve() -> None:
-            served = self._serve(effect.call, worker)
-            self._schedule(
-                1, partial(self.post, host, WorkerReplied(effect.call, served))
-            )
+            served = self._serve(call, worker)
+            self._schedule(1, partial(self.post, host, WorkerReplied(call, served)))
 
         self._schedule(1, serve)
-        return True
 
     @_carry_out.register
     def _(self, effect: AnswerCall, host: Host) -> bool:
@@ -347,8 +351,11 @@
     def _send_heartbeat(self, name: str) -> None:
         self._schedule(HEARTBEAT_MS, partial(self._send_heartbeat, name))
         worker = self.workers[name]
-        if worker.down_until_ms > self.now_ms:
-            return
+        if max(worker.down_until_ms, worker.silent_until_ms) <= self.now_ms:
+            self._announce(worker)
+
+    def _announce(self, worker: Worker) -> None:
+        name = worker.name
         worker.sequence += 1
         heartbeat = WorkerHeartbeat(
             worker.id,
@@ -360,8 +367,11 @@
             f"r{int(name[1:]) // 2}",
             ("a",),
             CAPACITY,
-            self.now_ms,
+            worker.clock_ms(self.now_ms),
         )
+        self._post_heartbeat(name, heartbeat)
+
+    def _post_heartbeat(self, name: str, heartbeat: WorkerHeartbeat) -> None:
         self.post(self.hosts[name], CallReceived(-1, heartbeat))
 
     def _serve_unheard(self, call: WorkerCall, worker: Worker, late_ms: int) -> None:
@@ -381,7 +391,7 @@
             self.faults["refused_order"] += 1
             return OrderRefused(0, "unwell", is_unable=True)
         if call.fence < worker.fence:
-            return OrderRefused(self.now_ms, "fence")
+            return OrderRefused(worker.clock_ms(self.now_ms), "fence")
         worker.fence = call.fence
         return self._obey(call, worker)
 
@@ -391,14 +401,15 @@
 
     @_obey.register
     def _(self, call: StartOnWorker, worker: Worker) -> WorkerReply:
+        clock_ms = worker.clock_ms(self.now_ms)
         self._extend(worker, call.lease_end_ms)
         run = call.run
         if run in worker.running:
-            return OrderAccepted(self.now_ms)
+            return OrderAccepted(clock_ms)
         if run.number <= worker.refused.get(run.task, 0):
-            return OrderRefused(self.now_ms, "old")
-        if call.lease_end_ms <= self.now_ms:
-            return OrderRefused(self.now_ms, "late")
+            return OrderRefused(clock_ms, "old")
+        if call.lease_end_ms <= clock_ms:
+            return OrderRefused(clock_ms, "late")
         self._check_start(run, worker)
         self.starts += 1
         worker.running[run] = self.now_ms
@@ -406,10 +417,10 @@
         if run.task.job_id.startswith(CRASHING) and run.task.index == 0:
             self._check_late_start(run)
             self._schedule(CRASH_AFTER_MS, partial(self._crash_under, run, worker))
-            return OrderAccepted(self.now_ms)
+            return OrderAccepted(clock_ms)
         end = partial(self._end, worker, run, RunEndKind.DONE, worker.born_ms)
         self._schedule(work_ms, end)
-        return OrderAccepted(self.now_ms)
+        return OrderAccepted(clock_ms)
 
     @_obey.register
     def _(self, call: StopOnWorker, worker: Worker) -> WorkerReply:
@@ -417,7 +428,7 @@
         worker.refused[call.run.task] = max(known, call.run.number)
         stop = partial(self._end, worker, call.run, RunEndKind.STOPPED, worker.born_ms)
         self._schedule(STOP_MS, stop)
-        return OrderAccepted(self.now_ms)
+        return OrderAccepted(worker.clock_ms(self.now_ms))
 
     @_obey.register
     def _(self, call: ConfirmBoot, worker: Worker) -> WorkerReply:
@@ -431,19 +442,24 @@
             # After a lapse the run may have been given up before its end.
             recorded = worker.lapsed_end < end.number <= call.acknowledged_end
             if recorded and end.kind is RunEndKind.DONE:
-                self.done.add(end.run.task)
+                self._note_done(end.run, worker)
         worker.ended = [e for e in worker.ended if e.number > call.acknowledged_end]
         running = tuple(
             RunProgress(run, "", self._percent(run, since_ms))
             for run, since_ms in worker.running.items()
         )
-        return RunsListed(self.now_ms, worker.born_ms, running, tuple(worker.ended))
+        clock_ms = worker.clock_ms(self.now_ms)
+        return RunsListed(clock_ms, worker.born_ms, running, tuple(worker.ended))
 
     def _percent(self, run: RunId, since_ms: int) -> int:
         return min(99, 100 * (self.now_ms - since_ms) // self._work_ms[run.task])
 
+    def _note_done(self, run: RunId, worker: Worker) -> None:
+        """Note that the end of a run as done is acknowledged."""
+        self.done.add(run.task)
+
     def _extend(self, worker: Worker, end_ms: int) -> None:
-        end_ms = min(end_ms, self.now_ms + MAX_LEASE_MS)
+        end_ms = min(end_ms + worker.clock_start_ms, self.now_ms + MAX_LEASE_MS)
         worker.lease_end_ms = max(worker.lease_end_ms, end_ms)
 
     def _lapse(self, worker: Worker) -> None:
--- a/tests/test_job_fleet.py
+++ b/tests/test_job_fleet.py
@@ -23,9 +23,11 @@
 from crocuswell_core.runtime.effects import ApplyResult
 from crocuswell_daemon import wire
 from tests.job_fleet import PLAY_MS, JobFleet
+from tests.restarting_fleet import RestartingFleet
 from tests.simulated_host import InvariantError
 
 SEEDS = range(1, 9)
+RESTART_SEEDS = (16, 17, 20, 31, 41)
 # Rare executions reveal a planted fault; most do within the first seeds.
 PLANTED_SEEDS = range(1, 25)
 
@@ -75,6 +77,12 @@
     assert fleet.faults["refused_order"]
 
 
+@pytest.mark.parametrize("seed", RESTART_SEEDS)
+def test_no_task_runs_twice_on_workers_that_restart(seed: int) -> None:
+    """Guards against calls that a later boot of the same id carries out."""
+    RestartingFleet(seed).play(PLAY_MS)
+
+
 # --- planted faults ----------------------------------------------------------
 
 
