--- a/tests/restarting_fleet.py
+++ b/tests/restarting_fleet.py
@@ -304,8 +304,8 @@
         up_ms = self.now_ms + down_ms
         keeps_id = self.rng.random() < SAME_ID_SHARE
         born_ms = up_ms
-        if self.rng.random() < LOWER_BORN_SHARE:
-            born_ms = self.rng.randint(1, max(1, earlier.born_ms - 1))
+        if self.rng.random() < LOWER_BORN_SHARE and earlier.born_ms > 1:
+            born_ms = self.rng.randint(1, earlier.born_ms - 1)
         silent_ms = self.rng.choice((0, 0, self.rng.randint(0, 2_000)))
         boot = Worker(
             name,
