Have the next boot refuse runs that were over before

Now the log keeps, for 30 s, which runs were over on each worker id, so that the leader, also the next one, orders the stops of them on a boot that reports anew; a runner carries what one boot refused to the next.

A late start that reaches the new boot before these stops still begins; nothing but the time that passes tells of it.

--- a/packages/core/crocuswell_core/dispatching/orders.py
+++ b/packages/core/crocuswell_core/dispatching/orders.py
@@ -67,8 +67,9 @@
             job = table.jobs[task_id.job_id]
             checkpoint = task.checkpoint if task else ""
             starts.append(StartRun(run, job.payload, checkpoint))
-    for run in unsettled_runs(state, view):
+    for run in (*unsettled_runs(state, view), *view.late_starts):
         stops += _stop_once(view, run)
+    view.late_starts = ()
     for run in view.running:
         if placed.get(run.task) != run.number:
             stops += _stop_once(view, run)
--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -164,7 +164,13 @@
         if view is None:
             effects.append(_worker_log_line("worker_in_reach", key))
         granted_until_ms = view.granted_until_ms if view else 0
-        view = WorkerView(worker, stream_id, granted_until_ms=granted_until_ms)
+        table = state.cluster.jobs
+        view = WorkerView(
+            worker,
+            stream_id,
+            granted_until_ms=granted_until_ms,
+            late_starts=tuple(table.runs_of_earlier_boots(key, state.cluster.now_ms)),
+        )
         dispatch.add_boot(key)
     dispatch.views[key] = view
     if view.worker.draining != worker.draining:
--- a/packages/core/crocuswell_core/dispatching/worker_view.py
+++ b/packages/core/crocuswell_core/dispatching/worker_view.py
@@ -54,6 +54,9 @@
         Starts sent on this stream, with the time in ms of sending.
     ordered_stops : set of RunId
         Stops sent on this stream.
+    late_starts : tuple of RunId
+        Runs that are over, but that a later boot of their worker's id may
+        begin; their stops are still owed.
     absent : set of RunId
         Runs whose absence was proposed for recording.
     ended : frozenset of RunId
@@ -78,6 +81,7 @@
     running: dict[RunId, RunProgress] = attrs.Factory(dict)
     ordered_starts: dict[RunId, int] = attrs.Factory(dict)
     ordered_stops: set[RunId] = attrs.Factory(set)
+    late_starts: tuple[RunId, ...] = ()
     absent: set[RunId] = attrs.Factory(set)
     ended: frozenset[RunId] = frozenset()
     list_number: int = 0
--- a/packages/core/crocuswell_core/jobs/job_records.py
+++ b/packages/core/crocuswell_core/jobs/job_records.py
@@ -222,6 +222,23 @@
     number: int
 
 
+@attrs.frozen
+class OverRun:
+    """A run that has ended or was given up.
+
+    Attributes
+    ----------
+    over_ms : int
+        Cluster time in ms at which that was recorded.
+    worker : str
+        Key of the boot on which it was placed.
+    """
+
+    number: int
+    over_ms: int
+    worker: str
+
+
 @attrs.define
 class Task:
     """Progress of a task.
@@ -521,6 +538,11 @@
     return f"{machine}/{worker_id}@{born_ms}"
 
 
+def boot_name(key: str) -> str:
+    """Return a boot key without the start time: the machine and the id."""
+    return key.rpartition("@")[0]
+
+
 def parse_boot_key(key: str) -> tuple[str, int]:
     """Return the machine and the start time in ms from a boot key."""
     return key.partition("/")[0], int(key.rpartition("@")[2])
--- a/packages/core/crocuswell_core/jobs/job_table.py
+++ b/packages/core/crocuswell_core/jobs/job_table.py
@@ -8,14 +8,19 @@
 from crocuswell_core.jobs.job_records import (
     DeclinedJob,
     Job,
+    OverRun,
     RunId,
     StepSpec,
     Task,
     TaskId,
     TaskPhase,
     WorkerCrash,
+    boot_name,
 )
 
+# Longest time in ms after which a worker is expected to carry out a call that
+# it left unanswered.
+LATE_CALL_MS = 30_000
 # Runners report a crash until they learn that it is recorded, and up to this
 # many at a time.
 MAX_CRASHED_BOOTS = 16
@@ -42,6 +47,10 @@
         the boot and the task.
     recorded_crashes : dict
         Latest start in ms of a boot whose crash is recorded, by machine.
+    over_runs : dict
+        Runs that were over lately, by the id of their worker with its machine
+        and by their task; the newest are last. A later boot of the worker may
+        still receive their starts.
     declined : dict
         Jobs that were recently refused for want of room by id, the newest
         refusal last.
@@ -64,6 +73,7 @@
     declined: dict[str, DeclinedJob] = attrs.Factory(dict)
     removed_queues: dict[str, Queue] = attrs.Factory(dict)
     crashed_boots: dict[str, tuple[int, ...]] = attrs.Factory(dict)
+    over_runs: dict[str, dict[TaskId, OverRun]] = attrs.Factory(dict)
 
     def queue_of(self, job: Job) -> Queue | None:
         """Return the newest known definition of an accepted job's queue.
@@ -92,6 +102,30 @@
         boots = (*self.crashed_boots.get(machine, ()), born_ms)
         self.crashed_boots[machine] = boots[-MAX_CRASHED_BOOTS:]
 
+    def note_over(self, worker: str, run: RunId, now_ms: int) -> None:
+        """Note that a run is over; forget those that were over long ago."""
+        name = boot_name(worker)
+        runs = self.over_runs.pop(name, {})
+        self.over_runs[name] = runs
+        runs.pop(run.task, None)
+        runs[run.task] = OverRun(run.number, now_ms, worker)
+        for task_id, over in list(runs.items()):
+            if over.over_ms >= now_ms - LATE_CALL_MS:
+                break
+            del runs[task_id]
+        longest_idle = next(iter(self.over_runs))
+        newest = next(reversed(self.over_runs[longest_idle].values()))
+        if newest.over_ms < now_ms - LATE_CALL_MS:
+            del self.over_runs[longest_idle]
+
+    def runs_of_earlier_boots(self, worker: str, now_ms: int) -> list[RunId]:
+        """Return the runs that were over lately on other boots of an id."""
+        return [
+            RunId(task_id, over.number)
+            for task_id, over in self.over_runs.get(boot_name(worker), {}).items()
+            if over.worker != worker and over.over_ms >= now_ms - LATE_CALL_MS
+        ]
+
     def step_of(self, task_id: TaskId) -> StepSpec | None:
         """Return the step of a task, None if it does not exist."""
         job = self.jobs.get(task_id.job_id)
--- a/packages/core/crocuswell_core/jobs/run_command_handlers.py
+++ b/packages/core/crocuswell_core/jobs/run_command_handlers.py
@@ -128,7 +128,7 @@
 ) -> list[ClusterEffect]:
     table = cluster.jobs
     worker = command.worker
-    _remove_placement(table, worker, end.run)
+    _remove_placement(cluster, worker, end.run)
     task = table.task_if_current(end.run)
     if task is None and command.counts_lost_runs and end.kind is RunEndKind.DONE:
         task = _task_done_by_lost_run(table, end.run)
@@ -266,6 +266,7 @@
         effects += record_crash(cluster, command.crash, command.coincident)
     for task_id, number in placed.items():
         run = RunId(task_id, number)
+        table.note_over(command.worker, run, cluster.now_ms)
         task = table.task_if_current(run)
         if task is not None and task.worker == command.worker:
             effects += _report_run_end(cluster, command.worker, run, "lost", task)
@@ -297,10 +298,12 @@
             _store_checkpoint(table, saved.run, saved.checkpoint)
 
 
-def _remove_placement(table: JobTable, worker: str, run: RunId) -> None:
+def _remove_placement(cluster: ClusterState, worker: str, run: RunId) -> None:
+    table = cluster.jobs
     placed = table.placed.get(worker, {})
     if placed.get(run.task) == run.number:
         del placed[run.task]
+        table.note_over(worker, run, cluster.now_ms)
     if not placed:
         table.placed.pop(worker, None)
 
--- a/packages/core/crocuswell_core/runner/run_orders.py
+++ b/packages/core/crocuswell_core/runner/run_orders.py
@@ -1,6 +1,7 @@
 """Start and stop orders for the worker, and the end of its lease."""
 
 from crocuswell_core.jobs.job_records import RunId
+from crocuswell_core.jobs.job_table import LATE_CALL_MS
 from crocuswell_core.runner.runner_state import (
     OrderPhase,
     RunnerState,
@@ -18,9 +19,6 @@
 
 # No start is sent to the worker with less than this left of the grant.
 MIN_REMAINING_GRANT_MS = 500
-# Longest time in ms after which a worker is expected to carry out a call that
-# it left unanswered.
-LATE_CALL_MS = 30_000
 # Where failure domains may be evacuated, no start is sent to the worker
 # without an answer from the leader to a report of this last time: the leader
 # may have withdrawn it.
@@ -82,6 +80,7 @@
         **state.confirmed_ms,
         **state.unanswered_ms,
         **state.stops,
+        **state.absent,
     }
     state.stops = {run: StopOrder() for run in runs}
 
--- a/packages/daemon/crocuswell_daemon/tags.py
+++ b/packages/daemon/crocuswell_daemon/tags.py
@@ -177,6 +177,7 @@
     run_times.RunTimes,
     job_commands.DeclineJob,
     job_records.DeclinedJob,
+    job_records.OverRun,
 )
 
 TAG_OF: dict[type, int] = {
--- a/tests/test_replaced_boots.py
+++ b/tests/test_replaced_boots.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from crocuswell_core.jobs.job_records import CrashedRun, RunEndKind, WorkerCrash
+from crocuswell_core.jobs.job_commands import PlaceRuns, RecordRunEnds
+from crocuswell_core.jobs.job_records import (
+    CrashedRun,
+    RunEndKind,
+    RunPlacement,
+    WorkerCrash,
+)
 from crocuswell_core.links.link_messages import RunOrders, WorkerDescription
 from crocuswell_core.runner.worker_calls import (
     ConfirmBoot,
@@ -13,7 +19,7 @@
     StartOnWorker,
     StopOnWorker,
 )
-from tests.job_harness import Leader, end_of, run_of, step, worker
+from tests.job_harness import Leader, ReplicatedTable, end_of, run_of, step, worker
 from tests.test_runner import HEARTBEAT, KEY, Runner, open_calls
 
 OLD, NEW, OTHER = worker("w1"), worker("w1", born_ms=9), worker("w2")
@@ -230,3 +236,29 @@
     runner.reply(StartOnWorker, OrderAccepted(15))
     register(runner)
     assert not runner.reports[-1].crashes
+
+
+@pytest.mark.parametrize("kind", [RunEndKind.DONE, RunEndKind.ABSENT])
+def test_next_boot_refuses_runs_that_were_over_before(kind) -> None:
+    """Guards against a late start of a task that is done, on the next boot."""
+    leader = leader_with_run()
+    leader.apply(RecordRunEnds(OLD.key, (end_of(RUN, kind),), 1))
+    for times in (1, 1, 2):
+        # A runner that has restarted does not know what it has ordered.
+        leader.report(2 + times, NEW)
+        assert stops_for(leader, NEW.key).count(RUN) == times
+
+
+def test_runs_that_are_over_are_forgotten() -> None:
+    """Guards against state that grows with each run of a worker."""
+    table = ReplicatedTable()
+    table.submit("j", step(4), step(4))
+    for index in range(4):
+        run, boot = run_of("j", index), f"m{index // 2}/w@{index}"
+        table.apply(PlaceRuns((RunPlacement(run, boot),)), at_ms=index * 30_000)
+        ended = (end_of(run, RunEndKind.STOPPED),)
+        table.apply(RecordRunEnds(boot, ended, 1), at_ms=index * 30_000)
+    over = table.cluster.jobs.over_runs
+    assert {name: list(runs) for name, runs in over.items()} == {
+        "m1/w": [run_of("j", 2).task, run_of("j", 3).task]
+    }
