Restart a worker twice around a start that is late

The first boot leaves the start unanswered, the second one takes the stop, and the third one carries the start out.

--- a/scripts/worker_restarts.py
+++ b/scripts/worker_restarts.py
@@ -284,12 +284,15 @@
         Length in s of the run.
     killed_after_s : float
         Time in s from the call to the kill; the worker restarts after 0.1 s.
+    restarts_again : bool
+        Whether the worker restarts again just before it carries out the call.
     """
 
     late_s: float
     run_s: float = 8.0
     killed: Role | None = None
     killed_after_s: float = 0.5
+    restarts_again: bool = False
 
 
 @attrs.frozen
@@ -387,6 +390,7 @@
     "late-start-leader-killed-before": LateStart(
         3.0, killed=Role.LEADER, killed_after_s=0.05
     ),
+    "late-start-two-boots": LateStart(2.0, restarts_again=True),
     "late-stop": LateStop(),
     "late-list": LateList(at_end=False),
     "late-list-at-end": LateList(at_end=True),
@@ -461,6 +465,9 @@
         if case.killed is not None:
             args = (dep, case.killed, worker)
             threading.Timer(case.killed_after_s, kill, args).start()
+        if case.restarts_again:
+            delay_s = case.late_s - 0.01
+            threading.Timer(delay_s, worker.restart, (Restart(),)).start()
         return case.late_s
 
     intercept_first(dep, START, action)
