Carry a call for lists out late only if it acknowledges an end

The runner acknowledges each end once since, so that the first call for lists of a run forgot nothing.

--- a/scripts/worker_restarts.py
+++ b/scripts/worker_restarts.py
@@ -210,8 +210,13 @@
 Action = Callable[[RestartingWorker, dict[str, Any]], int | float | None]
 
 
-def intercept_first(dep: harness.Deployment, path: str, action: Action) -> None:
-    """Let an action decide on the first call for a path at any worker."""
+def intercept_first(
+    dep: harness.Deployment,
+    path: str,
+    action: Action,
+    is_wanted: Callable[[dict[str, Any]], bool] = bool,
+) -> None:
+    """Let an action decide on the first wanted call for a path."""
     lock = threading.Lock()
     is_over = False
 
@@ -219,7 +224,7 @@
         def trouble(called: str, body: dict[str, Any]) -> int | float | None:
             nonlocal is_over
             with lock:
-                if is_over or called != path:
+                if is_over or called != path or not is_wanted(body):
                     return None
                 is_over = True
             dep.record.add("intercepted", worker=worker.name, path=path, body=body)
@@ -467,7 +472,8 @@
             threading.Timer(case.killed_after_s, kill, args).start()
         if case.restarts_again:
             delay_s = case.late_s - 0.01
-            threading.Timer(delay_s, worker.restart, (Restart(),)).start()
+            restart = Restart(heartbeat_after_s=1.0)
+            threading.Timer(delay_s, worker.restart, (restart,)).start()
         return case.late_s
 
     intercept_first(dep, START, action)
@@ -501,7 +507,8 @@
         worker.late_list = body
         return LOST
 
-    intercept_first(dep, LISTS, action)
+    intercept_first(dep, LISTS, action, lambda body: body["last_seen"] > 0)
+    wait_for_completion(dep, [submit(dep, WHOLE_WORKER, WARM_UP_RUN_S, count=WORKERS)])
     time.sleep(1.0)
     return [
         submit(dep, EIGHTH_OF_WORKER, 0.1 + 0.2 * number, count=WORKERS)
