--- a/scripts/worker_restarts.py
+++ b/scripts/worker_restarts.py
@@ -508,12 +508,13 @@
         return LOST
 
     intercept_first(dep, LISTS, action, lambda body: body["last_seen"] > 0)
-    wait_for_completion(dep, [submit(dep, WHOLE_WORKER, WARM_UP_RUN_S, count=WORKERS)])
-    time.sleep(1.0)
-    return [
+    first = submit(dep, WHOLE_WORKER, WARM_UP_RUN_S, count=WORKERS)
+    time.sleep(2.0)
+    others = [
         submit(dep, EIGHTH_OF_WORKER, 0.1 + 0.2 * number, count=WORKERS)
         for number in range(8)
     ]
+    return [first, *others]
 
 
 @play.register
