--- a/scripts/worker_restarts.py
+++ b/scripts/worker_restarts.py
@@ -210,8 +210,13 @@
 Action = Callable[[RestartingWorker, dict[str, Any]], int | float | None]
 
 
-def intercept_first(dep: harness.Deployment, path: str, action: Action) -> None:
-    """Let an action decide on the first call for a path at any worker."""
+def intercept_first(
+    dep: harness.Deployment,
+    path: str,
+    action: Action,
+    is_wanted: Callable[[dict[str, Any]], bool] = bool,
+) -> None:
+    """Let an action decide on the first wanted call for a path."""
     lock = threading.Lock()
     is_over = False
 
@@ -219,7 +224,7 @@
         def trouble(called: str, body: dict[str, Any]) -> int | float | None:
             nonlocal is_over
             with lock:
-                if is_over or called != path:
+                if is_over or called != path or not is_wanted(body):
                     return None
                 is_over = True
             dep.record.add("intercepted", worker=worker.name, path=path, body=body)
@@ -284,12 +289,15 @@
         Length in s of the run.
     killed_after_s : float
         Time in s from the call to the kill; the worker restarts after 0.1 s.
+    restarts_again : bool
+        Whether the worker restarts again just before it carries out the call.
     """
 
     late_s: float
     run_s: float = 8.0
     killed: Role | None = None
     killed_after_s: float = 0.5
+    restarts_again: bool = False
 
 
 @attrs.frozen
@@ -387,6 +395,7 @@
     "late-start-leader-killed-before": LateStart(
         3.0, killed=Role.LEADER, killed_after_s=0.05
     ),
+    "late-start-two-boots": LateStart(2.0, restarts_again=True),
     "late-stop": LateStop(),
     "late-list": LateList(at_end=False),
     "late-list-at-end": LateList(at_end=True),
@@ -461,6 +470,10 @@
         if case.killed is not None:
             args = (dep, case.killed, worker)
             threading.Timer(case.killed_after_s, kill, args).start()
+        if case.restarts_again:
+            delay_s = case.late_s - 0.01
+            restart = Restart(heartbeat_after_s=1.0)
+            threading.Timer(delay_s, worker.restart, (restart,)).start()
         return case.late_s
 
     intercept_first(dep, START, action)
@@ -494,12 +507,14 @@
         worker.late_list = body
         return LOST
 
-    intercept_first(dep, LISTS, action)
-    time.sleep(1.0)
-    return [
+    intercept_first(dep, LISTS, action, lambda body: body["last_seen"] > 0)
+    first = submit(dep, WHOLE_WORKER, WARM_UP_RUN_S, count=WORKERS)
+    time.sleep(2.0)
+    others = [
         submit(dep, EIGHTH_OF_WORKER, 0.1 + 0.2 * number, count=WORKERS)
         for number in range(8)
     ]
+    return [first, *others]
 
 
 @play.register
