Plant faults that the random runs with restarts must detect

They are sought with the seeds of the test without a planted fault, so that no residual counts as detection.

--- a/tests/test_job_fleet.py
+++ b/tests/test_job_fleet.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack
+from functools import partial
 from typing import Any
 
 import pytest
@@ -29,7 +30,7 @@
 SEEDS = range(1, 9)
 # Two of the first eight are known red.
 REFUSAL_SEEDS = (*SEEDS, 9, 10)
-RESTART_SEEDS = (16, 17, 20, 31, 41)
+RESTART_SEEDS = (11, 14, 17, 20, 31, 41)
 # Rare executions reveal a planted fault; most do within the first seeds.
 PLANTED_SEEDS = range(1, 25)
 
@@ -159,7 +160,16 @@
     planter.set(orders, "withdraw_starts", lambda state, view: [])
 
 
+def ignore_lists_of_other_boots(planter: Planter) -> None:
+    planter.set(runner, "note_other_boot", lambda state, reply, acknowledged_end: [])
+
+
+def give_up_earlier_boots_at_once(planter: Planter) -> None:
+    planter.set(worker_reports, "may_take_orders_of", lambda worker, key: False)
+
+
 DOUBLED = ("a task runs twice", "a task that is done starts again")
+RESTARTED = (*DOUBLED, "a task that is done has started again")
 EVACUATED = ("a run starts in an evacuated domain",)
 PLANTED = {
     give_up_silent_workers: DOUBLED,
@@ -170,6 +180,14 @@
     leave_evacuations_out_of_snapshots: EVACUATED,
     keep_starts_in_evacuated_domains: EVACUATED,
     run_again_what_is_submitted_again: ("a task that is done starts again",),
+    ignore_lists_of_other_boots: RESTARTED,
+    give_up_earlier_boots_at_once: RESTARTED,
+}
+
+
+FLEETS: dict[tuple[str, ...], Callable[[int], JobFleet]] = {
+    EVACUATED: partial(JobFleet, evacuates=True),
+    RESTARTED: RestartingFleet,
 }
 
 
@@ -177,10 +195,10 @@
 def test_random_runs_detect(plant: Callable[[Planter], None], planter: Planter) -> None:
     """Guards against checks that could not fail."""
     plant(planter)
-    evacuates = PLANTED[plant] is EVACUATED
-    for seed in PLANTED_SEEDS:
+    new_fleet = FLEETS.get(PLANTED[plant], JobFleet)
+    for seed in RESTART_SEEDS if new_fleet is RestartingFleet else PLANTED_SEEDS:
         try:
-            JobFleet(seed, evacuates).play(PLAY_MS)
+            new_fleet(seed).play(PLAY_MS)
         except (InvariantError, IndexError) as exc:
             # Another violation, which a seed may have for its own reason, does
             # not show that the fault is detected.
