Stop on the next boot what was dropped with its start in flight

Callers would see a task run twice: a start on its way to a worker, whose run the leader stopped, is carried out by the worker's next boot.

Cause: a start that is dropped while its call is in flight counts as confirmed. The worker takes the stop and lists the run no more, so that the runner forgets it. The answer to the call comes after the change of boot and is dropped too.

Evidence: test_stopped_run_with_a_start_in_flight_is_refused_by_the_next_boot failed before: the next boot got no stop.

--- a/packages/core/crocuswell_core/runner/run_orders.py
+++ b/packages/core/crocuswell_core/runner/run_orders.py
@@ -43,6 +43,7 @@
     start = state.starts.pop(run, None)
     if start is not None and may_have_reached_worker(start):
         state.confirmed_ms.setdefault(run, state.now_ms)
+        state.unanswered_ms[run] = state.now_ms
 
 
 def withdraw_start(state: RunnerState, run: RunId) -> None:
@@ -73,9 +74,7 @@
     boot may carry it out. Its list proves nothing about calls on their way;
     once it has accepted a stop it refuses the run.
     """
-    for run, start in list(state.starts.items()):
-        if may_have_reached_worker(start):
-            state.unanswered_ms[run] = state.now_ms
+    for run in list(state.starts):
         drop_start(state, run)
     runs = {
         **state.running,
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -151,8 +151,9 @@
         Time in ms at which the worker confirmed a run, for all runs that may
         be on it.
     unanswered_ms : dict
-        Time in ms of the newest call without an answer for the start of a run;
-        the worker, or a later boot, may still carry it out.
+        Time in ms of the newest call without an answer for the start of a run,
+        or at which it was dropped; the worker, or a later boot, may still
+        carry it out.
     refused : set of RunId
         Absent runs whose start the worker was unable to carry out.
     crashes : tuple of WorkerCrash
--- a/tests/test_replaced_boots.py
+++ b/tests/test_replaced_boots.py
@@ -169,6 +169,20 @@
         assert stopped_runs(runner) == [RUN]
 
 
+def test_stopped_run_with_a_start_in_flight_is_refused_by_the_next_boot() -> None:
+    """Guards against a start that runs beside the next run of its task."""
+    runner = runner_with_start()
+    runner.tick(50)
+    runner.order(stops=(RUN,))
+    runner.reply(StopOnWorker, OrderAccepted(15))
+    for _ in range(3):
+        runner.tick()
+        runner.reply_with_list()
+    assert RUN in runner.state.absent
+    register(runner)
+    assert stopped_runs(runner) == [RUN]
+
+
 def test_nothing_starts_or_is_acknowledged_once_another_boot_answers() -> None:
     """Guards against work on a boot that has not introduced itself."""
     runner = runner_with_start()
