Serve a worker again once its lists show the served boot

A worker would get no more starts, and a run ordered before would wait, after one list with another start time; the runner's reports said that it is reachable.

Cause: other_born_ms was reset by a change of the served boot only, and starts are held back while it is set. Starts that were not sent were dropped without a stop, so that the leader heard nothing of them.

Change: a list of the served boot clears it, and all ordered starts are stopped.

Evidence: test_worker_is_served_once_its_lists_show_its_own_boot_again failed before: no stop, and no start after it.

--- a/packages/core/crocuswell_core/runner/run_orders.py
+++ b/packages/core/crocuswell_core/runner/run_orders.py
@@ -74,9 +74,12 @@
     boot may carry it out. Its list proves nothing about calls on their way;
     once it has accepted a stop it refuses the run.
     """
-    for run in list(state.starts):
+    ordered = list(state.starts)
+    for run in ordered:
         drop_start(state, run)
     runs = {
+        # The leader does not repeat an order, and waits for the absence.
+        **dict.fromkeys(ordered),
         **state.running,
         **state.confirmed_ms,
         **state.unanswered_ms,
--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -372,6 +372,8 @@
         # Another boot answered; its heartbeat will reset the state.
         state.next_list_ms = state.now_ms + LIST_RETRY_MS
         return note_other_boot(state, reply, call.acknowledged_end)
+    if reply.born_ms:
+        state.other_born_ms = 0
     state.acknowledged_to_worker = max(
         state.acknowledged_to_worker, call.acknowledged_end
     )
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -121,8 +121,8 @@
     confirm_at_ms : int
         Time in ms at which the worker is asked about it again.
     other_born_ms : int
-        Start in ms since the epoch of another boot that answered a call for a
-        run list; 0 if none did.
+        Start in ms since the epoch of another boot that answered the newest
+        call for a run list; 0 if none did.
     is_leaving : bool
         Whether this boot announced that it is terminating.
     has_exited : bool
--- a/tests/test_replaced_boots.py
+++ b/tests/test_replaced_boots.py
@@ -199,6 +199,19 @@
     assert (call.acknowledged_end, call.lease_end_ms) == (0, 0)
 
 
+def test_worker_is_served_once_its_lists_show_its_own_boot_again() -> None:
+    """Guards against a worker that gets no more starts."""
+    runner = runner_with_start()
+    runner.reply(StartOnWorker, NoAnswer("refused", sent=False))
+    runner.reply(ListRuns, RunsListed(20, 9, (), ()))
+    assert stopped_runs(runner) == [RUN]
+    runner.tick(300)
+    runner.reply_with_list()
+    runner.grant()
+    runner.order(run_of("k"))
+    assert [call.run for call in runner.open_start_calls()] == [run_of("k")]
+
+
 def test_end_is_acknowledged_once() -> None:
     """Guards against an acknowledgement that the next boot applies too."""
     runner = runner_with_start()
