Judge a boot that reports again by its own grants

Callers would see a task run twice: a boot that was replaced in the leader's eyes, and reports again, keeps its run, and is given up the moment its worker is out of reach, while its grant holds for seconds.

Cause: its entry in `replaced` stays, and _last_view takes the view from before the replacement from it. A heartbeat of another writer suffices, if the list that confirms it names no start time.

Change: a report of the boot itself ends its replacement.

Evidence: test_boot_that_reports_again_is_not_given_up_while_its_grant_holds failed before: the run was given up with the report that the worker is out of reach.

--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -166,6 +166,8 @@
         granted_until_ms = view.granted_until_ms if view else 0
         view = WorkerView(worker, stream_id, granted_until_ms=granted_until_ms)
         dispatch.add_boot(key)
+        # What was known at its replacement says nothing of its later grants.
+        dispatch.replaced.pop(key, None)
     dispatch.views[key] = view
     if view.worker.draining != worker.draining:
         effects.append(_worker_log_line("worker_draining", key))
--- a/tests/test_replaced_boots.py
+++ b/tests/test_replaced_boots.py
@@ -116,6 +116,20 @@
     assert not leader.placed(OLD)
 
 
+def test_boot_that_reports_again_is_not_given_up_while_its_grant_holds() -> None:
+    """Guards against a second run by a grant from before the replacement."""
+    leader = leader_with_run()
+    for boot in (OLD, NEW, OLD):
+        leader.report(1, boot)
+    for _ in range(100):
+        leader.advance(200)
+        leader.report(1, OLD)
+        leader.tick()
+    leader.report(1, OLD, reachable=False)
+    leader.tick()
+    assert leader.placed(OLD)
+
+
 # --- the runner ------------------------------------------------------------
 
 
