Let the next boot refuse the runs of an earlier one one by one

Tasks waited for ever, and a worker that answers got none: two runs of an earlier boot, of which the next one refuses the second over 10 s after the first, as workers do that shed load (429).

Cause: a replaced boot was settled by one report that names all its runs, reports name an absent run for ABSENT_RETENTION_MS only, and the leader orders each stop once. The lease is renewed all the while, so that it ends nothing either.

Change: the leader keeps what the next boot has refused, for that boot and stream.

Evidence: test_runs_of_an_earlier_boot_may_be_refused_one_by_one failed before: both runs stayed placed.

--- a/packages/core/crocuswell_core/dispatching/replaced_boots.py
+++ b/packages/core/crocuswell_core/dispatching/replaced_boots.py
@@ -65,9 +65,19 @@
     dispatch.lost_contact.add(key)
 
 
-def is_settled(state: EntryState, key: str, message: WorkerReport) -> bool:
-    """Tell whether a report proves that all runs of a boot are over."""
-    table = state.cluster.jobs
+def note_refusals(state: EntryState, view: WorkerView, message: WorkerReport) -> None:
+    """Note the runs of earlier boots that a worker cannot begin any more.
+
+    Reports name an absent run for some time only.
+    """
     over = {*message.absent, *(end.run for end in message.ended)}
+    view.refused.update(over.intersection(unsettled_runs(state, view)))
+
+
+def is_settled(state: EntryState, key: str, view: WorkerView) -> bool:
+    """Tell whether a worker has proved that all runs of a boot are over."""
+    table = state.cluster.jobs
     runs = [RunId(*item) for item in table.placed.get(key, {}).items()]
-    return all(run in over or table.task_if_current(run) is None for run in runs)
+    return all(
+        run in view.refused or table.task_if_current(run) is None for run in runs
+    )
--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -23,6 +23,7 @@
     find_replaced_boots,
     is_settled,
     may_take_orders_of,
+    note_refusals,
     note_replaced_boot,
     replaced_keys,
 )
@@ -247,8 +248,10 @@
     if worker is None:
         return []
     effects: list[Effect] = []
+    successor = state.dispatch.views[worker.key]
+    note_refusals(state, successor, message)
     for key in list(replaced_keys(state, worker)):
-        if not is_settled(state, key, message):
+        if not is_settled(state, key, successor):
             continue
         view = state.dispatch.replaced[key].view
         if key in state.cluster.jobs.placed:
--- a/packages/core/crocuswell_core/dispatching/worker_view.py
+++ b/packages/core/crocuswell_core/dispatching/worker_view.py
@@ -56,6 +56,9 @@
         Stops sent on this stream.
     absent : set of RunId
         Runs whose absence was proposed for recording.
+    refused : set of RunId
+        Runs of earlier boots that this one was reported to have refused or
+        ended; they cannot begin here any more.
     ended : frozenset of RunId
         Runs whose ends the newest report names.
     list_number, list_received_ms : int
@@ -79,6 +82,7 @@
     ordered_starts: dict[RunId, int] = attrs.Factory(dict)
     ordered_stops: set[RunId] = attrs.Factory(set)
     absent: set[RunId] = attrs.Factory(set)
+    refused: set[RunId] = attrs.Factory(set)
     ended: frozenset[RunId] = frozenset()
     list_number: int = 0
     list_received_ms: int = 0
--- a/tests/test_replaced_boots.py
+++ b/tests/test_replaced_boots.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from crocuswell_core.jobs.job_records import CrashedRun, RunEndKind, WorkerCrash
+from crocuswell_core.jobs.job_records import CrashedRun, RunEndKind, RunId, WorkerCrash
 from crocuswell_core.links.link_messages import RunOrders, WorkerDescription
 from crocuswell_core.runner.worker_calls import (
     ConfirmBoot,
@@ -130,6 +130,20 @@
     assert leader.placed(OLD)
 
 
+def test_runs_of_an_earlier_boot_may_be_refused_one_by_one() -> None:
+    """Guards against tasks, and a worker, that wait for ever."""
+    leader = Leader()
+    leader.report(1, OLD)
+    leader.submit("j", step(accelerators=4), step(accelerators=4))
+    runs = [RunId(*item) for item in leader.placed(OLD).items()]
+    assert len(runs) == 2
+    leader.report(1, NEW)
+    for run in runs:
+        assert leader.placed(OLD)
+        leader.report(1, NEW, absent=(run,))
+    assert not leader.placed(OLD)
+
+
 # --- the runner ------------------------------------------------------------
 
 
