--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -23,6 +23,7 @@
     find_replaced_boots,
     is_settled,
     may_take_orders_of,
+    note_refusals,
     note_replaced_boot,
     replaced_keys,
 )
@@ -172,6 +173,8 @@
             late_starts=tuple(table.runs_of_earlier_boots(key, state.cluster.now_ms)),
         )
         dispatch.add_boot(key)
+        # What was known at its replacement says nothing of its later grants.
+        dispatch.replaced.pop(key, None)
     dispatch.views[key] = view
     if view.worker.draining != worker.draining:
         effects.append(_worker_log_line("worker_draining", key))
@@ -251,8 +254,10 @@
     if worker is None:
         return []
     effects: list[Effect] = []
+    successor = state.dispatch.views[worker.key]
+    note_refusals(state, successor, message)
     for key in list(replaced_keys(state, worker)):
-        if not is_settled(state, key, message):
+        if not is_settled(state, key, successor):
             continue
         view = state.dispatch.replaced[key].view
         if key in state.cluster.jobs.placed:
--- a/tests/test_replaced_boots.py
+++ b/tests/test_replaced_boots.py
@@ -6,6 +6,7 @@
 from crocuswell_core.jobs.job_records import (
     CrashedRun,
     RunEndKind,
+    RunId,
     RunPlacement,
     WorkerCrash,
 )
@@ -122,6 +123,34 @@
     assert not leader.placed(OLD)
 
 
+def test_boot_that_reports_again_is_not_given_up_while_its_grant_holds() -> None:
+    """Guards against a second run by a grant from before the replacement."""
+    leader = leader_with_run()
+    for boot in (OLD, NEW, OLD):
+        leader.report(1, boot)
+    for _ in range(100):
+        leader.advance(200)
+        leader.report(1, OLD)
+        leader.tick()
+    leader.report(1, OLD, reachable=False)
+    leader.tick()
+    assert leader.placed(OLD)
+
+
+def test_runs_of_an_earlier_boot_may_be_refused_one_by_one() -> None:
+    """Guards against tasks, and a worker, that wait for ever."""
+    leader = Leader()
+    leader.report(1, OLD)
+    leader.submit("j", step(accelerators=4), step(accelerators=4))
+    runs = [RunId(*item) for item in leader.placed(OLD).items()]
+    assert len(runs) == 2
+    leader.report(1, NEW)
+    for run in runs:
+        assert leader.placed(OLD)
+        leader.report(1, NEW, absent=(run,))
+    assert not leader.placed(OLD)
+
+
 # --- the runner ------------------------------------------------------------
 
 
@@ -175,6 +204,20 @@
         assert stopped_runs(runner) == [RUN]
 
 
+def test_stopped_run_with_a_start_in_flight_is_refused_by_the_next_boot() -> None:
+    """Guards against a start that runs beside the next run of its task."""
+    runner = runner_with_start()
+    runner.tick(50)
+    runner.order(stops=(RUN,))
+    runner.reply(StopOnWorker, OrderAccepted(15))
+    for _ in range(3):
+        runner.tick()
+        runner.reply_with_list()
+    assert RUN in runner.state.absent
+    register(runner)
+    assert stopped_runs(runner) == [RUN]
+
+
 def test_nothing_starts_or_is_acknowledged_once_another_boot_answers() -> None:
     """Guards against work on a boot that has not introduced itself."""
     runner = runner_with_start()
@@ -191,6 +234,19 @@
     assert (call.acknowledged_end, call.lease_end_ms) == (0, 0)
 
 
+def test_worker_is_served_once_its_lists_show_its_own_boot_again() -> None:
+    """Guards against a worker that gets no more starts."""
+    runner = runner_with_start()
+    runner.reply(StartOnWorker, NoAnswer("refused", sent=False))
+    runner.reply(ListRuns, RunsListed(20, 9, (), ()))
+    assert stopped_runs(runner) == [RUN]
+    runner.tick(300)
+    runner.reply_with_list()
+    runner.grant()
+    runner.order(run_of("k"))
+    assert [call.run for call in runner.open_start_calls()] == [run_of("k")]
+
+
 def test_end_is_acknowledged_once() -> None:
     """Guards against an acknowledgement that the next boot applies too."""
     runner = runner_with_start()
