Let ends of unknown runs cover no other end

Cause: the leader recorded an end that names no run of ours, and acknowledged its number. With a number like 2**53 every later end of that boot counted as recorded: the worker forgot it, the runner and the leader left it out, and its task stayed placed. Rows with the kind `failed` of two unknown jobs barred the worker like failures of real ones, for 6 s at first and up to 48 s.

Change: an end counts, and moves the acknowledged number, only if its run was placed. Others stay listed until an end of ours with a higher number is recorded. An end whose job is forgotten, 120 s after it has ended, waits for that too.

Evidence: test_end_of_an_unknown_run_covers_no_other_end failed before, with acknowledged number 2**53 and an open job, and with the worker barred.

Not run with real processes.

--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -319,7 +319,10 @@
     table = state.cluster.jobs
     key = view.worker.key
     known = max(view.last_proposed_end, table.acknowledged_ends.get(key, 0))
-    ends = [end for end in message.ended if end.number > known]
+    # The number of an end that is not of our runs would cover ends to come.
+    ends = [
+        end for end in message.ended if end.number > known and table.was_placed(end.run)
+    ]
     listed = {end.run for end in message.ended}
     placed = table.placed.get(key, {})
     for run in message.absent:
--- a/packages/core/crocuswell_core/jobs/job_table.py
+++ b/packages/core/crocuswell_core/jobs/job_table.py
@@ -108,6 +108,11 @@
         tasks = occurrence.tasks[task_id.step]
         return tasks[task_id.index] if 0 <= task_id.index < len(tasks) else None
 
+    def was_placed(self, run: RunId) -> bool:
+        """Tell whether a run was ever placed, and its job is still known."""
+        task = self.task(run.task)
+        return task is not None and run.number <= task.run
+
     def task_if_current(self, run: RunId) -> Task | None:
         """Return the task of a run that is placed and the task's newest run.
 
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -869,6 +869,26 @@
     assert not orders(leader.report(2, W1, ended=[ended]))
 
 
+@pytest.mark.parametrize("kind", [RunEndKind.DONE, RunEndKind.FAILED])
+def test_end_of_an_unknown_run_covers_no_other_end(kind: RunEndKind) -> None:
+    """Guards against ends that are forgotten, since a larger number was seen.
+
+    The worker that listed the odd ends was barred too, if the runs had failed.
+    """
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("j", step())
+    progress = running_progress(leader, W1)
+    later = run_of("j", number=2)
+    odd = [end_of(run_of("x"), kind, 7), end_of(run_of("y"), kind, 2**53)]
+    leader.report(1, W1, progress, [end_of(later, kind, 3), *odd])
+    assert not leader.state.dispatch.failure_histories
+    leader.report(1, W1, (), [end_of(run_of("j"), RunEndKind.DONE), *odd])
+    jobs = leader.state.cluster.jobs
+    assert jobs.acknowledged_ends[W1.key] == 1
+    assert not jobs.jobs["j"].is_open
+
+
 TENANTS = (
     CatalogWorkspace("tisk", ("key-a",), 1, 16),
     CatalogWorkspace("lender", ("key-b",), 1, 8),
