Keep ends with one number apart, and a bounded number of them

Cause: since a runner keeps the ends that it has reported and that the worker no longer lists, by their numbers. Of two rows with one number, of which one is odd, only the last was reported: the run of the other one stayed placed for good. And rows that nobody records were kept and reported without a bound.

Change: ends are kept by number and run, the 500 with the lowest numbers; a worker lists 500 at a time.

Evidence: test_ends_with_one_number_are_both_reported and test_ends_of_odd_numbers_do_not_pile_up failed before.

--- a/packages/core/crocuswell_core/runner/run_lists.py
+++ b/packages/core/crocuswell_core/runner/run_lists.py
@@ -1,5 +1,7 @@
 """Run lists read from the worker, and reports sent to the leader."""
 
+from operator import attrgetter
+
 from crocuswell_core.links import uplink as uplink_stream
 from crocuswell_core.links.link_messages import (
     WorkerDescription,
@@ -28,6 +30,8 @@
 # An absent run stays in the reports for this long, since the leader's first
 # record of it may be lost.
 ABSENT_RETENTION_MS = 10_000
+# Ends that are kept and reported at a time; as many as a worker lists.
+MAX_ENDS = 500
 
 
 def worker_id(state: RunnerState) -> str:
@@ -74,10 +78,9 @@
     before = set(state.running)
     state.running = {progress.run: progress for progress in reply.running}
     # An acknowledgement for an earlier boot may make the worker forget ends.
-    ended = {end.number: end for end in (*state.ended, *reply.ended)}
-    state.ended = tuple(
-        end for number, end in sorted(ended.items()) if number > state.acknowledged_end
-    )
+    ended = {(end.number, end.run): end for end in (*state.ended, *reply.ended)}
+    unseen = [end for end in ended.values() if end.number > state.acknowledged_end]
+    state.ended = tuple(sorted(unseen, key=attrgetter("number"))[:MAX_ENDS])
     note_listed_runs(state)
     _update_absent_runs(state)
     # The leader grants no lease while the worker is unreachable.
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -501,6 +501,24 @@
     )
 
 
+def test_ends_with_one_number_are_both_reported(runner: Runner) -> None:
+    """Guards against an end that is hidden by another one with its number."""
+    ended = [end_of(run_of(job), RunEndKind.DONE, 1) for job in ("j", "odd")]
+    runner.tick()
+    runner.reply_with_list(ended=ended)
+    assert runner.reports[-1].ended == tuple(ended)
+
+
+def test_ends_of_odd_numbers_do_not_pile_up(runner: Runner) -> None:
+    """Guards against a runner that keeps ever more unrecorded ends."""
+    for number in range(2_000, 0, -100):
+        runner.tick()
+        odd = [end_of(run_of("x"), RunEndKind.DONE, number + n) for n in range(100)]
+        runner.reply_with_list(ended=odd)
+    numbers = [end.number for end in runner.reports[-1].ended]
+    assert numbers == list(range(100, 600))
+
+
 def test_start_that_is_held_up_past_the_grant_is_withdrawn(runner: Runner) -> None:
     """Guards against a start on a permission that ran out during a pause.
 
