Trace the starts withdrawn from workers that were cut off

Cause, shown with reducers: a report that the runner had sent on its earlier stream arrives after the first one on the new stream.

Ruled out: late, cut off or slow streams alone.

--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -970,6 +970,24 @@
     assert not leader.state.dispatch.stopping
 
 
+def test_late_report_on_an_earlier_stream_withdraws_no_start() -> None:
+    """Guards against runs that are stopped because of an outdated run list.
+
+    A worker that was cut off had its runs withdrawn as soon as it was back:
+    the runs of the outdated list seemed to use its capacity.
+    """
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("first", step(1, 8), queue=TIGHT)
+    outdated = running_progress(leader, W1)
+    leader.report(1, W1, outdated)
+    leader.submit("next", step(1, 8), queue=TIGHT)
+    leader.report(1, W1, (), [end_of(run_of("first"), RunEndKind.DONE)])
+    leader.report(2, W1, running_progress(leader, W1))
+    assert not orders(leader.report(1, W1, outdated))
+    assert not leader.state.dispatch.stopping
+
+
 def test_late_report_on_an_earlier_stream_brings_no_boot_back() -> None:
     """Guards against runs that are placed on a boot that is gone."""
     leader = Leader()
