Judge a worker by the progress of its own runs only

Cause: the row showed the same percentage for 2.5 s, counted as a run that stands still, and barred the worker for 6 s, then 12, 24 and 48 s.

Change: only runs that are placed on a worker can bar it. Others have been ordered to stop.

Evidence: test_listed_run_that_was_never_placed_does_not_bar_its_worker failed before.

--- a/packages/core/crocuswell_core/dispatching/health.py
+++ b/packages/core/crocuswell_core/dispatching/health.py
@@ -117,13 +117,15 @@
 
     Called for each new run list of the worker. The time between lists that
     exceeds `MAX_LIST_GAP_MS` does not count, because without a list the
-    progress of the runs is unknown.
+    progress of the runs is unknown. Runs that are not placed there are ordered
+    to stop, and need not advance.
     """
+    placed = state.cluster.jobs.placed.get(view.worker.key, {})
     elapsed_ms = min(state.now_ms - view.list_received_ms, MAX_LIST_GAP_MS)
     effects: list[Effect] = []
     last_progress: dict[RunId, LastProgress] = {}
     for run, progress in view.running.items():
-        if _is_long_running(state, run):
+        if placed.get(run.task) != run.number or _is_long_running(state, run):
             continue
         last = view.last_progress.get(run)
         if last is None:
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -869,6 +869,17 @@
     assert not orders(leader.report(2, W1, ended=[ended]))
 
 
+@pytest.mark.parametrize("run", [run_of("unknown"), run_of("j", number=7)])
+def test_listed_run_that_was_never_placed_does_not_bar_its_worker(run: RunId) -> None:
+    """Guards against a worker that gets no tasks while it lists an odd run."""
+    leader = Leader()
+    leader.submit("j", step())
+    for _ in range(16):
+        leader.report(1, W1, [RunProgress(run, "", 10)])
+        leader.advance(500)
+    assert not leader.state.dispatch.failure_histories
+
+
 @pytest.mark.parametrize("kind", [RunEndKind.DONE, RunEndKind.FAILED])
 def test_end_of_an_unknown_run_covers_no_other_end(kind: RunEndKind) -> None:
     """Guards against ends that are forgotten, since a larger number was seen.
