--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -869,6 +869,37 @@
     assert not orders(leader.report(2, W1, ended=[ended]))
 
 
+@pytest.mark.parametrize("run", [run_of("unknown"), run_of("j", number=7)])
+def test_listed_run_that_was_never_placed_does_not_bar_its_worker(run: RunId) -> None:
+    """Guards against a worker that gets no tasks while it lists an odd run."""
+    leader = Leader()
+    leader.submit("j", step())
+    for _ in range(16):
+        leader.report(1, W1, [RunProgress(run, "", 10)])
+        leader.advance(500)
+    assert not leader.state.dispatch.failure_histories
+
+
+@pytest.mark.parametrize("kind", [RunEndKind.DONE, RunEndKind.FAILED])
+def test_end_of_an_unknown_run_covers_no_other_end(kind: RunEndKind) -> None:
+    """Guards against ends that are forgotten, since a larger number was seen.
+
+    The worker that listed the odd ends was barred too, if the runs had failed.
+    """
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("j", step())
+    progress = running_progress(leader, W1)
+    later = run_of("j", number=2)
+    odd = [end_of(run_of("x"), kind, 7), end_of(run_of("y"), kind, 2**53)]
+    leader.report(1, W1, progress, [end_of(later, kind, 3), *odd])
+    assert not leader.state.dispatch.failure_histories
+    leader.report(1, W1, (), [end_of(run_of("j"), RunEndKind.DONE), *odd])
+    jobs = leader.state.cluster.jobs
+    assert jobs.acknowledged_ends[W1.key] == 1
+    assert not jobs.jobs["j"].is_open
+
+
 TENANTS = (
     CatalogWorkspace("tisk", ("key-a",), 1, 16),
     CatalogWorkspace("lender", ("key-b",), 1, 8),
@@ -950,6 +981,24 @@
     assert not leader.state.dispatch.stopping
 
 
+def test_late_report_on_an_earlier_stream_withdraws_no_start() -> None:
+    """Guards against runs that are stopped because of an outdated run list.
+
+    A worker that was cut off had its runs withdrawn as soon as it was back:
+    the runs of the outdated list seemed to use its capacity.
+    """
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("first", step(1, 8), queue=TIGHT)
+    outdated = running_progress(leader, W1)
+    leader.report(1, W1, outdated)
+    leader.submit("next", step(1, 8), queue=TIGHT)
+    leader.report(1, W1, (), [end_of(run_of("first"), RunEndKind.DONE)])
+    leader.report(2, W1, running_progress(leader, W1))
+    assert not orders(leader.report(1, W1, outdated))
+    assert not leader.state.dispatch.stopping
+
+
 def test_late_report_on_an_earlier_stream_brings_no_boot_back() -> None:
     """Guards against runs that are placed on a boot that is gone."""
     leader = Leader()
