Start a killed runner once, and none after its deployment has ended

Two handlers that killed the same runner at once started it twice, and the script lost one of the two processes: three were found and ended by hand.

--- a/scripts/worker_restarts.py
+++ b/scripts/worker_restarts.py
@@ -43,6 +43,8 @@
 START, STOP, LISTS = "/run-start", "/run-stop", "/hold"
 # Status of an answer that a connection that is shut down does not deliver.
 LOST = 500
+# Two calls that meet the same runner must not start it twice.
+KILLING = threading.Lock()
 
 
 class Role(enum.Enum):
@@ -141,6 +143,7 @@
             dep = stack.enter_context(harness.deployment(record, workers=WORKERS))
         if logs is not None:
             stack.callback(_copy_logs, folder, dep, logs)
+        stack.callback(_end_timers)
         harness.start_all(dep)
         # Urgent work takes all workers at once.
         dep.apply_config(harness.make_config(2, priority=0, stretch=1.0))
@@ -149,6 +152,14 @@
         yield dep
 
 
+def _end_timers() -> None:
+    """Let no timer start a process of a deployment that has ended."""
+    for thread in threading.enumerate():
+        if isinstance(thread, threading.Timer):
+            thread.cancel()
+            thread.join()
+
+
 def _copy_logs(folder: Path, dep: harness.Deployment, logs: Path) -> None:
     logs.mkdir(parents=True, exist_ok=True)
     for path in [folder / "record.txt", *dep.folder.glob("*.log")]:
@@ -199,12 +210,13 @@
     """Kill a process, and start it again."""
     is_leader = role is Role.LEADER
     program = find_leader(dep) if is_leader else runner_of(dep, worker)
-    program.kill()
-    dep.record.add("killed", program=program.name)
-    if is_leader:
-        threading.Timer(LEADER_DOWN_S, program.start).start()
-    else:
-        program.start()
+    with KILLING:
+        program.kill()
+        dep.record.add("killed", program=program.name)
+        if is_leader:
+            threading.Timer(LEADER_DOWN_S, program.start).start()
+        else:
+            program.start()
 
 
 Action = Callable[[RestartingWorker, dict[str, Any]], int | float | None]
