--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -308,6 +308,13 @@
     assert not report.refused
 
 
+def test_run_that_is_reported_absent_is_not_started(runner: Runner) -> None:
+    """Guards against a later boot that begins a run which counts as over."""
+    settle_refusal(runner, OrderRefused(0, "unwell", is_unable=True))
+    runner.order(run_of("j"))
+    assert not runner.open_start_calls()
+
+
 def test_withdrawn_start_is_not_held_against_the_worker(runner: Runner) -> None:
     """Guards against a worker that is blamed for an order that was held up."""
     runner.tick(LEASE_MS)
