Start no run that was reported absent

A run was refused and its absence reported; the next leader, whose record of that was on its way, ordered it again, and the runner sent the start. Its worker refuses it, but a later boot carried the call out.

--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -239,6 +239,9 @@
         if not has_grant(state):
             # The order was held up until after the end of the grant.
             withdraw_start(state, start.run)
+        elif start.run in state.absent:
+            # The leader's record of its absence is on its way.
+            continue
         elif start.run not in state.running and start.run not in state.stops:
             state.starts.setdefault(start.run, StartOrder(start))
     for stop in message.stops:
