Order no start for a run that the report names as absent

The leader proposed its end, and in the same step ordered its start; the worker's next boot carried that out beside the task's next run.

Cause: a run whose absence is proposed was not among those known to the worker. The boot that refused it refuses the start as well; a later boot of the id does not.

Change: it counts as known.

Evidence: test_absent_run_is_not_ordered_again_by_the_next_leader failed before: the start was ordered.

--- a/packages/core/crocuswell_core/dispatching/orders.py
+++ b/packages/core/crocuswell_core/dispatching/orders.py
@@ -80,8 +80,9 @@
 
 
 def _is_known_to(view: WorkerView, run: RunId) -> bool:
-    """Tell whether a worker has or had a run, or was ordered to start it."""
-    return run in view.running or run in view.ended or run in view.ordered_starts
+    """Tell whether a worker has, had or refuses a run, or was to start it."""
+    known = (view.running, view.ended, view.ordered_starts, view.absent)
+    return any(run in runs for runs in known)
 
 
 def _withdraw_excess_starts(state: EntryState, view: WorkerView) -> list[Effect]:
--- a/tests/test_replaced_boots.py
+++ b/tests/test_replaced_boots.py
@@ -151,6 +151,18 @@
     assert not leader.placed(OLD)
 
 
+def test_absent_run_is_not_ordered_again_by_the_next_leader() -> None:
+    """Guards against a start that runs beside the next run of its task."""
+    leader = leader_with_run()
+    leader.state.dispatch.term = -1
+    leader.sent.clear()
+    leader.report(3, OLD, absent=(RUN,))
+    orders = [
+        each.message for each in leader.sent if isinstance(each.message, RunOrders)
+    ]
+    assert RUN not in [start.run for order in orders for start in order.starts]
+
+
 # --- the runner ------------------------------------------------------------
 
 
