Keep the crash of a boot until its runs are settled

A runner forgets a crash once that of a boot that started later is recorded, and the record of the earlier one waits until the next boot has refused its runs. The leader now keeps what the runner told first. Two names are clearer.

--- a/packages/core/crocuswell_core/dispatching/dispatch_state.py
+++ b/packages/core/crocuswell_core/dispatching/dispatch_state.py
@@ -10,6 +10,7 @@
     RunId,
     SavedCheckpoint,
     StepKey,
+    WorkerCrash,
     parse_boot_key,
 )
 from crocuswell_core.learning.expected_ratios import ExpectedRatio
@@ -82,10 +83,13 @@
         Key of the other boot.
     view : WorkerView or None
         What was last known of the replaced boot.
+    crash : WorkerCrash or None
+        Its crash, if the runner has witnessed one.
     """
 
     successor: str
     view: WorkerView | None
+    crash: WorkerCrash | None
 
 
 @attrs.define
--- a/packages/core/crocuswell_core/dispatching/replaced_boots.py
+++ b/packages/core/crocuswell_core/dispatching/replaced_boots.py
@@ -10,7 +10,7 @@
 from crocuswell_core.dispatching.dispatch_state import ReplacedBoot
 from crocuswell_core.dispatching.worker_view import WorkerView
 from crocuswell_core.entry.entry_state import EntryState
-from crocuswell_core.jobs.job_records import RunId, parse_worker_id
+from crocuswell_core.jobs.job_records import RunId, WorkerCrash, parse_worker_id
 from crocuswell_core.links.link_messages import WorkerDescription, WorkerReport
 
 
@@ -54,14 +54,24 @@
     return parse_worker_id(key) == worker.id
 
 
+def find_crash(message: WorkerReport, key: str) -> WorkerCrash | None:
+    """Return the crash of a boot that a report names, if it does."""
+    return next((crash for crash in message.crashes if crash.worker == key), None)
+
+
 def note_replaced_boot(
-    state: EntryState, key: str, worker: WorkerDescription, view: WorkerView | None
+    state: EntryState, key: str, message: WorkerReport, view: WorkerView | None
 ) -> None:
-    """Note that a boot has to settle the runs of an earlier one."""
+    """Note that the reported boot has to settle the runs of an earlier one."""
+    if message.worker is None:
+        return
     dispatch = state.dispatch
     known = dispatch.replaced.get(key)
     view = view or (known.view if known else None)
-    dispatch.replaced[key] = ReplacedBoot(worker.key, view)
+    # The runner forgets a crash once that of a boot that started later is
+    # recorded.
+    crash = (known.crash if known else None) or find_crash(message, key)
+    dispatch.replaced[key] = ReplacedBoot(message.worker.key, view, crash)
     dispatch.lost_contact.add(key)
 
 
--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -20,6 +20,7 @@
     unwitnessed_crash,
 )
 from crocuswell_core.dispatching.replaced_boots import (
+    find_crash,
     find_replaced_boots,
     is_settled,
     may_take_orders_of,
@@ -91,7 +92,7 @@
         # A grant would outlast what is noted of the worker on this machine.
         return [SendAgent(stream_id, LeaseGrant(message.sequence, term, 0))]
     key = message.worker.key
-    if not _is_newest_stream(state, message.worker.machine, stream_id):
+    if not _note_stream(state, message.worker.machine, stream_id):
         return []
     if key in state.dispatch.pending_losses and key in table.placed:
         # Its runs are about to restart elsewhere: do not extend their lease.
@@ -140,8 +141,8 @@
     return effects
 
 
-def _is_newest_stream(state: EntryState, machine: str, stream_id: int) -> bool:
-    """Tell whether a runner has not reported on a later stream before.
+def _note_stream(state: EntryState, machine: str, stream_id: int) -> bool:
+    """Note a runner's stream; tell whether none of its later ones is known.
 
     A report that arrives late describes what was, perhaps an earlier boot.
     """
@@ -242,7 +243,7 @@
         if key not in state.cluster.jobs.placed:
             _forget_boot(state, key)
         elif may_take_orders_of(worker, key):
-            note_replaced_boot(state, key, worker, view)
+            note_replaced_boot(state, key, message, view)
         else:
             effects += _propose_loss_by_successor(state, key, view, message)
     return effects
@@ -272,8 +273,9 @@
     state: EntryState, key: str, view: WorkerView | None, message: WorkerReport
 ) -> list[Effect]:
     successor = message.worker.key if message.worker else ""
-    crashes = {crash.worker: crash for crash in message.crashes}
-    return _propose_loss(state, key, view, "new boot", successor, crashes.get(key))
+    replaced = state.dispatch.replaced.get(key)
+    crash = replaced.crash if replaced else find_crash(message, key)
+    return _propose_loss(state, key, view, "new boot", successor, crash)
 
 
 def _forget_boot(state: EntryState, key: str) -> None:
@@ -349,7 +351,9 @@
         health.record_run_end(state, view, end)
     effects = speed_evidence.note_ends(state, view, ends)
     view.last_proposed_end = max(known, *(end.number for end in ends))
-    command = RecordRunEnds(key, tuple(ends), view.last_proposed_end, True)
+    command = RecordRunEnds(
+        key, tuple(ends), view.last_proposed_end, counts_lost_runs=True
+    )
     return [*effects, *_propose(state, command)]
 
 
--- a/tests/test_replaced_boots.py
+++ b/tests/test_replaced_boots.py
@@ -330,3 +330,12 @@
     assert {name: list(runs) for name, runs in over.items()} == {
         "m1/w": [run_of("j", 2).task, run_of("j", 3).task]
     }
+
+
+def test_crash_is_recorded_though_the_runner_has_forgotten_it() -> None:
+    """Guards against a task that is not charged for its worker's crash."""
+    leader = leader_with_run()
+    leader.report(1, NEW, crashes=(CRASH,))
+    leader.report(1, NEW, absent=(RUN,))
+    assert not leader.placed(OLD)
+    assert leader.state.cluster.jobs.has_recorded(CRASH)
