--- a/tests/powered_group.py
+++ b/tests/powered_group.py
@@ -92,7 +92,8 @@
     Attributes
     ----------
     acknowledged : dict
-        By index, the entries of which a host may have told somebody.
+        By index, the entries that a host has applied, and of which it may
+        have told somebody.
     """
 
     def __init__(
@@ -162,6 +163,7 @@
             self.kill(name)
 
     def _execute_effects(self, host: Host, effects: list[Effect]) -> None:
+        self._note_applied(host)
         encoded = [
             encode_effect_state(effect) if isinstance(effect, SaveSnapshot) else effect
             for effect in effects
@@ -174,6 +176,13 @@
         self.stored(host.name).sync(records)
         self._schedule(self.rng.choice(SYNC_MS), lambda: self._synced(host, batch))
 
+    def _note_applied(self, host: Host) -> None:
+        consensus = host.state.consensus
+        for index in range(consensus.snapshot_index + 1, consensus.applied_index + 1):
+            entry = consensus_log.entry_at(consensus, index)
+            assert entry is not None
+            assert self.acknowledged.setdefault(index, entry) == entry
+
     def _synced(self, host: Host, batch: Batch) -> None:
         if self._batches.get(host.name) is not batch:
             return
@@ -195,10 +204,6 @@
 
     def _complete(self, host: Host, effects: list[Effect]) -> None:
         consensus = host.state.consensus
-        for index in range(consensus.snapshot_index + 1, consensus.applied_index + 1):
-            entry = consensus_log.entry_at(consensus, index)
-            assert entry is not None
-            assert self.acknowledged.setdefault(index, entry) == entry
         self.stored(host.name).promise = Promise(
             consensus.term,
             consensus_log.last_term(consensus),
