--- a/tests/test_replaced_boots.py
+++ b/tests/test_replaced_boots.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from crocuswell_core.jobs.job_commands import PlaceRuns, RecordRunEnds
+from crocuswell_core.jobs.job_commands import (
+    MarkWorkerLost,
+    PlaceRuns,
+    RecordRunEnds,
+)
 from crocuswell_core.jobs.job_records import (
     CrashedRun,
     RunEndKind,
@@ -339,3 +343,30 @@
     leader.report(1, NEW, absent=(RUN,))
     assert not leader.placed(OLD)
     assert leader.state.cluster.jobs.has_recorded(CRASH)
+
+
+@pytest.mark.parametrize("gang", [False, True])
+@pytest.mark.parametrize("counts", [False, True])
+def test_work_done_by_a_run_that_was_given_up_is_not_done_again(gang, counts) -> None:
+    """Guards against a start after an end that was acknowledged."""
+    table = ReplicatedTable()
+    table.submit("j", step(2 if gang else 1, gang=gang))
+    runs = [run_of("j", index) for index in range(2 if gang else 1)]
+    table.start(*runs)
+    table.apply(MarkWorkerLost(KEY))
+    ended = (end_of(RUN, RunEndKind.DONE),)
+    table.apply(RecordRunEnds(KEY, ended, 1, counts_lost_runs=counts))
+    # Entries of earlier versions are applied as they were then.
+    assert (table.phase("j") == "completed") == counts
+
+
+def test_work_of_a_task_that_has_another_run_is_left_to_that_run() -> None:
+    """Guards against an end that is taken for a later run's."""
+    table = ReplicatedTable()
+    table.submit("j", step())
+    table.start(RUN)
+    table.apply(MarkWorkerLost(KEY))
+    table.start(run_of("j", number=2))
+    ended = (end_of(RUN, RunEndKind.DONE),)
+    table.apply(RecordRunEnds(KEY, ended, 1, counts_lost_runs=True))
+    assert table.phase("j") == "running"
