Split the losses of workers from their reports

Moved without a change of what is decided: worker_losses.py has what gives runs up, with the boots that are replaced. The planted faults of the random runs name the new module.

--- a/packages/core/crocuswell_core/dispatching/control.py
+++ b/packages/core/crocuswell_core/dispatching/control.py
@@ -5,10 +5,8 @@
 from crocuswell_core.dispatching.gauges import set_gauges
 from crocuswell_core.dispatching.orders import current_dispatch, send_due_orders
 from crocuswell_core.dispatching.planner import plan_if_due, plan_starts
-from crocuswell_core.dispatching.worker_reports import (
-    expire_leases,
-    propose_checkpoints,
-)
+from crocuswell_core.dispatching.worker_losses import expire_leases
+from crocuswell_core.dispatching.worker_reports import propose_checkpoints
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.links import uplink as uplink_stream
 from crocuswell_core.links.client_streams import CLIENT_KEEPALIVE_MS, redirect_clients
--- a/tests/test_job_fleet.py
+++ b/tests/test_job_fleet.py
@@ -12,7 +12,7 @@
 
 from crocuswell_core.cluster.cluster_state import ClusterState
 from crocuswell_core.cluster.commands import LogEntry
-from crocuswell_core.dispatching import orders, worker_reports
+from crocuswell_core.dispatching import orders, worker_losses
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.jobs.job_commands import CatalogInForce, PutCatalog, SubmitJob
 from crocuswell_core.jobs.job_records import StepSpec, TaskId
@@ -90,16 +90,16 @@
 
 
 def give_up_silent_workers(planter: Planter) -> None:
-    planter.set(worker_reports, "_lease_end_ms", lambda state, view: state.now_ms)
+    planter.set(worker_losses, "_lease_end_ms", lambda state, view: state.now_ms)
 
 
 def forget_grants_of_earlier_leaders(planter: Planter) -> None:
-    lease_end_ms = worker_reports._lease_end_ms
+    lease_end_ms = worker_losses._lease_end_ms
 
     def planted(state: EntryState, view: object) -> int:
         return lease_end_ms(state, view) if view else state.dispatch.started_ms
 
-    planter.set(worker_reports, "_lease_end_ms", planted)
+    planter.set(worker_losses, "_lease_end_ms", planted)
 
 
 def act_on_grants_that_have_ended(planter: Planter) -> None:
@@ -165,7 +165,7 @@
 
 
 def give_up_earlier_boots_at_once(planter: Planter) -> None:
-    planter.set(worker_reports, "may_take_orders_of", lambda worker, key: False)
+    planter.set(worker_losses, "may_take_orders_of", lambda worker, key: False)
 
 
 DOUBLED = ("a task runs twice", "a task that is done starts again")
