--- a/tests/test_replaced_boots.py
+++ b/tests/test_replaced_boots.py
@@ -370,3 +370,14 @@
     ended = (end_of(RUN, RunEndKind.DONE),)
     table.apply(RecordRunEnds(KEY, ended, 1, counts_lost_runs=True))
     assert table.phase("j") == "running"
+
+
+def test_ends_are_recorded_after_a_transfer_of_the_leadership_failed() -> None:
+    """Guards against a task that is done and never counts as done."""
+    leader = leader_with_run()
+    ended = (end_of(RUN, RunEndKind.DONE),)
+    leader.state.consensus.transfer_target = "h2"
+    leader.report(1, OLD, ended=ended)
+    leader.state.consensus.transfer_target = None
+    leader.report(1, OLD, ended=ended)
+    assert leader.state.cluster.jobs.jobs["j"].phase.value == "completed"
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -122,3 +122,17 @@
     assert found[0] == OrderAccepted(0)
     assert isinstance(found[1], NoAnswer) and found[1].sent
     assert len(calls) == len(found)
+
+
+def test_start_that_was_held_up_past_its_grant_is_not_sent() -> None:
+    """Guards against a start that a later boot takes after a suspension."""
+    replies: Queue[Any] = Queue()
+    calls: list[str] = []
+    with (
+        worker_that_hangs_up(calls) as address,
+        WorkerClient(address, replies.put) as client,
+    ):
+        client.call(StartOnWorker("w1", run_of("j"), "work", 1_000, 1, send_by_ms=0))
+        reply = replies.get(timeout=ANSWER_S).reply
+    assert isinstance(reply, NoAnswer) and not reply.sent
+    assert not calls
