--- a/review/second/worker.py
+++ b/review/second/worker.py
@@ -16,6 +16,7 @@
 
 HEARTBEAT_S = 1.5
 TICK_S = 0.02
+FAILS_AFTER_S = 0.05
 # After how long an order without an answer is carried out.
 LATE_S = (2.0, 12.0)
 # Longer than the runner waits for an answer.
@@ -33,6 +34,7 @@
         self.work_s = fields.get("work_ms", 3000) / 1000
         self.lasts = bool(fields.get("lasts"))
         self.checkpoint = checkpoint
+        self.fails = False
 
     def percent(self) -> int:
         """Return the share of the work that is done."""
@@ -49,6 +51,8 @@
     starts : list
         Time, task and run of each start, over all boots, without those that
         were carried out late.
+    fails_starts : bool
+        Whether work items fail soon after their start.
     late_every : int
         Each start order of this number gets no answer and is carried out
         2 to 12 s later; 0 for none.
@@ -73,6 +77,7 @@
         self.ends: list[tuple[float, str, int, str]] = []
         self.is_draining = False
         self.late_every = 0
+        self.fails_starts = False
         self._start_orders = 0
         self._lock = threading.Condition()
         self._closing = threading.Event()
@@ -261,6 +266,7 @@
         if body["deadline_ms"] <= self.clock_ms():
             return 409, self._response(reason="late")
         run = Run(task, number, body["spec"], body.get("checkpoint", ""))
+        run.fails = self.fails_starts
         self._running[task] = run
         if not is_late:
             self.starts.append((time.monotonic(), task, number))
@@ -313,6 +319,8 @@
                     age_s = time.monotonic() - run.started_s
                     if lapsed:
                         self._end(run, "lapsed")
+                    elif run.fails and age_s >= FAILS_AFTER_S:
+                        self._end(run, "failed")
                     elif age_s >= run.work_s and not run.lasts:
                         self._end(run, "done")
 
