--- a/review/second/worker.py
+++ b/review/second/worker.py
@@ -51,6 +51,8 @@
     starts : list
         Time, task and run of each start, over all boots, without those that
         were carried out late.
+    sheds_starts : bool
+        Whether start orders are answered with 503, and not carried out.
     fails_starts : bool
         Whether work items fail soon after their start.
     late_every : int
@@ -78,6 +80,7 @@
         self.is_draining = False
         self.late_every = 0
         self.fails_starts = False
+        self.sheds_starts = False
         self._start_orders = 0
         self._lock = threading.Condition()
         self._closing = threading.Event()
@@ -240,6 +243,9 @@
             if fence < self._fence:
                 return 409, self._response(reason="fence")
             self._fence = fence
+            if path == "/run-start" and self.sheds_starts:
+                self.record.add(f"worker {self.ip}: sheds {body['task']}")
+                return 503, {}
             if path == "/run-start":
                 return self._start(body, is_late)
             if path == "/run-stop":
