Judge orders to a worker anew when they leave

One start order in 16 had no answer. With unanswered stops instead, 220 of 400 runs worked on 3.2 s after a cancelling.

Cause: the runner made a call for each order at once. The calls waited in the queue of four threads, in order; each order without an answer held a thread for 1 s. A start that was withdrawn since went out all the same, and stops waited behind it.

Change: the runner keeps its orders and sends one when there is room. Four orders may be in flight for less than 20 ms; older ones hold nothing up, up to 48 in all. What waits is withdrawn by a stop, a drain, a lost leader, a later boot or the end of the grant, and says what holds when it leaves. A call that its thread could not send within 1 s is decided anew.

--- a/packages/core/crocuswell_core/runner/run_lists.py
+++ b/packages/core/crocuswell_core/runner/run_lists.py
@@ -8,7 +8,7 @@
     WorkerReport,
 )
 from crocuswell_core.runner.crash_witness import note_listed_runs
-from crocuswell_core.runner.run_orders import extend_worker_lease, send_due_starts
+from crocuswell_core.runner.run_orders import extend_worker_lease, send_due_orders
 from crocuswell_core.runner.runner_state import (
     OrderPhase,
     RunnerState,
@@ -19,6 +19,7 @@
     RunsListed,
     WorkerHeartbeat,
 )
+from crocuswell_core.runtime.call_window import MAX_SEND_DELAY_MS
 from crocuswell_core.runtime.counter_values import CounterValue
 from crocuswell_core.runtime.effects import (
     CallWorker,
@@ -92,7 +93,7 @@
         # The worker does not hold the list back while it has unacknowledged
         # ends, so an immediate call would only repeat this list.
         state.next_list_ms += state.cfg.end_ack_wait_ms
-    effects += send_due_starts(state)
+    effects += send_due_orders(state)
     if changed or state.absent:
         effects += send_report(state)
     return [*effects, *list_runs_if_due(state)]
@@ -155,6 +156,7 @@
         lease_end_ms=extend_worker_lease(state) if granted else 0,
         wait_ms=0 if immediate else state.cfg.list_wait_ms,
         served_ms=state.served_ms,
+        send_by_ms=state.now_ms + MAX_SEND_DELAY_MS,
     )
     if immediate and state.clock.read_ms:
         state.next_list_ms = state.now_ms + state.cfg.end_ack_wait_ms
--- a/packages/core/crocuswell_core/runner/run_orders.py
+++ b/packages/core/crocuswell_core/runner/run_orders.py
@@ -12,10 +12,13 @@
     StartOnWorker,
     StopOnWorker,
 )
+from crocuswell_core.runtime.call_window import MAX_SEND_DELAY_MS
 from crocuswell_core.runtime.effects import (
     CallWorker,
     Effect,
+    StartTimer,
 )
+from crocuswell_core.runtime.timers import OrderTimer
 
 # No start is sent to the worker with less than this left of the grant.
 MIN_REMAINING_GRANT_MS = 500
@@ -59,7 +62,16 @@
     return state.now_ms < state.granted_until_ms
 
 
-def _withdraw_outdated_starts(state: RunnerState) -> None:
+def _withdraw_invalid_starts(state: RunnerState) -> None:
+    """Withdraw the starts that must not be sent any more.
+
+    A draining worker must not start runs. The stop makes a run absent, which
+    is reported to the leader.
+    """
+    if state.heartbeat is None or not state.uplink.is_attached:
+        return
+    if has_grant(state) and not state.heartbeat.draining:
+        return
     for run, start in list(state.starts.items()):
         if start.phase is OrderPhase.WAITING:
             withdraw_start(state, run)
@@ -117,12 +129,23 @@
     return candidate is not None and served is not None and candidate.id == served.id
 
 
-def send_due_starts(state: RunnerState) -> list[Effect]:
-    """Send the worker the starts that are due."""
+def send_due_orders(state: RunnerState) -> list[Effect]:
+    """Send the worker the orders that are due, as far as there is room.
+
+    Stops go first. An order without room stays as it is, so that it can still
+    be withdrawn; what it says is decided when it leaves.
+    """
+    _withdraw_invalid_starts(state)
+    effects = [*_send_due_stops(state), *_send_due_starts(state)]
+    room_at_ms = state.orders_in_flight.room_at_ms(state.now_ms)
+    if room_at_ms is not None and room_at_ms > state.now_ms:
+        effects.append(StartTimer(OrderTimer(), room_at_ms - state.now_ms))
+    return effects
+
+
+def _send_due_starts(state: RunnerState) -> list[Effect]:
     if state.heartbeat is None or not state.uplink.is_attached:
         return []
-    if not has_grant(state):
-        _withdraw_outdated_starts(state)
     if (
         state.granted_until_ms - state.now_ms < MIN_REMAINING_GRANT_MS
         or _may_be_withdrawn(state)
@@ -131,15 +154,13 @@
     ):
         return []
     effects: list[Effect] = []
-    for run, start in list(state.starts.items()):
+    for run, start in state.starts.items():
+        if not state.orders_in_flight.has_room(state.now_ms):
+            break
         if start.phase is not OrderPhase.WAITING or state.now_ms < start.retry_at_ms:
             continue
-        if state.heartbeat.draining:
-            # A draining worker must not start runs; the stop makes the run
-            # absent, which is reported to the leader.
-            withdraw_start(state, run)
-            continue
         start.phase = OrderPhase.CALLING
+        state.orders_in_flight.add(state.now_ms)
         call = StartOnWorker(
             worker=state.heartbeat.id,
             run=run,
@@ -148,21 +169,31 @@
             fence=state.fence,
             checkpoint=start.order.checkpoint,
             served_ms=state.served_ms,
-            send_by_ms=state.granted_until_ms,
+            send_by_ms=min(state.granted_until_ms, state.now_ms + MAX_SEND_DELAY_MS),
+            made_ms=state.now_ms,
         )
         effects.append(CallWorker(call))
     return effects
 
 
-def send_due_stops(state: RunnerState) -> list[Effect]:
-    """Send the worker the stops that are due."""
+def _send_due_stops(state: RunnerState) -> list[Effect]:
     if state.heartbeat is None:
         return []
     effects: list[Effect] = []
     for run, stop in state.stops.items():
+        if not state.orders_in_flight.has_room(state.now_ms):
+            break
         if stop.phase is OrderPhase.WAITING and state.now_ms >= stop.retry_at_ms:
             stop.phase = OrderPhase.CALLING
-            call = StopOnWorker(state.heartbeat.id, run, state.fence, state.served_ms)
+            state.orders_in_flight.add(state.now_ms)
+            call = StopOnWorker(
+                worker=state.heartbeat.id,
+                run=run,
+                fence=state.fence,
+                served_ms=state.served_ms,
+                send_by_ms=state.now_ms + MAX_SEND_DELAY_MS,
+                made_ms=state.now_ms,
+            )
             effects.append(CallWorker(call))
     return effects
 
--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -30,8 +30,7 @@
     drop_unsent_starts,
     forget_late_starts,
     has_grant,
-    send_due_starts,
-    send_due_stops,
+    send_due_orders,
     withdraw_start,
 )
 from crocuswell_core.runner.runner_state import (
@@ -51,6 +50,7 @@
     ConfirmBoot,
     ListRuns,
     NoAnswer,
+    NotSent,
     OrderAccepted,
     OrderRefused,
     OtherWorker,
@@ -64,6 +64,7 @@
     WorkerReply,
 )
 from crocuswell_core.runtime import shared_handlers  # noqa: F401  (registers them)
+from crocuswell_core.runtime.call_window import is_overdue
 from crocuswell_core.runtime.dispatch import (
     handle,
     handle_call_abandoned,
@@ -94,7 +95,7 @@
     RunnerStopRequested,
     WorkerReplied,
 )
-from crocuswell_core.runtime.timers import RunnerTimer
+from crocuswell_core.runtime.timers import OrderTimer, RunnerTimer
 
 RUNNER_TICK_MS = 100
 LIST_RETRY_MS = 200
@@ -216,7 +217,7 @@
     state.granted_until_ms = max(state.granted_until_ms, until_ms)
     state.contact_ms = max(state.contact_ms, sent_ms)
     drop_recorded_crashes(state, message.recorded_crash_ms)
-    effects = send_due_starts(state)
+    effects = send_due_orders(state)
     if (
         message.worker == worker_boot_key(state)
         and message.acknowledged_end > state.acknowledged_end
@@ -248,7 +249,7 @@
         drop_start(state, stop.run)
         if stop.run not in state.absent:
             state.stops.setdefault(stop.run, StopOrder())
-    return [*send_due_starts(state), *send_due_stops(state)]
+    return send_due_orders(state)
 
 
 # --- replies from the worker ---------------------------------------------
@@ -256,9 +257,24 @@
 
 @handle.register
 def _(event: WorkerReplied, state: RunnerState) -> list[Effect]:
-    if not _concerns_served_boot(event.call, state):
-        return []
-    return _handle_worker_reply(event.call, state, event.reply)
+    _note_call_ended(event.call, state)
+    effects: list[Effect] = []
+    if _concerns_served_boot(event.call, state):
+        effects += _handle_worker_reply(event.call, state, event.reply)
+    return [*effects, *send_due_orders(state)]
+
+
+@singledispatch
+def _note_call_ended(call: WorkerCall, state: RunnerState) -> None:
+    """Make room for another order, if the call was one."""
+
+
+@_note_call_ended.register(StartOnWorker)
+@_note_call_ended.register(StopOnWorker)
+def _(call: StartOnWorker | StopOnWorker, state: RunnerState) -> None:
+    state.orders_in_flight.remove(call.made_ms)
+    if is_overdue(call.made_ms, state.now_ms):
+        count_event(state, "order overdue")
 
 
 @singledispatch
@@ -306,7 +322,7 @@
         del state.starts[call.run]
         stop = StopOrder(is_after_refusal=reply.is_unable)
         state.stops.setdefault(call.run, stop)
-        return [*effects, *send_due_stops(state)]
+        return effects
     start.phase = OrderPhase.WAITING
     if _may_have_been_carried_out(reply):
         start.was_sent = True
@@ -370,7 +386,7 @@
 def _(call: ListRuns, state: RunnerState, reply: WorkerReply) -> list[Effect]:
     state.list_in_flight = False
     if not isinstance(reply, RunsListed):
-        return _handle_missing_list(call, reply, state)
+        return _handle_missing_list(reply, call, state)
     if state.heartbeat is None or reply.born_ms not in (0, state.heartbeat.born_ms):
         # Another boot answered; its heartbeat will reset the state.
         state.next_list_ms = state.now_ms + LIST_RETRY_MS
@@ -383,9 +399,11 @@
     return apply_run_list(state, reply)
 
 
+@singledispatch
 def _handle_missing_list(
-    call: ListRuns, reply: WorkerReply, state: RunnerState
+    reply: WorkerReply, call: ListRuns, state: RunnerState
 ) -> list[Effect]:
+    """Handle a call that brought no run list."""
     state.next_list_ms = state.now_ms + LIST_RETRY_MS
     had_exited = state.has_exited
     state.has_exited = state.is_leaving and _is_connection_refused(reply)
@@ -398,6 +416,12 @@
     return [EmitLogEvent("worker_unreachable", labels), *send_report(state)]
 
 
+@_handle_missing_list.register
+def _(reply: NotSent, call: ListRuns, state: RunnerState) -> list[Effect]:
+    state.next_list_ms = state.now_ms
+    return list_runs_if_due(state)
+
+
 @singledispatch
 def _is_connection_refused(reply: WorkerReply) -> bool:
     """Tell whether nothing accepts connections at the worker's address."""
@@ -430,6 +454,11 @@
     return "other_boot"
 
 
+@_reply_reason.register
+def _(reply: NotSent) -> str:
+    return "not_sent"
+
+
 @singledispatch
 def _may_have_been_carried_out(reply: WorkerReply) -> bool:
     """Tell whether the worker may have carried out an order."""
@@ -452,6 +481,11 @@
     return "no_answer"
 
 
+@handle_timer.register
+def _(timer: OrderTimer, state: RunnerState) -> list[Effect]:
+    return send_due_orders(state)
+
+
 @handle_timer.register
 def _(timer: RunnerTimer, state: RunnerState) -> list[Effect]:
     effects: list[Effect] = [StartTimer(timer, RUNNER_TICK_MS)]
@@ -460,8 +494,7 @@
         return [Halt()]
     forget_late_starts(state)
     effects += confirm_candidate(state)
-    effects += send_due_starts(state)
-    effects += send_due_stops(state)
+    effects += send_due_orders(state)
     effects += list_runs_if_due(state)
     if state.now_ms - state.last_report_ms >= state.cfg.report_ms:
         effects += send_report(state)
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -13,6 +13,7 @@
 from crocuswell_core.links.link_messages import StartRun
 from crocuswell_core.links.uplink import Uplink
 from crocuswell_core.runner.worker_calls import WorkerHeartbeat
+from crocuswell_core.runtime.call_window import CallWindow
 
 
 @attrs.frozen
@@ -150,6 +151,8 @@
     confirmed_ms : dict
         Time in ms at which the worker confirmed a run, for all runs that may
         be on it.
+    orders_in_flight : CallWindow
+        Starts and stops sent to the worker's boots that have no reply yet.
     unanswered_ms : dict
         Time in ms of the newest call without an answer for the start of a run,
         or at which it was dropped; the worker, or a later boot, may still
@@ -197,6 +200,7 @@
     stops: dict[RunId, StopOrder] = attrs.Factory(dict)
     absent: dict[RunId, int] = attrs.Factory(dict)
     unanswered_ms: dict[RunId, int] = attrs.Factory(dict)
+    orders_in_flight: CallWindow = attrs.Factory(CallWindow)
     refused: set[RunId] = attrs.Factory(set)
     events: dict[str, int] = attrs.Factory(dict)
     events_sent: dict[str, int] = attrs.Factory(dict)
--- a/packages/core/crocuswell_core/runner/worker_boots.py
+++ b/packages/core/crocuswell_core/runner/worker_boots.py
@@ -12,7 +12,7 @@
     count_event,
     send_report,
 )
-from crocuswell_core.runner.run_orders import send_due_stops, stop_all_runs
+from crocuswell_core.runner.run_orders import send_due_orders, stop_all_runs
 from crocuswell_core.runner.runner_state import RunnerState, WorkerClock
 from crocuswell_core.runner.worker_calls import (
     ConfirmBoot,
@@ -21,6 +21,7 @@
     WorkerHeartbeat,
     WorkerReply,
 )
+from crocuswell_core.runtime.call_window import MAX_SEND_DELAY_MS
 from crocuswell_core.runtime.effects import CallWorker, Effect, EmitLogEvent, Label
 
 CONFIRM_RETRY_MS = 200
@@ -83,7 +84,10 @@
 
 def _ask_candidate(state: RunnerState, candidate: WorkerHeartbeat) -> list[Effect]:
     state.confirm_at_ms = state.now_ms + CANDIDATE_RETENTION_MS
-    return [CallWorker(ConfirmBoot(candidate, state.fence, state.served_ms))]
+    call = ConfirmBoot(
+        candidate, state.fence, state.served_ms, state.now_ms + MAX_SEND_DELAY_MS
+    )
+    return [CallWorker(call)]
 
 
 @singledispatch
@@ -121,7 +125,7 @@
         *crashed,
         registered,
         *apply_run_list(state, reply),
-        *send_due_stops(state),
+        *send_due_orders(state),
     ]
 
 
@@ -165,7 +169,7 @@
     )
     return [
         EmitLogEvent("other_boot_listed", labels),
-        *send_due_stops(state),
+        *send_due_orders(state),
         *send_report(state),
     ]
 
--- a/packages/core/crocuswell_core/runner/worker_calls.py
+++ b/packages/core/crocuswell_core/runner/worker_calls.py
@@ -73,6 +73,8 @@
     send_by_ms : int or None
         Time in ms on the machine's steady clock after which the call must not
         be sent.
+    made_ms : int
+        Time in ms at which the call was decided.
     """
 
     worker: str
@@ -83,6 +85,7 @@
     checkpoint: str = ""
     served_ms: int = 0
     send_by_ms: int | None = None
+    made_ms: int = 0
 
 
 @attrs.frozen
@@ -93,12 +96,16 @@
     ----------
     served_ms : int
         As in `StartOnWorker`; the answer proves nothing of another boot.
+    send_by_ms, made_ms : int or None, int
+        As in `StartOnWorker`.
     """
 
     worker: str
     run: RunId
     fence: int
     served_ms: int = 0
+    send_by_ms: int | None = None
+    made_ms: int = 0
 
 
 @attrs.frozen
@@ -114,7 +121,7 @@
     wait_ms : int
         Time in ms for which the worker may hold the answer back until a run
         ends.
-    served_ms : int
+    served_ms, send_by_ms : int, int or None
         As in `StartOnWorker`.
     """
 
@@ -124,6 +131,7 @@
     lease_end_ms: int = 0
     wait_ms: int = 0
     served_ms: int = 0
+    send_by_ms: int | None = None
 
 
 @attrs.frozen
@@ -136,11 +144,14 @@
     ----------
     served_ms : int
         As in `StartOnWorker`; 0 if no boot was served.
+    send_by_ms : int or None
+        As in `StartOnWorker`.
     """
 
     heartbeat: WorkerHeartbeat
     fence: int
     served_ms: int = 0
+    send_by_ms: int | None = None
 
     @property
     def worker(self) -> str:
@@ -215,4 +226,14 @@
     is_refused: bool = False
 
 
-WorkerReply = OrderAccepted | OrderRefused | RunsListed | OtherWorker | NoAnswer
+@attrs.frozen
+class NotSent:
+    """The call was held up on this machine past its time and was not sent.
+
+    It says nothing about the worker.
+    """
+
+
+WorkerReply = (
+    OrderAccepted | OrderRefused | RunsListed | OtherWorker | NoAnswer | NotSent
+)
--- a/packages/core/crocuswell_core/runtime/timers.py
+++ b/packages/core/crocuswell_core/runtime/timers.py
@@ -75,6 +75,11 @@
     """A runner's periodic work: reports, retries, lease renewal."""
 
 
+@attrs.frozen
+class OrderTimer:
+    """A runner may send its worker another order."""
+
+
 Timer = (
     ElectionTimer
     | LeaderTimer
@@ -90,4 +95,5 @@
     | UplinkTimer
     | FrontTimer
     | RunnerTimer
+    | OrderTimer
 )
