Play random runs of large jobs on workers that leave orders unanswered

The random runs of jobs had a few large tasks for each worker, so that no order ever waited for another.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 STEPS ?= 200000
 
-.PHONY: platform-day setup format lint test soak soak-platform soak-jobs soak-refusals soak-restarts model demo demo-kill failures rolling tour worker-restarts bench bench-ablations bench-dispatch bench-agent capacity clean
+.PHONY: platform-day setup format lint test soak soak-platform soak-jobs soak-refusals soak-restarts soak-crowds model demo demo-kill failures rolling tour worker-restarts bench bench-ablations bench-dispatch bench-agent capacity clean
 
 setup: $(VENV)/.ready
 
@@ -47,6 +47,10 @@
 soak-restarts: setup
 	$(BIN)/python -m scripts.soak --restarts --seed $(SEED) --steps $(STEPS)
 
+# Large jobs that are cancelled, on workers that leave orders unanswered.
+soak-crowds: setup
+	$(BIN)/python -m scripts.soak --crowds --seed $(SEED) --steps $(STEPS)
+
 bench: setup
 	$(BIN)/python bench/agent_memory.py
 	$(BIN)/python -m bench
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -3,7 +3,8 @@
 With `--platform`, the simulation includes agents, backend servers and
 callers; with `--jobs`, control hosts, runners, workers and callers of jobs;
 with `--refusals`, the same with workers that refuse orders at times; with
-`--restarts`, with workers that start again under their id.
+`--restarts`, with workers that start again under their id; with `--crowds`,
+large jobs that are cancelled, on workers that leave orders unanswered.
 
 Runs consecutive seeds, each for at most `STEPS_PER_SEED` steps, until
 `--steps` are done. A seed replays exactly with the same number of steps.
@@ -17,6 +18,7 @@
 from typing import Any
 
 from tests.consensus_checks import run_seed
+from tests.crowd_fleet import run_crowds_seed
 from tests.job_fleet import run_jobs_seed, run_refusals_seed
 from tests.platform_simulator import run_platform_seed
 from tests.restarting_fleet import run_restarts_seed
@@ -32,6 +34,7 @@
     parser.add_argument("--jobs", action="store_true")
     parser.add_argument("--refusals", action="store_true")
     parser.add_argument("--restarts", action="store_true")
+    parser.add_argument("--crowds", action="store_true")
     args = parser.parse_args()
     run: Callable[[int, int], Any] = run_seed
     target = "soak"
@@ -43,6 +46,8 @@
         run, target = run_refusals_seed, "soak-refusals"
     elif args.restarts:
         run, target = run_restarts_seed, "soak-restarts"
+    if args.crowds:
+        run, target = run_crowds_seed, "soak-crowds"
     faults: Counter[str] = Counter()
     steps = seeds = violations = 0
     while steps < args.steps:
--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -172,6 +172,8 @@
         self.crashes_under: Counter[TaskId] = Counter()
         self.late_starts: Counter[TaskId] = Counter()
         self.is_calm = False
+        # Runs with an order that a worker left unanswered.
+        self.unanswered_runs: set[RunId] = set()
         self._last_reports: dict[str, WorkerReport] = {}
         self._arrivals: dict[str, int] = {}
         self._cut: dict[str, int] = {}
@@ -272,6 +274,8 @@
         late_ms = 0
         if self.rng.random() < self._unanswered_share():
             self.faults["unanswered"] += 1
+            if isinstance(call, StartOnWorker | StopOnWorker):
+                self.unanswered_runs.add(call.run)
             late_ms = self.rng.choice((0, self.rng.randint(2_000, 6_000)))
             reply: WorkerReply = NoAnswer("timed out", sent=True)
             answer = partial(self.post, host, WorkerReplied(call, reply))
