Let no call of an agent wait for a thread

What callers saw: with a backend server that leaves starts unanswered, the stop of another task waited up to 1 s, and a start could leave after its stop was ordered.

Seven threads served the calls of eight slots; each call without an answer held one until its time limit.

Change: there are threads for all calls that eight slots can have in flight, and for eight results.

Measured: test_unanswered_calls_for_all_slots_do_not_delay_a_stop fails before. test_threads_are_bounded makes more calls than there are threads, as before.

--- a/packages/daemon/crocuswell_daemon/backend_client.py
+++ b/packages/daemon/crocuswell_daemon/backend_client.py
@@ -51,10 +51,11 @@
 CONNECT_TIMEOUT_S = 0.5
 READ_TIMEOUT_S = 1.0
 TOTAL_TIMEOUT_S = 2.0
-# Results are fetched on separate threads, so that a slow fetch does not delay
-# a stop.
-CONTROL_THREADS = 7
-RESULT_THREADS = 3
+# No call waits for a thread, so that an unanswered one delays no other: a
+# worker has 8 slots, and each task a start, stop, throttle and forget at most,
+# beside the description. Threads are started as they are needed.
+CONTROL_THREADS = 40
+RESULT_THREADS = 8
 # Far above the largest result size a configuration can allow.
 BODY_LIMIT_BYTES = 4_194_304
 CHUNK_BYTES = 65_536
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -29,6 +29,7 @@
 from crocuswell_core.runtime.events import BackendReplied
 from crocuswell_daemon.backend_client import (
     CONTROL_THREADS,
+    READ_TIMEOUT_S,
     RESULT_THREADS,
     TOTAL_TIMEOUT_S,
     BackendClient,
@@ -39,6 +40,7 @@
 INFO = WorkerInfo("w1", "r1", "fd-a", Resources(8, 128, 262_144))
 ATTEMPT = AttemptId("q/ä 1", 2)
 FETCH = FetchResult(ATTEMPT, 0)
+SLOTS = 8
 # Three times the client's own timeout, to allow for a busy machine.
 WAIT_S = 3 * TOTAL_TIMEOUT_S
 
@@ -238,6 +240,20 @@
     pair.standin.app.released.set()
 
 
+def test_unanswered_calls_for_all_slots_do_not_delay_a_stop(pair: Pair) -> None:
+    """Guards against a stop, or a withdrawn start, that waits for a thread."""
+    pair.standin.app.misbehaviour = ResponseFault("silent", ("StartOnBackend",))
+    for epoch in range(SLOTS):
+        attempt = AttemptId("silent", epoch)
+        pair.client.call(attrs.evolve(start(), attempt=attempt))
+    start_time = time.monotonic()
+    pair.client.call(StopOnBackend(ATTEMPT, 0, None))
+    event = pair.events.get(timeout=WAIT_S)
+    assert isinstance(event.call, StopOnBackend)
+    assert time.monotonic() - start_time < READ_TIMEOUT_S / 2
+    pair.standin.app.released.set()
+
+
 def test_waiting_threads_use_no_processor_time(pair: Pair) -> None:
     """Guards against threads that busy-wait."""
     assert isinstance(pair.call(Describe(1, 0)), Described)
@@ -250,9 +266,10 @@
     """Guards against starting a thread for each call."""
     before = threading.active_count()
     pair.standin.app.misbehaviour = ResponseFault("late", late_ms=300)
-    for _ in range(40):
+    calls = 2 * (CONTROL_THREADS + RESULT_THREADS)
+    for _ in range(calls):
         pair.client.call(Describe(1, 0))
     started = threading.active_count() - before
-    for _ in range(40):
+    for _ in range(calls):
         pair.events.get(timeout=2 * WAIT_S)
     assert started <= CONTROL_THREADS + RESULT_THREADS
