Keep malformed reports in the order of their stream in random runs

Traced: the simulation delivered a malformed copy of a worker's newest report (96, of a new boot) at once, ahead of the reports 92 to 95 of the boot before that were on their way on the same stream. No stream does that. The leader took the earlier boot for a new one, gave the runs of the other up, and placed them again.

The copy is now delivered behind them.

--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -700,4 +700,9 @@
         for stream in self.hosts[name].uplinks.values():
             report = attrs.evolve(last, running=(RunProgress(MALFORMED, "", 5),))
             event = AgentMessageReceived(stream.server_id, report)
-            self.post(stream.server, event)
+            # A message does not overtake earlier ones of its stream.
+            ahead_ms = self._arrivals.get(f"{name}>{stream.server.name}", 0)
+            if ahead_ms > self.now_ms:
+                self._deliver(stream, stream.server, self.hosts[name], event)
+            else:
+                self.post(stream.server, event)
