--- /dev/null
+++ b/review/third/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the third review: workers, processes and clients."""
