--- a/review/third/deployment.py
+++ b/review/third/deployment.py
@@ -19,6 +19,7 @@
 from typing import Any, Self
 
 from review.third import client
+from review.third.proxy import Proxy
 from review.third.record import Record
 from review.third.worker import APP_PORT, CONTROL_PORT, Worker
 
@@ -26,6 +27,8 @@
 FRONTEND_PORT, READINESS_PORT = 8521, 8523
 INTERNAL_PORTS = [7000, 7015]
 FIRST_WORKER = 20
+# Added to the number of a machine for its address behind a proxy.
+PROXIES = 100
 START_LIMIT_S = 25.0
 # As the sheet of bwa-sched gives them.
 BOUNDS = {
@@ -89,6 +92,13 @@
         settings["bootstrap"] = False
         self._settings.write_text(json.dumps(settings), encoding="utf-8")
 
+    def lose_disk(self) -> None:
+        """Empty the data folder of a process that does not run."""
+        self.note_first_start_over()
+        data = self._settings.parent / "data"
+        shutil.rmtree(data)
+        data.mkdir()
+
     def send(self, number: int) -> None:
         """Send a signal to the process, if it runs."""
         if self._popen is not None and self._popen.poll() is None:
@@ -142,14 +152,19 @@
         self._stack.close()
 
     def add_worker(
-        self, name: str, kind: str, rack: str, capacity: dict[str, int]
+        self,
+        name: str,
+        kind: str,
+        rack: str,
+        capacity: dict[str, int],
+        seeds: list[str] | None = None,
     ) -> Worker:
         """Add a machine with a worker and its runner."""
         number = FIRST_WORKER + len(self.workers)
         ip = f"{self.network}.{number}"
         worker = Worker(name, ip, [kind, rack], capacity, self.record)
         self.workers[name] = worker
-        self.runners[name] = self._add("runner", number, self._seeds, False)
+        self.runners[name] = self._add("runner", number, seeds or self._seeds, False)
         self._stack.callback(worker.close)
         return worker
 
@@ -193,6 +208,16 @@
         # Traffic starts 12 s after the machines do.
         time.sleep(max(0.0, 12.0 - self.record.now_s()))
 
+    def add_proxy(self, number: int) -> Proxy:
+        """Add a proxy before the listener of a control host for streams."""
+        port = INTERNAL_PORTS[0] + 1
+        proxy = Proxy(
+            (f"{self.network}.{PROXIES + number}", port),
+            (f"{self.network}.{number}", port),
+        )
+        self._stack.callback(proxy.close)
+        return proxy
+
     def front(self, number: int = 1) -> str:
         """Return the address at which a front serves requesters."""
         return f"{self.network}.{number}:{FRONTEND_PORT}"
