--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,6 +1,6 @@
 """Work items that are done while the core is down are started again.
 
-One job has 2,200 short work items on three workers. The core loses power for
+One job has 2,950 short work items on four workers. The core loses power for
 some seconds, during which they end. A worker lists 500 ends at a time.
 """
 
@@ -14,7 +14,7 @@
 from review.third.deployment import Deployment
 from review.third.record import Record
 
-ITEMS = 2_200
+ITEMS = 2_950
 WORK_MS = 4_000
 DOWN_S = 3.0
 JOB = "5c0e7a21d94b36f8"
@@ -24,7 +24,7 @@
 
 def play(deployment: Deployment, record: Record, has_trouble: bool) -> list[str]:
     """Play the case and return the starts that break the rule."""
-    for name in ("w1", "w2", "w3"):
+    for name in ("w1", "w2", "w3", "w4"):
         deployment.add_worker(name, "a", "r1-1", WORKER)
     tenants = [client.tenant("north"), client.tenant("south")]
     deployment.start(client.configuration([client.route("urgent", 0)], tenants))
