Take no run for absent by a list that leaves out ends

Cause: a worker lists 500 of its ends at a time. A run whose end is behind them is neither among the running nor among the listed ends. The new leader ordered it again, the worker refused the order as old, the runner settled that with a stop, and the next list, which still left the end out, made the run absent: as if it had never begun. The same happened where the ends kept from two lists together were cut to 500.

Change: a list says whether it has every end that is not acknowledged. The runner keeps all listed ends and cuts only what a report names; the report says so. A start of a run whose end is known is not sent.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 STEPS ?= 200000
 
-.PHONY: platform-day setup format lint test soak soak-platform soak-jobs soak-refusals soak-restarts soak-crowds model demo demo-kill failures rolling tour worker-restarts bench bench-ablations bench-dispatch bench-agent capacity clean
+.PHONY: platform-day setup format lint test soak soak-platform soak-jobs soak-refusals soak-restarts soak-crowds soak-backlogs model demo demo-kill failures rolling tour worker-restarts bench bench-ablations bench-dispatch bench-agent capacity clean
 
 setup: $(VENV)/.ready
 
@@ -51,6 +51,10 @@
 soak-crowds: setup
 	$(BIN)/python -m scripts.soak --crowds --seed $(SEED) --steps $(STEPS)
 
+# Workers with more ends than they list, while core and runners restart.
+soak-backlogs: setup
+	$(BIN)/python -m scripts.soak --backlogs --seed $(SEED) --steps $(STEPS)
+
 bench: setup
 	$(BIN)/python bench/agent_memory.py
 	$(BIN)/python -m bench
--- a/packages/core/crocuswell_core/links/link_messages.py
+++ b/packages/core/crocuswell_core/links/link_messages.py
@@ -132,6 +132,9 @@
         first.
     refused : tuple of RunId
         Those of `absent` that the worker was unable to start.
+    lists_all_ends : bool
+        Whether `ended` has every end that is not acknowledged. If not, a run
+        that the report names nowhere may have ended.
     """
 
     sequence: int
@@ -146,6 +149,7 @@
     events: tuple[CounterValue, ...] = ()
     crashes: tuple[WorkerCrash, ...] = ()
     refused: tuple[RunId, ...] = ()
+    lists_all_ends: bool = True
 
 
 ClientMessage = Attach | LinkKeepalive | ForwardCall | JoinGroup | WorkerReport
--- a/packages/core/crocuswell_core/runner/run_lists.py
+++ b/packages/core/crocuswell_core/runner/run_lists.py
@@ -31,8 +31,8 @@
 # An absent run stays in the reports for this long, since the leader's first
 # record of it may be lost.
 ABSENT_RETENTION_MS = 10_000
-# Ends that are kept and reported at a time; as many as a worker lists.
-MAX_ENDS = 500
+# Bounds the size of a report.
+MAX_REPORTED_ENDS = 500
 
 
 def worker_id(state: RunnerState) -> str:
@@ -81,7 +81,8 @@
     # An acknowledgement for an earlier boot may make the worker forget ends.
     ended = {(end.number, end.run): end for end in (*state.ended, *reply.ended)}
     unseen = [end for end in ended.values() if end.number > state.acknowledged_end]
-    state.ended = tuple(sorted(unseen, key=attrgetter("number"))[:MAX_ENDS])
+    state.ended = tuple(sorted(unseen, key=attrgetter("number")))
+    state.lists_all_ends = reply.lists_all_ends
     note_listed_runs(state)
     _update_absent_runs(state)
     # The leader grants no lease while the worker is unreachable.
@@ -100,7 +101,10 @@
 
 
 def _update_absent_runs(state: RunnerState) -> None:
-    """Mark stopped runs missing from the list as absent; drop old marks."""
+    """Mark stopped runs as absent if no end of theirs can be listed later.
+
+    Drops old marks.
+    """
     ended = {end.run for end in state.ended}
     for run, stop in list(state.stops.items()):
         if stop.phase is not OrderPhase.ANSWERED:
@@ -108,8 +112,10 @@
         if stop.list_predates_reply or run in state.running:
             stop.list_predates_reply = False
             continue
-        del state.stops[run]
-        if run not in ended:
+        if run in ended:
+            del state.stops[run]
+        elif state.lists_all_ends:
+            del state.stops[run]
             state.absent[run] = state.now_ms
             if stop.is_after_refusal:
                 state.refused.add(run)
@@ -197,12 +203,13 @@
         reachable=state.reachable,
         lease_left_ms=max(0, state.lease_until_ms - state.now_ms),
         running=tuple(state.running.values()),
-        ended=state.ended,
+        ended=state.ended[:MAX_REPORTED_ENDS],
         absent=tuple(state.absent),
         has_exited=state.has_exited,
         list_number=state.list_number,
         events=_changed_events(state),
         crashes=state.crashes,
         refused=tuple(run for run in state.absent if run in state.refused),
+        lists_all_ends=(state.lists_all_ends and len(state.ended) <= MAX_REPORTED_ENDS),
     )
     return uplink_stream.send(state.uplink, state.now_ms, message)
--- a/packages/core/crocuswell_core/runner/runner.py
+++ b/packages/core/crocuswell_core/runner/runner.py
@@ -236,12 +236,16 @@
     if message.worker != worker_boot_key(state):
         return []
     state.fence = max(state.fence, message.term)
+    ended = {end.run for end in state.ended}
     for start in message.starts:
+        if start.run in ended:
+            # The leader's record of its end is on its way.
+            continue
         if not has_grant(state):
             # The order was held up until after the end of the grant.
             withdraw_start(state, start.run)
         elif start.run in state.absent:
-            # The leader's record of its absence is on its way.
+            # So is the record of an absence.
             continue
         elif start.run not in state.running and start.run not in state.stops:
             state.starts.setdefault(start.run, StartOrder(start))
--- a/packages/core/crocuswell_core/runner/runner_state.py
+++ b/packages/core/crocuswell_core/runner/runner_state.py
@@ -157,6 +157,8 @@
         Time in ms of the newest call without an answer for the start of a run,
         or at which it was dropped; the worker, or a later boot, may still
         carry it out.
+    lists_all_ends : bool
+        Whether the newest run list left out no end that is not acknowledged.
     refused : set of RunId
         Absent runs whose start the worker was unable to carry out.
     crashes : tuple of WorkerCrash
@@ -196,6 +198,7 @@
     confirmed_ms: dict[RunId, int] = attrs.Factory(dict)
     crashes: tuple[WorkerCrash, ...] = ()
     ended: tuple[RunEnd, ...] = ()
+    lists_all_ends: bool = False
     starts: dict[RunId, StartOrder] = attrs.Factory(dict)
     stops: dict[RunId, StopOrder] = attrs.Factory(dict)
     absent: dict[RunId, int] = attrs.Factory(dict)
--- a/packages/core/crocuswell_core/runner/worker_boots.py
+++ b/packages/core/crocuswell_core/runner/worker_boots.py
@@ -211,6 +211,7 @@
     state.running.clear()
     state.confirmed_ms.clear()
     state.ended = ()
+    state.lists_all_ends = False
     state.starts.clear()
     state.absent.clear()
     state.refused.clear()
--- a/packages/core/crocuswell_core/runner/worker_calls.py
+++ b/packages/core/crocuswell_core/runner/worker_calls.py
@@ -197,6 +197,9 @@
         Start of the answering boot in ms since the epoch; 0 if not given.
     unread_rows : int
         Number of rows that name no run and were left out.
+    lists_all_ends : bool
+        Whether `ended` has every end that is not acknowledged; a worker lists
+        a limited number at a time.
     """
 
     clock_ms: int
@@ -204,6 +207,7 @@
     running: tuple[RunProgress, ...]
     ended: tuple[RunEnd, ...]
     unread_rows: int = 0
+    lists_all_ends: bool = True
 
 
 @attrs.frozen
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -4,7 +4,8 @@
 callers; with `--jobs`, control hosts, runners, workers and callers of jobs;
 with `--refusals`, the same with workers that refuse orders at times; with
 `--restarts`, with workers that start again under their id; with `--crowds`,
-large jobs that are cancelled, on workers that leave orders unanswered.
+large jobs that are cancelled, on workers that leave orders unanswered; with
+`--backlogs`, workers with more ends than they list at a time.
 
 Runs consecutive seeds, each for at most `STEPS_PER_SEED` steps, until
 `--steps` are done. A seed replays exactly with the same number of steps.
@@ -17,6 +18,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from tests.backlog_fleet import run_backlogs_seed
 from tests.consensus_checks import run_seed
 from tests.crowd_fleet import run_crowds_seed
 from tests.job_fleet import run_jobs_seed, run_refusals_seed
@@ -35,6 +37,7 @@
     parser.add_argument("--refusals", action="store_true")
     parser.add_argument("--restarts", action="store_true")
     parser.add_argument("--crowds", action="store_true")
+    parser.add_argument("--backlogs", action="store_true")
     args = parser.parse_args()
     run: Callable[[int, int], Any] = run_seed
     target = "soak"
@@ -48,6 +51,8 @@
         run, target = run_restarts_seed, "soak-restarts"
     if args.crowds:
         run, target = run_crowds_seed, "soak-crowds"
+    elif args.backlogs:
+        run, target = run_backlogs_seed, "soak-backlogs"
     faults: Counter[str] = Counter()
     steps = seeds = violations = 0
     while steps < args.steps:
--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -74,6 +74,7 @@
     RunnerBooted,
     WorkerReplied,
 )
+from crocuswell_platform.worker_json import MAX_LISTED_ENDS
 from tests.group_harness import DELAY_MS, Disk, Group, Host, Stream
 from tests.job_harness import CAPACITY, LONG, TIGHT, URGENT, address, catalog, step
 from tests.simulated_host import InvariantError
@@ -156,6 +157,7 @@
     """
 
     snapshot_entries = 60
+    max_listed_ends = MAX_LISTED_ENDS
 
     def __init__(
         self, seed: int, evacuates: bool = False, refuses: bool = False
@@ -417,7 +419,7 @@
         self._check_start(run, worker)
         self.starts += 1
         worker.running[run] = self.now_ms
-        work_ms = self._work_ms.setdefault(run.task, self.rng.randint(500, 9_000))
+        work_ms = self._work_ms.setdefault(run.task, self._draw_work_ms())
         if run.task.job_id.startswith(CRASHING) and run.task.index == 0:
             self._check_late_start(run)
             self._schedule(CRASH_AFTER_MS, partial(self._crash_under, run, worker))
@@ -452,8 +454,15 @@
             RunProgress(run, "", self._percent(run, since_ms))
             for run, since_ms in worker.running.items()
         )
+        ended = tuple(worker.ended[: self.max_listed_ends])
+        is_whole = len(ended) < self.max_listed_ends
         clock_ms = worker.clock_ms(self.now_ms)
-        return RunsListed(clock_ms, worker.born_ms, running, tuple(worker.ended))
+        return RunsListed(
+            clock_ms, worker.born_ms, running, ended, lists_all_ends=is_whole
+        )
+
+    def _draw_work_ms(self) -> int:
+        return self.rng.randint(500, 9_000)
 
     def _percent(self, run: RunId, since_ms: int) -> int:
         return min(99, 100 * (self.now_ms - since_ms) // self._work_ms[run.task])
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -112,10 +112,14 @@
         self.calls.remove(call)
         return self.post(WorkerReplied(call, reply))
 
-    def reply_with_list(self, *running, ended=(), born_ms: int = 5) -> list[Effect]:
+    def reply_with_list(
+        self, *running, ended=(), born_ms: int = 5, lists_all_ends: bool = True
+    ) -> list[Effect]:
         clock_ms = WORKER_CLOCK_MS + self.now_ms
         listed = tuple(RunProgress(run, "", 10) for run in running)
-        lists = RunsListed(clock_ms, born_ms, listed, tuple(ended))
+        lists = RunsListed(
+            clock_ms, born_ms, listed, tuple(ended), lists_all_ends=lists_all_ends
+        )
         return self.reply(ListRuns | ConfirmBoot, lists)
 
     def grant(self, **fields) -> list[Effect]:
