Hold back a start whose run may have ended unlisted

What callers saw: nothing by itself; hundreds of useless orders at each return of the core. Runners logged `start_not_taken` with the reply `old` for runs that had ended, each start cost a call, a stop and an extension of the worker's lease, and a run "just ordered" could be blamed for a crash that followed.

Cause: a new leader, or one whose runner had reconnected, ordered every placed run that its first report did not name, although that report left ends out.

Change: runs that were placed before the stream of a report wait for a report that names all ends. Runs that this leader places later do not. After 3 s the start is sent all the same: the worker refuses it if the run has ended there, and begins it if it never got it, so that a list that never gets whole holds no work up.

Evidence: test_start_of_an_earlier_order_waits_for_the_rest_of_the_ends fails without it; test_start_does_not_wait_for_ever_for_the_rest_of_the_ends and test_new_work_does_not_wait_for_the_rest_of_the_ends bound it.

--- a/packages/core/crocuswell_core/dispatching/orders.py
+++ b/packages/core/crocuswell_core/dispatching/orders.py
@@ -13,6 +13,8 @@
 # A proposal that is not applied by then has been lost, for example because
 # another entry took its log index.
 PROPOSAL_TIMEOUT_MS = 2_000
+# Starts wait no longer for a worker that never lists all of its ends.
+ENDS_TIMEOUT_MS = 3_000
 
 
 def current_dispatch(state: EntryState) -> DispatchState:
@@ -61,7 +63,7 @@
         run = RunId(task_id, number)
         if not is_wanted(state, run):
             stops += _stop_once(view, run)
-        elif not _is_known_to(view, run):
+        elif not _is_known_to(view, run) and not _may_have_ended(state, view, run):
             view.ordered_starts[run] = state.now_ms
             task = table.task(task_id)
             job = table.jobs[task_id.job_id]
@@ -70,6 +72,8 @@
     for run in (*unsettled_runs(state, view), *view.late_starts):
         stops += _stop_once(view, run)
     view.late_starts = ()
+    if view.lists_all_ends:
+        view.inherited = frozenset()
     for run in view.running:
         if placed.get(run.task) != run.number:
             stops += _stop_once(view, run)
@@ -85,6 +89,17 @@
     return any(run in runs for runs in known)
 
 
+def _may_have_ended(state: EntryState, view: WorkerView, run: RunId) -> bool:
+    """Tell whether an end that no report has named yet may be the run's.
+
+    A start would only be refused then. After a while it is sent all the same,
+    since the worker may never have got it.
+    """
+    if view.lists_all_ends or run not in view.inherited:
+        return False
+    return state.now_ms - view.attached_ms < ENDS_TIMEOUT_MS
+
+
 def _withdraw_excess_starts(state: EntryState, view: WorkerView) -> list[Effect]:
     """Stop runs that the worker does not list and that no longer fit there.
 
--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -32,6 +32,7 @@
 from crocuswell_core.jobs.job_records import (
     RunEnd,
     RunEndKind,
+    RunId,
     SavedCheckpoint,
 )
 from crocuswell_core.links.client_streams import redirect_client
@@ -159,6 +160,10 @@
             stream_id,
             granted_until_ms=granted_until_ms,
             late_starts=tuple(table.runs_of_earlier_boots(key, state.cluster.now_ms)),
+            inherited=frozenset(
+                RunId(*item) for item in table.placed.get(key, {}).items()
+            ),
+            attached_ms=state.now_ms,
         )
         dispatch.add_boot(key)
         # What was known at its replacement says nothing of its later grants.
@@ -200,6 +205,7 @@
         view.lease_end_ms = state.now_ms + message.lease_left_ms + LEASE_MARGIN_MS
     view.running = running
     view.ended = frozenset(end.run for end in message.ended)
+    view.lists_all_ends = message.lists_all_ends
     view.unplaced = unplaced
     return view, effects
 
--- a/packages/core/crocuswell_core/dispatching/worker_view.py
+++ b/packages/core/crocuswell_core/dispatching/worker_view.py
@@ -64,6 +64,13 @@
         ended; they cannot begin here any more.
     ended : frozenset of RunId
         Runs whose ends the newest report names.
+    lists_all_ends : bool
+        Whether the newest report names all ends that are not acknowledged.
+    inherited : frozenset of RunId
+        Runs that were placed before this stream, so that the worker may have
+        begun and ended them; empty once a report has named all ends.
+    attached_ms : int
+        Time in ms of the first report on this stream.
     list_number, list_received_ms : int
         Number of the newest run list, and the time in ms of its receipt.
     last_progress : dict
@@ -88,6 +95,9 @@
     absent: set[RunId] = attrs.Factory(set)
     refused: set[RunId] = attrs.Factory(set)
     ended: frozenset[RunId] = frozenset()
+    lists_all_ends: bool = True
+    inherited: frozenset[RunId] = frozenset()
+    attached_ms: int = 0
     list_number: int = 0
     list_received_ms: int = 0
     last_progress: dict[RunId, LastProgress] = attrs.Factory(dict)
--- a/tests/test_listed_ends.py
+++ b/tests/test_listed_ends.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from crocuswell_core.jobs.job_records import RunEndKind
+from crocuswell_core.jobs.job_records import RunEndKind, RunId
 from crocuswell_core.runner.run_lists import MAX_REPORTED_ENDS
 from crocuswell_core.runner.worker_calls import (
     OrderAccepted,
@@ -11,10 +11,11 @@
     StopOnWorker,
 )
 from crocuswell_platform.worker_json import MAX_LISTED_ENDS, parse_run_lists
-from tests.job_harness import end_of, run_of
+from tests.job_harness import URGENT, Leader, end_of, run_of, step, worker
 from tests.test_runner import Runner, open_calls
 
 RUN = run_of("j")
+W1 = worker("w1")
 LISTED_ENDS = [end_of(run_of("j", i), RunEndKind.DONE, i) for i in range(1, 4)]
 
 
@@ -104,3 +105,52 @@
     """Guards against a full list, odd rows included, that counts as whole."""
     lists = parse_run_lists({"clock_ms": 1, "running": [], "ended": rows})
     assert lists.lists_all_ends is expected
+
+
+# --- the leader ----------------------------------------------------------
+
+
+def leader_with_runs() -> Leader:
+    """Return a leader with four runs on a worker whose runner reconnects."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.submit("j", step(4, accelerators=2), queue=URGENT)
+    assert len(leader.placed(W1)) == 4
+    leader.sent.clear()
+    return leader
+
+
+def started(leader: Leader) -> list[RunId]:
+    """Return the runs that were ordered since `sent` was cleared."""
+    return [
+        start.run
+        for sent in leader.sent
+        for start in getattr(sent.message, "starts", ())
+    ]
+
+
+def test_start_of_an_earlier_order_waits_for_the_rest_of_the_ends() -> None:
+    """Guards against hundreds of useless starts once a leader is new."""
+    leader = leader_with_runs()
+    leader.report(2, W1, ended=LISTED_ENDS[:2], lists_all_ends=False)
+    assert not started(leader)
+    leader.report(2, W1, ended=[end_of(run_of("j", 3), RunEndKind.DONE, 3)])
+    assert started(leader) == [run_of("j", 0)]
+
+
+def test_start_does_not_wait_for_ever_for_the_rest_of_the_ends() -> None:
+    """Guards against work that waits for a list that is never whole."""
+    leader = leader_with_runs()
+    for _ in range(8):
+        leader.report(2, W1, lists_all_ends=False)
+        leader.advance(500)
+    assert len(started(leader)) == 4
+
+
+def test_new_work_does_not_wait_for_the_rest_of_the_ends() -> None:
+    """Guards against idle room on a worker with many ends."""
+    leader = Leader()
+    leader.report(1, W1)
+    leader.report(2, W1, lists_all_ends=False)
+    leader.submit("j", step())
+    assert started(leader) == [RUN]
