Let ends of forgotten jobs make room in a full list

Work behind such a list would wait for ever now that a list must be whole, and counted as absent before.

Cause: an end of a run that the leader does not know is never acknowledged, since the number of an odd row would cover ends to come. A worker that was out of reach until its jobs were forgotten, 120 s after their end, can list 500 such ends, and nothing else, for as long as it lives.

Change: where a report leaves ends out, those that continue the known numbers without a gap are acknowledged, whatever they name. All ends up to the last of them have been listed. A row with a number of its own covers nothing.

Evidence: test_ends_of_forgotten_jobs_do_not_hide_what_is_behind_them failed before: no end was acknowledged.

--- a/packages/core/crocuswell_core/dispatching/worker_reports.py
+++ b/packages/core/crocuswell_core/dispatching/worker_reports.py
@@ -249,18 +249,33 @@
         ends.append(RunEnd(0, run, RunEndKind.ABSENT))
         if run in message.refused:
             health.bar_after_refusal(state, view)
-    if not ends:
+    covered = max(known, *(end.number for end in ends)) if ends else known
+    if not message.lists_all_ends:
+        covered = max(covered, _last_consecutive_end(message.ended, known))
+    if not ends and covered == known:
         return []
     for end in ends:
         health.record_run_end(state, view, end)
     effects = speed_evidence.note_ends(state, view, ends)
-    view.last_proposed_end = max(known, *(end.number for end in ends))
+    view.last_proposed_end = covered
     command = RecordRunEnds(
         key, tuple(ends), view.last_proposed_end, counts_lost_runs=True
     )
     return [*effects, *propose(state, command)]
 
 
+def _last_consecutive_end(ends: tuple[RunEnd, ...], known: int) -> int:
+    """Return the number up to which ends follow the known ones without a gap.
+
+    Ends of forgotten jobs would otherwise fill each list for ever. The number
+    of an odd row, which would cover ends to come, hardly continues the others.
+    """
+    numbers = {end.number for end in ends}
+    while known + 1 in numbers:
+        known += 1
+    return known
+
+
 def _note_checkpoints(state: EntryState, view: WorkerView) -> None:
     """Note the checkpoints of a report that are not yet in the log."""
     table = state.cluster.jobs
--- a/tests/test_listed_ends.py
+++ b/tests/test_listed_ends.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from crocuswell_core.jobs.job_records import RunEndKind, RunId
+from crocuswell_core.jobs.job_records import RunEnd, RunEndKind, RunId
 from crocuswell_core.runner.run_lists import MAX_REPORTED_ENDS
 from crocuswell_core.runner.worker_calls import (
     OrderAccepted,
@@ -154,3 +154,12 @@
     leader.report(2, W1, lists_all_ends=False)
     leader.submit("j", step())
     assert started(leader) == [RUN]
+
+
+def test_ends_of_forgotten_jobs_do_not_hide_what_is_behind_them() -> None:
+    """Guards against a full list of unknown ends that is listed for ever."""
+    leader = leader_with_runs()
+    unknown = [end_of(run_of("gone", i), RunEndKind.DONE, i) for i in range(1, 6)]
+    odd = RunEnd(2**53, run_of("odd"), RunEndKind.DONE)
+    leader.report(1, W1, ended=[*unknown, odd], lists_all_ends=False)
+    assert leader.state.cluster.jobs.acknowledged_ends[W1.key] == 5
