Welcome an agent only on a host that has applied what it was ordered

A request whose agent moved to another entry host could be stopped and start anew, with its work lost.

Cause: `Welcome` names the wanted members, and the agent stops all others. An entry host sent it from the state that it had applied. The announcement of a known agent is applied already, so that nothing made a host that lags behind wait: a task that the agent had been ordered by its earlier host is missing from the answer, and counts as unwanted.

Change: the leader names its commit index when it confirms an agent's heartbeat. The host sends `Welcome` once it has applied the log up to there; the orders of earlier streams come from entries before it.

Evidence: test_host_that_lags_behind_does_not_have_tasks_stopped fails without the check in sessions.py. test_leader_refuses_liveness_of_another_incarnation compares the whole reply and names the new field now.

--- a/packages/core/crocuswell_core/consensus/peer_messages.py
+++ b/packages/core/crocuswell_core/consensus/peer_messages.py
@@ -166,11 +166,15 @@
     refused : tuple of str
         Workers whose lease is not extended; they must announce themselves
         again.
+    commit_index : int
+        The leader's commit index. Orders that an agent got before its newest
+        stream come from entries up to it.
     """
 
     sequence: int
     configuration_number: int = 0
     refused: tuple[str, ...] = ()
+    commit_index: int = 0
 
 
 PeerMessage = (
--- a/packages/core/crocuswell_core/entry/entry_state.py
+++ b/packages/core/crocuswell_core/entry/entry_state.py
@@ -93,6 +93,9 @@
     confirmed : bool
         Whether the leader confirmed any heartbeat of this stream, and the
         agent therefore holds its leases.
+    welcome_index : int
+        Log index up to which entries must be applied before the agent is told
+        which members are wanted.
     """
 
     stream_id: int
@@ -105,6 +108,7 @@
     configuration_number: int = 0
     confirmed: bool = False
     welcomed: bool = False
+    welcome_index: int = 0
     heartbeat_sent_ms: int = 0
     info: WorkerInfo | None = None
     backend_incarnation: str = ""
--- a/packages/core/crocuswell_core/entry/liveness.py
+++ b/packages/core/crocuswell_core/entry/liveness.py
@@ -91,7 +91,8 @@
     message = _collect_liveness(state)
     if election.holds_lease(state):
         refused = _record_liveness(state, message)
-        effects += _confirm_heartbeats(state, message.sequence, refused)
+        index = state.consensus.commit_index
+        effects += _confirm_heartbeats(state, message.sequence, refused, index)
         return effects + _check_workers(state) + _check_configuration(state)
     leader = state.consensus.leader
     if leader is not None and leader != state.cfg.host.id:
@@ -107,7 +108,8 @@
         state.now_ms, message.configuration_number
     )
     refused = _record_liveness(state, message)
-    reply = LivenessReply(message.sequence, state.cluster.number, refused)
+    index = state.consensus.commit_index
+    reply = LivenessReply(message.sequence, state.cluster.number, refused, index)
     return [SendPeer(sender, reply)]
 
 
@@ -117,7 +119,9 @@
     # host. An outdated one could be longer than the leader assumes.
     if message.configuration_number > state.cluster.number:
         return []
-    return _confirm_heartbeats(state, message.sequence, message.refused)
+    return _confirm_heartbeats(
+        state, message.sequence, message.refused, message.commit_index
+    )
 
 
 def _collect_liveness(state: EntryState) -> LivenessReport:
@@ -175,7 +179,7 @@
 
 
 def _confirm_heartbeats(
-    state: EntryState, sequence: int, refused: tuple[str, ...]
+    state: EntryState, sequence: int, refused: tuple[str, ...], commit_index: int
 ) -> list[Effect]:
     sequences = state.unconfirmed_liveness.pop(sequence, {})
     effects: list[Effect] = []
@@ -188,7 +192,7 @@
             continue
         session.confirmed_sequence = max(session.confirmed_sequence, confirmed)
         effects += send_heartbeat(state, session)
-        effects += confirm_session(state, session)
+        effects += confirm_session(state, session, commit_index)
     return effects
 
 
--- a/packages/core/crocuswell_core/entry/sessions.py
+++ b/packages/core/crocuswell_core/entry/sessions.py
@@ -209,11 +209,14 @@
     """Send a `Welcome` with all orders, if the agent is connected here.
 
     Does nothing until the announcement is applied and the agent holds its
-    leases, because an agent without leases refuses every order.
+    leases, because an agent without leases refuses every order; nor on a host
+    that lags behind, because the agent stops every task that is not ordered.
     """
     session = state.sessions.get(worker)
     if session is None or not session.confirmed:
         return []
+    if state.consensus.applied_index < session.welcome_index:
+        return []
     if not is_announced(state.cluster, session):
         return []
     session.welcomed = True
@@ -237,11 +240,21 @@
     return [StartTimer(LivenessTimer(), 0)]
 
 
-def confirm_session(state: EntryState, session: AgentSession) -> list[Effect]:
-    """Record that the agent holds its leases, and welcome it."""
-    if session.confirmed:
+def confirm_session(
+    state: EntryState, session: AgentSession, commit_index: int
+) -> list[Effect]:
+    """Record that the agent holds its leases, and welcome it.
+
+    Parameters
+    ----------
+    commit_index : int
+        The leader's commit index when it heard of the agent.
+    """
+    if session.welcomed:
         return []
-    session.confirmed = True
+    if not session.confirmed:
+        session.confirmed = True
+        session.welcome_index = commit_index
     return send_welcome(state, session.worker)
 
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -27,6 +27,7 @@
 from crocuswell_core.consensus.consensus_state import Role
 from crocuswell_core.consensus.log_application import apply_entry
 from crocuswell_core.consensus.peer_messages import (
+    AppendEntries,
     LivenessReply,
     LivenessReport,
     TimeoutNow,
@@ -49,6 +50,7 @@
     PeerMessageReceived,
     SnapshotReceived,
 )
+from crocuswell_core.runtime.timers import LivenessTimer
 from tests.clusters import gang
 from tests.hosts import Host, leading_host
 
@@ -91,6 +93,37 @@
     assert Welcome in map(type, host.sent(1))
 
 
+def test_host_that_lags_behind_does_not_have_tasks_stopped() -> None:
+    """Guards against a stop of a task that a late host does not know."""
+    host = welcomed_host()
+    consensus = host.state.consensus
+    consensus.role, consensus.leader = Role.FOLLOWER, "e2"
+    host.hello(2)
+    host.timers[LivenessTimer()] = host.now_ms
+    host.advance(0)
+    report = next(
+        effect.message
+        for effect in reversed(host.take(SendPeer))
+        if isinstance(effect.message, LivenessReport) and effect.message.workers
+    )
+    index, term = consensus.commit_index, consensus.term
+    number = host.state.cluster.number
+    # The task was placed, and started by another host, before this stream.
+    reply = LivenessReply(report.sequence, number, (), index + 1)
+    host.post(PeerMessageReceived("e2", reply))
+    assert Welcome not in map(type, host.sent(2))
+    command = SubmitRequest("q1", "quotes", JobSpec())
+    entry = LogEntry(term, index + 1, host.now_ms, Proposal("", "", command))
+    entries = AppendEntries(term, index, term, (entry,), index + 1, 1)
+    host.post(PeerMessageReceived("e2", entries))
+    host.heartbeat(2)
+    host.advance(host.state.cfg.liveness_ms)
+    sequence = host.state.liveness_sequence
+    host.post(PeerMessageReceived("e2", LivenessReply(sequence, number)))
+    welcome = next(m for m in host.sent(2) if type(m) is Welcome)
+    assert [type(order) for order in welcome.orders] == [StartTask]
+
+
 def install_snapshot(host: Host, *commands: Command) -> None:
     """Install a snapshot of a state in which `commands` were applied."""
     consensus = host.state.consensus
@@ -192,7 +225,8 @@
     liveness = LivenessReport(1, 1, (WorkerLiveness("w1", "other", 1),))
     host.post(PeerMessageReceived("e2", liveness))
     replies = [e.message for e in host.take(SendPeer) if e.to == "e2"]
-    assert replies == [LivenessReply(1, 1, ("w1",))]
+    index = host.state.consensus.commit_index
+    assert replies == [LivenessReply(1, 1, ("w1",), index)]
 
 
 def test_draining_backend_server_gets_no_order() -> None:
