Call no failure domain empty before its workers have reported

After an election the log said `domain_empty` for a domain that still had runs, with a time in `domain_empty_seconds`. Operators switch workers off by it.

Cause: the runs left were counted over the workers that had reported to the leader. A new leader, which nobody has reported to, found none.

Change: no domain is said to be empty while runs are placed on a worker whose runner has not reported to this leader, since its domain is not known.

Evidence: test_domain_is_not_empty_before_its_workers_have_reported failed before.

--- a/packages/core/crocuswell_core/dispatching/evacuation.py
+++ b/packages/core/crocuswell_core/dispatching/evacuation.py
@@ -98,9 +98,15 @@
 
 
 def report_empty_domains(state: EntryState) -> list[Effect]:
-    """Return log lines on evacuated domains that have become empty."""
+    """Return log lines on evacuated domains that have become empty.
+
+    None is said to be empty while the domain of a run is not known, as its
+    worker's runner has not reported to this leader.
+    """
     dispatch = state.dispatch
     counts = count_runs(state)
+    if counts and not dispatch.views.keys() >= state.cluster.jobs.placed.keys():
+        return []
     effects: list[Effect] = []
     for domain, evacuation in state.cluster.evacuations.items():
         if counts.get(domain, 0):
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -72,6 +72,37 @@
     return [RunProgress(run, "", percent) for run in runs]
 
 
+def empty_domains(leader: Leader, ms: int) -> list[str]:
+    """Return the domains that are said to be empty within a time."""
+    effects = [e for _ in range(ms // 500) for e in leader.advance(500) + leader.tick()]
+    return [
+        label.value
+        for effect in effects
+        if isinstance(effect, EmitLogEvent) and effect.event == "domain_empty"
+        for label in effect.ids
+        if label.name == "failure_domain"
+    ]
+
+
+def test_domain_is_not_empty_before_its_workers_have_reported() -> None:
+    """Guards against an operator who switches off workers with runs."""
+    leader = evacuating_leader()
+    leader.submit("j", step(), step(), queue=URGENT)
+    leader.propose(StartEvacuation("a"))
+    leader.propose(StartEvacuation("b"))
+    placed = {A.key: leader.placed(A), B.key: leader.placed(B)}
+    assert any(placed.values())
+    leader.state.dispatch = DispatchState(leader.state.consensus.term)
+    assert not empty_domains(leader, 2_000)
+    for number, description in enumerate((A, B), start=3):
+        ends = [
+            end_of(RunId(*item), RunEndKind.DONE)
+            for item in placed[description.key].items()
+        ]
+        leader.report(number, description, ended=ends)
+    assert sorted(empty_domains(leader, 2_000)) == ["a", "b"]
+
+
 # --- commands --------------------------------------------------------------
 
 
