Close a client's stream on which nothing reaches the leader

A worker whose runner's connection had gone silent in one direction lost its lease 7.6 s later and was not used again, though each new connection would have worked. A front in that state stayed ready and answered nothing.

Cause: a client keeps its stream for as long as it hears the leader. The leader sent each client a keepalive every 500 ms, whether or not anything came back, and did not look at how long a client had been silent.

Change: the leader counts the keepalives that it sent since a client was last heard. At the sixth it closes the stream and logs `client_silent`. The client opens another one; if the close is lost too, the missing keepalives make it do so.

--- a/packages/core/crocuswell_core/dispatching/control.py
+++ b/packages/core/crocuswell_core/dispatching/control.py
@@ -9,8 +9,8 @@
 from crocuswell_core.dispatching.worker_reports import propose_checkpoints
 from crocuswell_core.entry.entry_state import EntryState
 from crocuswell_core.links import uplink as uplink_stream
-from crocuswell_core.links.client_streams import CLIENT_KEEPALIVE_MS, redirect_clients
-from crocuswell_core.links.link_messages import GroupView, JoinGroup, LinkKeepalive
+from crocuswell_core.links.client_streams import redirect_clients, send_keepalives
+from crocuswell_core.links.link_messages import GroupView, JoinGroup
 from crocuswell_core.links.uplink import Uplink
 from crocuswell_core.runtime.dispatch import (
     handle_stream_closed,
@@ -25,7 +25,6 @@
     CancelTimer,
     CloseEntryStream,
     Effect,
-    SendAgent,
     SetPeers,
     StartTimer,
 )
@@ -48,7 +47,7 @@
 def _(timer: ControlTimer, state: EntryState) -> list[Effect]:
     effects: list[Effect] = [StartTimer(timer, CONTROL_TICK_MS), *set_gauges(state)]
     if election.holds_lease(state):
-        effects += _send_keepalives(state)
+        effects += send_keepalives(state)
         effects += expire_leases(state)
         effects += propose_checkpoints(state)
         return [*effects, *send_due_orders(state), *plan_if_due(state)]
@@ -57,14 +56,6 @@
     return [*effects, *_join_group(state)]
 
 
-def _send_keepalives(state: EntryState) -> list[Effect]:
-    if state.now_ms - state.last_keepalive_ms < CLIENT_KEEPALIVE_MS:
-        return []
-    state.last_keepalive_ms = state.now_ms
-    keepalive = LinkKeepalive(state.consensus.commit_index)
-    return [SendAgent(id_, keepalive) for id_ in state.clients]
-
-
 @notify.register
 def _(notice: JobsChanged, state: EntryState) -> list[Effect]:
     if not election.holds_lease(state):
--- a/packages/core/crocuswell_core/entry/entry_state.py
+++ b/packages/core/crocuswell_core/entry/entry_state.py
@@ -116,6 +116,22 @@
     counters: dict[str, int] = attrs.Factory(dict)
 
 
+@attrs.define
+class ClientStream:
+    """The stream of a front, a runner or a joining host to this leader.
+
+    Attributes
+    ----------
+    sender : str
+        Name of the client.
+    silent_keepalives : int
+        Keepalives sent to the client since it was last heard.
+    """
+
+    sender: str
+    silent_keepalives: int = 0
+
+
 @attrs.define
 class PendingCall:
     """A call that is not answered yet.
@@ -214,7 +230,7 @@
     waiting_calls_by_request : dict
         For each request id, the ids of the calls that wait for its outcome.
     clients : dict
-        Names of the attached fronts, runners and joining hosts, by stream.
+        Attached fronts, runners and joining hosts, by stream.
     relays : dict
         Addresses of the clients that relay streams, by the client's stream.
     forwarded_calls : dict
@@ -259,7 +275,7 @@
     unconfirmed_liveness: dict[int, dict[int, int]] = attrs.Factory(dict)
     cluster_timer_at_ms: int | None = None
     ready: bool = False
-    clients: dict[int, str] = attrs.Factory(dict)
+    clients: dict[int, ClientStream] = attrs.Factory(dict)
     relays: dict[int, str] = attrs.Factory(dict)
     forwarded_calls: dict[int, tuple[int, int]] = attrs.Factory(dict)
     last_forwarded_call_id: int = 0
--- a/packages/core/crocuswell_core/entry/sessions.py
+++ b/packages/core/crocuswell_core/entry/sessions.py
@@ -62,6 +62,9 @@
     worker = state.streams.get(event.stream_id)
     if worker is not None:
         state.sessions[worker].last_heard_ms = state.now_ms
+    client = state.clients.get(event.stream_id)
+    if client is not None:
+        client.silent_keepalives = 0
     return handle_agent_message(event.message, state, event.stream_id)
 
 
--- a/packages/core/crocuswell_core/links/client_streams.py
+++ b/packages/core/crocuswell_core/links/client_streams.py
@@ -13,7 +13,7 @@
 )
 from crocuswell_core.consensus import election, replication
 from crocuswell_core.entry.calls import CommandCall
-from crocuswell_core.entry.entry_state import EntryState
+from crocuswell_core.entry.entry_state import ClientStream, EntryState
 from crocuswell_core.jobs.job_commands import (
     CancelJob,
     CountPending,
@@ -50,6 +50,8 @@
 from crocuswell_core.runtime.events import CallReceived
 
 CLIENT_KEEPALIVE_MS = 500
+# Clients send keepalives about as often.
+MAX_SILENT_KEEPALIVES = 5
 
 
 def redirect_client(state: EntryState, stream_id: int) -> list[Effect]:
@@ -76,7 +78,7 @@
 def _(message: Attach, state: EntryState, stream_id: int) -> list[Effect]:
     if not election.holds_lease(state):
         return redirect_client(state, stream_id)
-    state.clients[stream_id] = message.sender
+    state.clients[stream_id] = ClientStream(message.sender)
     is_new_relay = bool(message.relay) and message.relay not in state.relays.values()
     if message.relay:
         state.relays[stream_id] = message.relay
@@ -91,6 +93,29 @@
     return []
 
 
+def send_keepalives(state: EntryState) -> list[Effect]:
+    """Send all clients a keepalive; close the streams on which none comes.
+
+    A stream may be silent towards this host only. Its client would keep it as
+    long as it hears the leader.
+    """
+    if state.now_ms - state.last_keepalive_ms < CLIENT_KEEPALIVE_MS:
+        return []
+    state.last_keepalive_ms = state.now_ms
+    keepalive = LinkKeepalive(state.consensus.commit_index)
+    effects: list[Effect] = []
+    for stream_id, client in list(state.clients.items()):
+        if client.silent_keepalives >= MAX_SILENT_KEEPALIVES:
+            remove_client(state, stream_id)
+            labels = (Label("client", client.sender),)
+            effects.append(EmitLogEvent("client_silent", labels))
+            effects.append(CloseAgentStream(stream_id))
+            continue
+        client.silent_keepalives += 1
+        effects.append(SendAgent(stream_id, keepalive))
+    return effects
+
+
 def redirect_clients(state: EntryState) -> list[Effect]:
     """Redirect all clients of a host that no longer leads."""
     effects: list[Effect] = []
