Let the first catalog wait for the group's voters

The first configuration was acknowledged 1.4 s after the start, by a group of one or two voters; the host that did so lost its disk, and the configuration was gone, or could not be read for want of a leader.

Cause: a founder is the only voter until it has promoted the hosts that join, about 0.5 s later, and committed what it was sent with that majority of one. Two voters bear the loss of no disk either.

Change: a leader appends no first catalog while its group has fewer voters than it is to have, for 3 s at most, since there may be no such hosts. The sender's call waits for that on its host, which repeats the proposal. Without a catalog nothing else can be accepted. What the leader may append is one generic function now, for membership changes too.

--- a/packages/core/crocuswell_core/consensus/members.py
+++ b/packages/core/crocuswell_core/consensus/members.py
@@ -6,9 +6,14 @@
 from crocuswell_core.cluster.commands import ChangeMembers, Done, EntryHost, LogEntry
 from crocuswell_core.consensus.consensus_state import ConsensusState, Membership
 from crocuswell_core.entry.entry_state import EntryState
-from crocuswell_core.runtime.dispatch import apply_command
+from crocuswell_core.jobs.job_commands import PutCatalog
+from crocuswell_core.runtime.dispatch import apply_command, may_append
 from crocuswell_core.runtime.effects import ApplyResult
 
+# A new group has its voters about 1 s after its first election. Longer than
+# that it waits for hosts that may not exist.
+FORMING_LIMIT_MS = 3_000
+
 
 @apply_command.register
 def _(command: ChangeMembers, cluster: ClusterState, entry: LogEntry) -> ApplyResult:
@@ -16,6 +21,18 @@
     return ApplyResult(Done())
 
 
+@may_append.register
+def _(command: ChangeMembers, state: EntryState) -> bool:
+    return is_allowed(state, command)
+
+
+@may_append.register
+def _(command: PutCatalog, state: EntryState) -> bool:
+    # The first catalog may reach a group that is still forming; its sender is
+    # answered once enough disks hold it.
+    return state.cluster.jobs.catalog is not None or not _lacks_voters(state)
+
+
 def majority(consensus: ConsensusState) -> int:
     """Return the number of voters that form a majority."""
     return len(consensus.voters) // 2 + 1
@@ -124,7 +141,7 @@
     so that the live voters never fall short of a majority in between.
     """
     consensus = state.consensus
-    target = state.cfg.voter_target or len(state.cfg.voters)
+    target = _voter_target(state)
     silent_voters = [
         id_
         for id_ in other_voters(state)
@@ -153,6 +170,20 @@
     return change if is_allowed(state, change) else None
 
 
+def _voter_target(state: EntryState) -> int:
+    return state.cfg.voter_target or len(state.cfg.voters)
+
+
+def _lacks_voters(state: EntryState) -> bool:
+    """Tell whether a new leader may still get the voters that it lacks.
+
+    What it commits before may be on a single disk.
+    """
+    consensus = state.consensus
+    led_ms = state.now_ms - consensus.leader_since_ms
+    return len(consensus.voters) < _voter_target(state) and led_ms < FORMING_LIMIT_MS
+
+
 def founding_change(state: EntryState) -> ChangeMembers | None:
     """Return the first membership of a group that this host founds.
 
--- a/packages/core/crocuswell_core/consensus/replication.py
+++ b/packages/core/crocuswell_core/consensus/replication.py
@@ -22,6 +22,7 @@
     handle,
     handle_peer_message,
     handle_timer,
+    may_append,
     review_command,
 )
 from crocuswell_core.runtime.effects import (
@@ -46,8 +47,8 @@
 
     Delivery is not guaranteed: a proposal may be lost in transit or with
     its leader, and is resent by the host on which its caller waits. A
-    leader drops proposals during a leadership transfer, and drops
-    membership changes that are not allowed at the moment.
+    leader drops proposals during a leadership transfer, and those that
+    `may_append` does not allow at the moment.
     """
     consensus = state.consensus
     if consensus.role is not Role.LEADER:
@@ -57,7 +58,7 @@
     if consensus.transfer_target is not None:
         return []
     command = proposal.command
-    if isinstance(command, ChangeMembers) and not members.is_allowed(state, command):
+    if not may_append(command, state):
         return []
     reviewed = review_command(command, state)
     if reviewed is not command:
--- a/packages/core/crocuswell_core/runtime/dispatch.py
+++ b/packages/core/crocuswell_core/runtime/dispatch.py
@@ -123,6 +123,12 @@
     return command
 
 
+@singledispatch
+def may_append(command: Command, state: EntryState) -> bool:
+    """Tell whether the leader may append a command now; it drops it if not."""
+    return True
+
+
 @singledispatch
 def handle_timer(timer: Timer, state: State) -> list[Effect]:
     """Handle an expired timer."""
--- a/tests/test_group_forming.py
+++ b/tests/test_group_forming.py
@@ -4,7 +4,10 @@
 
 import pytest
 
+from crocuswell_core.cluster.commands import Proposal
+from crocuswell_core.entry.calls import CommandCall
 from crocuswell_core.jobs.job_commands import PutCatalog
+from crocuswell_core.runtime.events import CallReceived
 from tests.group_harness import Group
 from tests.job_harness import catalog
 
@@ -110,6 +113,33 @@
         assert group.voters() == {group.member(name) for name in SEEDS}
 
 
+@pytest.mark.parametrize("name", SEEDS)
+def test_first_catalog_outlasts_the_disk_that_acknowledged_it(name) -> None:
+    """Guards against what a single voter acknowledges (review case 12)."""
+    group = Group(SEEDS)
+    for each in SEEDS:
+        group.start(each, founds=each == min(SEEDS))
+    call = CommandCall(Proposal("", "", PutCatalog(catalog())))
+    for call_id in range(1, 100):
+        group.run(50)
+        group.post(group.hosts[name], CallReceived(call_id, call))
+        if catalog_version(group, name):
+            break
+    group.kill(name, wipe=True)
+    group.run(1_000)
+    group.start(name)
+    group.run(CATCH_UP_MS)
+    assert {catalog_version(group, each) for each in SEEDS} == {1}
+
+
+def test_first_catalog_does_not_wait_for_hosts_that_never_come() -> None:
+    """Guards against an operator who is never answered."""
+    group = formed_group(("a", "b"))
+    group.run(2_000)
+    group.propose(PutCatalog(catalog()))
+    assert catalog_version(group, "a") == 1
+
+
 class SmallLogGroup(Group):
     """A group whose logs hold little content."""
 
