Do not give up lasting work for the crashes of its worker

A job that lasts was shown as failed after the fifth crash of the one worker that it could run on, without a single end `failed`, and was never started again.

Cause: five crashes at about the same age of the run are taken for proof that a task crashes its workers, also on one machine, and the job is ended. Tasks that last must be restarted however they end.

Change: a task that lasts ends no job by crashes. It stays a suspect, that is, its further runs have a worker to themselves.

--- a/packages/core/crocuswell_core/jobs/crash_records.py
+++ b/packages/core/crocuswell_core/jobs/crash_records.py
@@ -111,7 +111,9 @@
         Label("sole", str(history.sole)),
     )
     effects: list[ClusterEffect] = [EmitLogEvent("task_under_crash", labels)]
-    if history.is_proof and job.is_open:
+    # Tasks that last are restarted however they end.
+    lasts = job.steps[crashed.run.task.step].long_running
+    if history.is_proof and job.is_open and not lasts:
         label = task_label(crashed.run.task)
         reason = f"task {label}: {history.count} workers crashed under it"
         effects += end_job(cluster, job, JobPhase.FAILED, reason)
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -206,6 +206,18 @@
     assert table.phase("j") == "running"
 
 
+def test_work_that_lasts_is_not_given_up_for_a_worker_that_crashes() -> None:
+    """Guards against the end of a sound job on a bad machine (case 8)."""
+    table = ReplicatedTable()
+    table.submit("j", step(1, long_running=True))
+    for number in range(1, 11):
+        run = run_of("j", number=number)
+        table.start(run, worker=f"m1/w1@{number}")
+        crash = WorkerCrash("m1", "w1", number, (CrashedRun(run, 4_000, 4_000),))
+        table.apply(MarkWorkerLost(f"m1/w1@{number}", crash=crash))
+    assert table.phase("j") == "running"
+
+
 def test_count_of_crashes_outlasts_a_snapshot() -> None:
     """Guards against a restart that makes a task harmless again."""
     table = ReplicatedTable()
