Let lasting work that ended return to a worker held for a gang

A work item that lasts failed and was not started again for 45 s, with room for it on each worker, as a gang waited that needed the whole fleet.

Cause: workers are kept free for a waiting gang, and everything of lower rank that would outlast its wait is kept out: work that lasts always would.

Change: tasks that last and have run before are not kept out. They take back what they left free; a gang can have that only by preemption, whose reservations hold for them as for others.

--- a/packages/core/crocuswell_core/dispatching/planner.py
+++ b/packages/core/crocuswell_core/dispatching/planner.py
@@ -116,7 +116,9 @@
     usable = [
         candidate
         for candidate in sound
-        if not candidate.is_held_from(ranked.key, ranked.sort_key, end_ms)
+        # Lasting tasks that have to start again get back what they left free.
+        if ranked.restarts_lasting_tasks
+        or not candidate.is_held_from(ranked.key, ranked.sort_key, end_ms)
     ]
     limit = start_limit(ranked, fitting)
     placements = choose_placements(state, waiting, usable, limit) if limit else {}
--- a/packages/core/crocuswell_core/dispatching/waiting_steps.py
+++ b/packages/core/crocuswell_core/dispatching/waiting_steps.py
@@ -87,6 +87,13 @@
         """Whether the step is a gang that is slower when spread over racks."""
         return self.step.gang and self.step.prefers_one_rack
 
+    @property
+    def restarts_lasting_tasks(self) -> bool:
+        """Whether its tasks last, and each to start has run before."""
+        return self.step.long_running and all(
+            self.tasks[index].run for index in self.waiting
+        )
+
     @property
     def tasks(self) -> list[Task]:
         """All tasks of the step."""
--- a/tests/test_repeated_jobs.py
+++ b/tests/test_repeated_jobs.py
@@ -9,6 +9,7 @@
 from crocuswell_core.runtime.effects import Effect, SendAgent
 from crocuswell_core.runtime.errors import ErrorKind
 from tests.job_harness import (
+    BATCH,
     LONG,
     TIGHT,
     URGENT,
@@ -184,3 +185,25 @@
     assert isinstance(reply, Refused)
     assert reply.kind is ErrorKind.OVERLOADED
     assert "j" not in table.cluster.jobs.jobs
+
+
+def test_lasting_task_that_failed_does_not_wait_behind_a_gang() -> None:
+    """Guards against lasting work that a waiting gang keeps out (case 15)."""
+    leader = Leader()
+    workers = [worker(f"w{number}") for number in range(3)]
+    for stream_id, description in enumerate(workers, 1):
+        leader.report(stream_id, description)
+    filling = attrs.evolve(long_running_step(3), per_worker_limit=1)
+    demand = attrs.evolve(filling.demand, accelerators=4)
+    leader.submit("filling", attrs.evolve(filling, demand=demand), queue=LONG)
+    leader.submit("lasting", long_running_step(2), queue=BATCH)
+    leader.submit("gang", step(3, accelerators=8, gang=True), queue=TIGHT)
+    failed = run_of("lasting")
+    for stream_id, description in enumerate(workers, 1):
+        placed = [RunId(*item) for item in leader.placed(description).items()]
+        ends = [end_of(run, RunEndKind.FAILED) for run in placed if run == failed]
+        running = [RunProgress(run, "", 100) for run in placed if run != failed]
+        leader.report(stream_id, description, running, ends)
+    leader.tick()
+    held = {run for each in workers for run in leader.placed(each).items()}
+    assert (failed.task, 2) in held
