Give up lasting work that crashes several machines, not one

Change: proof against a task that lasts needs crashes on several machines.

Evidence: these tests and test_work_that_lasts_is_not_given_up_for_a_worker_that_crashes pass.

--- a/packages/core/crocuswell_core/jobs/crash_history.py
+++ b/packages/core/crocuswell_core/jobs/crash_history.py
@@ -72,6 +72,11 @@
         """Whether the task should run alone."""
         return self.early >= SUSPECT_EARLY or self.count >= SUSPECT_COUNT
 
+    @property
+    def crashed_several_machines(self) -> bool:
+        """Whether a faulty machine does not explain the crashes."""
+        return len(self.machines) >= PROOF_MACHINES
+
     @property
     def is_proof(self) -> bool:
         """Whether the crashes prove that the task causes them."""
@@ -82,7 +87,7 @@
             return False
         if self.count >= PROOF_COUNT:
             return True
-        if self.sole == 0 or len(self.machines) < PROOF_MACHINES:
+        if self.sole == 0 or not self.crashed_several_machines:
             return False
         return self.early >= PROOF_EARLY or self.count >= PROOF_COUNT_SOLE
 
--- a/packages/core/crocuswell_core/jobs/crash_records.py
+++ b/packages/core/crocuswell_core/jobs/crash_records.py
@@ -111,9 +111,11 @@
         Label("sole", str(history.sole)),
     )
     effects: list[ClusterEffect] = [EmitLogEvent("task_under_crash", labels)]
-    # Tasks that last are restarted however they end.
+    # Tasks that last are restarted however they end, unless they crash one
+    # machine after the other.
     lasts = job.steps[crashed.run.task.step].long_running
-    if history.is_proof and job.is_open and not lasts:
+    is_proof = history.is_proof and (history.crashed_several_machines or not lasts)
+    if is_proof and job.is_open:
         label = task_label(crashed.run.task)
         reason = f"task {label}: {history.count} workers crashed under it"
         effects += end_job(cluster, job, JobPhase.FAILED, reason)
