--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -4,6 +4,7 @@
 import pytest
 
 from crocuswell_core.agent.agent_messages import Order, ReportAck, SendReports, StopTask
+from crocuswell_core.agent.agent_reports import MAX_ENDED_ATTEMPTS
 from crocuswell_core.agent.backend import (
     Accepted,
     BackendReply,
@@ -562,3 +563,20 @@
     agent.run(1_000)
     assert kinds(agent.reports()) == [reported]
     assert starts(agent) == []
+
+
+def test_ends_beyond_the_memory_of_an_agent_are_not_started_again() -> None:
+    """Guards against second starts as a new leader knows of no end yet."""
+    count = MAX_ENDED_ATTEMPTS + 500
+    agent = booted()
+    agent.tasks = tuple(listed("failed", f"q{i}") for i in range(count))
+    agent.connect()
+    agent.run(1_000)
+    agent.confirm()
+    agent.welcome(*(start(f"q{i}") for i in range(count)))
+    for _ in range(count):
+        agent.receive(ReportAck(len(agent.reports())))
+        if len(agent.reports()) == count:
+            break
+    assert kinds(agent.reports()) == [TaskFailed] * count
+    assert not starts(agent)
--- a/tests/test_listed_ends.py
+++ b/tests/test_listed_ends.py
@@ -12,39 +12,28 @@
 )
 from crocuswell_platform.worker_json import MAX_LISTED_ENDS, parse_run_lists
 from tests.job_harness import URGENT, Leader, end_of, run_of, step, worker
-from tests.test_runner import Runner, open_calls
+from tests.test_runner import Runner, open_calls, runner  # noqa: F401  (a fixture)
 
 RUN = run_of("j")
 W1 = worker("w1")
 LISTED_ENDS = [end_of(run_of("j", i), RunEndKind.DONE, i) for i in range(1, 4)]
 
 
-@pytest.fixture
-def runner() -> Runner:
-    """A runner whose worker is known and whose lease is granted."""
-    runner = Runner()
-    runner.send_heartbeat()
-    runner.attach()
-    runner.reply_with_list()
-    runner.grant()
-    return runner
-
-
-def refuse_as_old(runner: Runner) -> None:
+def refuse_as_old(runner: Runner) -> None:  # noqa: F811
     """Let the worker refuse the start of `RUN`, and take the stop of it."""
     runner.order(RUN)
     runner.reply(StartOnWorker, OrderRefused(0, "old"))
     runner.reply(StopOnWorker, OrderAccepted(0))
 
 
-def list_until_current(runner: Runner, **fields: object) -> None:
+def list_until_current(runner: Runner, **fields: object) -> None:  # noqa: F811
     """Answer the list in flight, and one that was requested after the stop."""
     for _ in range(2):
         runner.tick()
         runner.reply_with_list(**fields)
 
 
-def test_run_behind_a_full_list_of_ends_is_not_absent(runner: Runner) -> None:
+def test_run_behind_a_full_list_of_ends_is_not_absent(runner: Runner) -> None:  # noqa: F811
     """Guards against a second start of work that is done (review case 11)."""
     refuse_as_old(runner)
     list_until_current(runner, ended=LISTED_ENDS, lists_all_ends=False)
@@ -57,7 +46,7 @@
     assert not any(report.absent for report in runner.reports)
 
 
-def test_run_missing_from_a_whole_list_is_absent(runner: Runner) -> None:
+def test_run_missing_from_a_whole_list_is_absent(runner: Runner) -> None:  # noqa: F811
     """Guards against work that waits although the worker never had it."""
     refuse_as_old(runner)
     list_until_current(runner, ended=LISTED_ENDS, lists_all_ends=False)
@@ -67,7 +56,7 @@
     assert runner.reports[-1].lists_all_ends
 
 
-def test_ends_beyond_the_size_of_a_report_are_kept(runner: Runner) -> None:
+def test_ends_beyond_the_size_of_a_report_are_kept(runner: Runner) -> None:  # noqa: F811
     """Guards against absent runs whose ends a full report leaves out."""
     count = MAX_REPORTED_ENDS
     ends = [end_of(run_of("k", i), RunEndKind.DONE, i) for i in range(1, 2 * count + 1)]
@@ -85,7 +74,7 @@
     assert not any(report.absent for report in runner.reports)
 
 
-def test_run_whose_end_is_listed_is_not_sent_to_the_worker(runner: Runner) -> None:
+def test_run_whose_end_is_listed_is_not_sent_to_the_worker(runner: Runner) -> None:  # noqa: F811
     """Guards against starts that a worker refuses, and their stops."""
     runner.tick()
     runner.reply_with_list(ended=[end_of(RUN, RunEndKind.DONE)])
