--- a/packages/core/crocuswell_core/consensus/members.py
+++ b/packages/core/crocuswell_core/consensus/members.py
@@ -10,8 +10,7 @@
 from crocuswell_core.runtime.dispatch import apply_command, may_append
 from crocuswell_core.runtime.effects import ApplyResult
 
-# A new group has its voters about 1 s after its first election. Longer than
-# that it waits for hosts that may not exist.
+# The hosts that were to be voters may not exist.
 FORMING_LIMIT_MS = 3_000
 
 
